Keep noisy servers warm and let more calls wait in busy ones

Cause: at load 0.85 with one server in twenty three times slower, three slow answers in a row set a server's limit to 1, which a slow neighbour alone does often; and one waiting call did not cover the calls that end in a round trip. Change: a server counts as cold when a running average of its answers exceeds five usual times; the calls that wait in a server are the mean and one deviation of those that end in the time a slot stands idle.

--- a/crates/route/src/ledger.rs
+++ b/crates/route/src/ledger.rs
@@ -647,7 +647,8 @@
     /// Returns how many calls may wait in `server` beyond its limit.
     ///
     /// A slot stands idle from the end of a call until the next one arrives.
-    /// So many calls wait in the server as end in that time, and at least one.
+    /// So many calls wait in the server as are likely to end in that time: the
+    /// mean of a Poisson count and one deviation.
     fn depth(&self, server: &Server, limit: u32) -> u32 {
         if limit == 0 || !self.complete || !server.limit.queues(&self.spec) {
             return 0;
@@ -656,8 +657,11 @@
         if usual <= 0.0 {
             return 1;
         }
+        // The way to the server and back is taken to be as long as that to
+        // the home, which is what the gap covers.
         let ending = f64::from(limit) * 2.0 * self.gap / usual;
-        (ending.ceil() as u32).clamp(1, limit)
+        let likely = ending + ending.sqrt();
+        (likely.ceil() as u32).clamp(1, limit)
     }
 
     fn oldest(&self, server: &Server, now: Time) -> f64 {
--- a/crates/route/src/limit.rs
+++ b/crates/route/src/limit.rs
@@ -19,10 +19,13 @@
 const WEIGHT: f64 = 0.2;
 /// An answer is healthy if it took at most this many usual service times.
 const HEALTHY: f64 = 3.0;
-/// An answer is a jump if it took more than this many usual service times.
-const JUMP: f64 = 4.0;
-/// Jumps in a row after which a warm server counts as cold.
-const JUMPS: u32 = 3;
+/// Weight of one answer in the average by which a jump is noticed.
+const JUMP_WEIGHT: f64 = 0.125;
+/// A server whose answers take this many usual service times on that average
+/// counts as cold; a neighbour's noise stays below it.
+const JUMP: f64 = 5.0;
+/// Usual service times that an answer counts as that never came in time.
+const LATE: f64 = 10.0;
 /// The first pause of a server that failed.
 const PAUSE_MIN: Duration = Duration::from_millis(250);
 /// The longest pause of a server that keeps failing.
@@ -38,7 +41,7 @@
     slots: u32,
     current: u32,
     healthy: u32,
-    jumps: u32,
+    pace: f64,
     failures: u32,
     down: bool,
     paused: Time,
@@ -54,7 +57,7 @@
             slots: server.slots,
             current: spec.cold_limit.min(server.slots),
             healthy: 0,
-            jumps: 0,
+            pace: 1.0,
             failures: 0,
             down: false,
             paused: Time::ZERO,
@@ -153,12 +156,7 @@
             self.usual += (took - self.usual) * WEIGHT;
         }
         let known = typical > 0.0;
-        if known && took > typical * JUMP {
-            self.jumps += 1;
-        } else {
-            self.jumps = 0;
-        }
-        if self.jumps >= JUMPS {
+        if known && self.jumps(took / typical) {
             self.chill(spec);
             return;
         }
@@ -172,11 +170,17 @@
         }
     }
 
+    /// Notes how many usual times an answer took; returns whether that is a jump.
+    fn jumps(&mut self, times: f64) -> bool {
+        self.pace += (times - self.pace) * JUMP_WEIGHT;
+        self.pace > JUMP
+    }
+
     /// Sets the limit back to that of a server that has just started.
     fn chill(&mut self, spec: &Spec) {
         self.current = spec.cold_limit.min(self.slots);
         self.healthy = 0;
-        self.jumps = 0;
+        self.pace = 1.0;
     }
 
     fn shed(&mut self, spec: &Spec, now: Time) {
@@ -187,9 +191,8 @@
     }
 
     fn late(&mut self, spec: &Spec) {
-        self.jumps += 1;
         self.healthy = 0;
-        if self.jumps >= JUMPS {
+        if self.jumps(LATE) {
             self.chill(spec);
         }
     }
