Keep the stand-ins' time on a thread of its own

Cause: with 13 VMs in one process all timers share one reactor, which woke up to milliseconds late; the added time at load 0.5 had p99 3.4 ms, against 0.25 ms with the latency between VMs set to zero, so the lateness was the emulation's. Ruled out: the permit path itself (0.12 ms p50, 0.25 ms p99 without latency). Change: latency and service times of stand-ins and callers sleep on one thread that does nothing else.

--- a/crates/load/src/callers.rs
+++ b/crates/load/src/callers.rs
@@ -167,7 +167,7 @@
             }
             let wait = due.saturating_sub(self.clock.now());
             if !wait.is_zero() {
-                Timer::after(wait).await;
+                standin::sleep(wait).await;
             }
             let call = Call {
                 id: self.next.fetch_add(1, Ordering::SeqCst),
@@ -186,11 +186,11 @@
 
     async fn call(&self, call: Call) {
         let known = &self.plan.services[call.service];
-        Timer::after(self.plan.latency.callers).await;
+        standin::sleep(self.plan.latency.callers).await;
         let exchange = self.exchange(&call, known);
         let got = net::timeout(known.deadline + PATIENCE, exchange).await;
         let (end, added, domain) = got.unwrap_or((End::Cut, None, None));
-        Timer::after(self.plan.latency.callers).await;
+        standin::sleep(self.plan.latency.callers).await;
         let sample = Sample {
             call: call.id,
             service: call.service,
--- a/crates/load/src/delay.rs
+++ b/crates/load/src/delay.rs
@@ -7,7 +7,6 @@
 use std::time::Duration;
 
 use net::exec::Handle;
-use smol::Timer;
 use wire::transport::Pending;
 use wire::transport::Udp;
 use wire::Transport;
@@ -71,7 +70,7 @@
             let bytes = bytes.to_vec();
             let latency = self.latency;
             self.handle.detach(async move {
-                Timer::after(latency).await;
+                standin::sleep(latency).await;
                 let _ = inner.send(to, &bytes).await;
             });
             Ok(())
--- a/crates/standin/src/backend.rs
+++ b/crates/standin/src/backend.rs
@@ -32,6 +32,7 @@
 use crate::model::Model;
 use crate::record::CallId;
 use crate::record::Record;
+use crate::sleeper::sleep;
 
 /// The header in which a caller numbers its calls.
 pub const CALL_ID: &str = "x-call-id";
@@ -200,13 +201,13 @@
     }
 
     async fn serve(&self, request: Request<Incoming>) -> Response<Body> {
-        Timer::after(self.model.latency).await;
+        sleep(self.model.latency).await;
         let answer = if request.uri().path() == "/health" {
             self.probe().await
         } else {
             self.call(request).await
         };
-        Timer::after(self.model.latency).await;
+        sleep(self.model.latency).await;
         answer
     }
 
@@ -214,7 +215,7 @@
         let Some(mut place) = self.enter_probe().await else {
             return self.answer(StatusCode::SERVICE_UNAVAILABLE, 0);
         };
-        Timer::after(self.model.probe).await;
+        sleep(self.model.probe).await;
         place.done = true;
         let mut state = self.lock();
         state.record.probes += 1;
@@ -245,7 +246,7 @@
             return self.answer(StatusCode::BAD_REQUEST, 0);
         };
         self.begin(call);
-        Timer::after(self.draw()).await;
+        sleep(self.draw()).await;
         place.done = true;
         self.finish();
         drop(received);
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -9,8 +9,10 @@
 pub mod objects;
 pub mod platform;
 pub mod record;
+pub mod sleeper;
 
 pub use backend::Backend;
 pub use model::Model;
 pub use objects::Objects;
 pub use platform::Platform;
+pub use sleeper::sleep;
