Warm servers up by their pace, and inherit only what is agreed

The limit grew after 8 healthy answers each, where healthy allows three usual times, so a server that was still cold and twice as slow counted as warm. Ruled out: loss and the platform's outage (the same without them). Change: the limit grows only while the average pace is at most 1.5 usual times; a failure right after growth doubles the answers needed next time; the default is 16 answers. A new home trusts no server before the last home or most VMs have spoken, and takes the most careful of the recent sheets, because a lost sheet let one VM hold a restarted server for warm. Stand-ins count service times from when a slot was due to be free, so that late wake-ups of a busy machine cost no capacity.

--- a/crates/conf/src/service.rs
+++ b/crates/conf/src/service.rs
@@ -66,7 +66,7 @@
 }
 
 fn grow_after() -> u32 {
-    8
+    16
 }
 
 impl Default for Cold {
--- a/crates/load/src/fleet.rs
+++ b/crates/load/src/fleet.rs
@@ -4,6 +4,10 @@
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 use std::net::TcpListener;
+use std::net::UdpSocket;
+use std::ops::Range;
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::Ordering;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::time::Duration;
@@ -38,6 +42,10 @@
 use crate::plan::Plan;
 use crate::plan::ServicePlan;
 
+/// Ports for peers; two processes at once begin at different ones by chance.
+const PORTS: Range<u16> = 10_000..30_000;
+/// The next port to try.
+static NEXT_PORT: AtomicU32 = AtomicU32::new(0);
 /// The longest time for the whole fleet to be ready.
 const READY: Duration = Duration::from_secs(10);
 /// Threads of the stand-ins.
@@ -132,6 +140,7 @@
 impl Fleet {
     /// Starts the deployment of `plan` and waits until it is ready.
     pub async fn start(plan: &Plan, start: &Start) -> anyhow::Result<Self> {
+        NEXT_PORT.fetch_add(fastrand::u32(..u32::from(PORTS.end)), Ordering::Relaxed);
         let pool = Pool::new("standin", STANDIN_THREADS);
         let clock = Clock::new();
         let local = IpAddr::V4(Ipv4Addr::LOCALHOST);
@@ -237,6 +246,7 @@
             service.class = known.class;
             service.hedges = known.hedges;
             service.queues = !known.sheds;
+            service.cold.grow = WARM_AFTER as u32;
             ticket
                 .services
                 .push(service.with_servers(servers.collect()));
@@ -328,9 +338,17 @@
     }
 }
 
-fn free_port() -> std::io::Result<SocketAddr> {
-    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0))?;
-    listener.local_addr()
+/// Finds a port that is free for UDP and TCP, below those that the system
+/// gives to outgoing connections.
+fn free_port() -> anyhow::Result<SocketAddr> {
+    for _ in PORTS {
+        let next = NEXT_PORT.fetch_add(1, Ordering::Relaxed) % PORTS.len() as u32;
+        let address = SocketAddr::from((Ipv4Addr::LOCALHOST, PORTS.start + next as u16));
+        if TcpListener::bind(address).is_ok() && UdpSocket::bind(address).is_ok() {
+            return Ok(address);
+        }
+    }
+    anyhow::bail!("no port from {} to {} is free", PORTS.start, PORTS.end)
 }
 
 fn settings(
--- a/crates/load/src/main.rs
+++ b/crates/load/src/main.rs
@@ -1,24 +1,209 @@
-//! `load`: the experiment tool.
+//! `load`: the experiment tool; see `docs/measure/load.md`.
 
+use std::path::Path;
 use std::path::PathBuf;
 use std::process::ExitCode;
+use std::time::Duration;
+use std::time::Instant;
 
+use conf::settings::Policy;
 use load::fleet::Start;
+use load::overhead;
 use load::plan::Plan;
+use load::plot;
 use load::report;
 use load::run;
+use load::targets;
+use load::targets::Scope;
+use pico_args::Arguments;
+
+/// The text of `--help`.
+const HELP: &str = "\
+load: drives real daemons and stand-ins, and checks the promises
+
+Usage: load COMMAND [OPTIONS]
+
+  run FILE...              runs experiments, each under all its policies
+      --load SHARE         in place of the file's load
+      --policy NAME        in place of the file's policies
+      --seed NUMBER        in place of the file's seed
+      --time SPAN          in place of the file's time
+      --vms NUMBER         in place of the file's number of entry VMs
+      --scattered          a datagram for each message between VMs
+      --report DIRECTORY   writes JSON and SVG
+  targets                  measures the targets of the design
+      --quick              in less than a minute
+      --seed NUMBER
+  overhead                 one daemon against calling servers directly
+  propagation              time until a ticket is in force, by fleet size
+
+Exit codes: 0 done and all promises and targets kept, 1 not, 2 bad use.
+";
 
 fn main() -> ExitCode {
-    let file: PathBuf = std::env::args().nth(1).unwrap().into();
-    let plan = Plan::load(&file).unwrap();
+    let mut args = Arguments::from_env();
+    let help = args.contains(["-h", "--help"]);
+    let command = args.subcommand().ok().flatten();
+    let result = match command.as_deref().filter(|_| !help) {
+        Some("run") => run_files(args),
+        Some("targets") => measure_targets(args),
+        Some("overhead") => measure_overhead(args),
+        Some("propagation") => measure_propagation(args),
+        _ => {
+            print!("{HELP}");
+            return if help {
+                ExitCode::SUCCESS
+            } else {
+                ExitCode::from(2)
+            };
+        }
+    };
+    match result {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::FAILURE,
+        Err(error) => {
+            eprintln!("load: {error:#}");
+            ExitCode::from(2)
+        }
+    }
+}
+
+fn policy(text: &str) -> Result<Policy, String> {
+    serde_json::from_value(serde_json::Value::String(text.into()))
+        .map_err(|error| error.to_string())
+}
+
+/// What replaces fields of the experiments.
+struct Changes {
+    load: Option<f64>,
+    policy: Option<Policy>,
+    seed: Option<u64>,
+    time: Option<Duration>,
+    vms: Option<usize>,
+}
+
+impl Changes {
+    fn new(args: &mut Arguments) -> anyhow::Result<Self> {
+        Ok(Self {
+            load: args.opt_value_from_str("--load")?,
+            policy: args.opt_value_from_fn("--policy", policy)?,
+            seed: args.opt_value_from_str("--seed")?,
+            time: args.opt_value_from_fn("--time", humantime::parse_duration)?,
+            vms: args.opt_value_from_str("--vms")?,
+        })
+    }
+
+    fn apply(&self, plan: &mut Plan) {
+        plan.load = self.load.unwrap_or(plan.load);
+        plan.seed = self.seed.unwrap_or(plan.seed);
+        plan.time = self.time.unwrap_or(plan.time);
+        plan.vms = self.vms.unwrap_or(plan.vms);
+        if let Some(policy) = self.policy {
+            plan.policies = vec![policy];
+        }
+    }
+}
+
+fn run_files(mut args: Arguments) -> anyhow::Result<bool> {
+    let changes = Changes::new(&mut args)?;
+    let scattered = args.contains("--scattered");
+    let directory: Option<PathBuf> = args.opt_value_from_str("--report")?;
+    let files: Vec<PathBuf> = args.finish().into_iter().map(PathBuf::from).collect();
+    anyhow::ensure!(
+        !files.is_empty(),
+        "write the experiments to run; see --help"
+    );
+    let mut kept = true;
+    for file in files {
+        let mut plan = Plan::load(&file)?;
+        changes.apply(&mut plan);
+        kept &= run_plan(&plan, scattered, directory.as_deref())?;
+    }
+    Ok(kept)
+}
+
+fn run_plan(plan: &Plan, scattered: bool, directory: Option<&Path>) -> anyhow::Result<bool> {
+    let mut kept = true;
+    let mut runs = Vec::new();
     for &policy in &plan.policies {
         let start = Start {
             policy,
             vms: plan.vms,
-            scattered: false,
+            scattered,
         };
-        let (outcome, _) = smol::block_on(run::run(&plan, &start)).unwrap();
+        let (outcome, tally) = smol::block_on(run::run(plan, &start))?;
         println!("{}", report::table(&outcome, &plan.domains));
+        kept &= outcome.broken.total() == 0;
+        runs.push(plot::Run { outcome, tally });
+    }
+    if let Some(directory) = directory {
+        plot::write(directory, plan, &runs)?;
+    }
+    Ok(kept)
+}
+
+fn measure_targets(mut args: Arguments) -> anyhow::Result<bool> {
+    let scope = Scope {
+        quick: args.contains("--quick"),
+        seed: args.opt_value_from_str("--seed")?.unwrap_or(1),
+    };
+    let rest = args.finish();
+    anyhow::ensure!(
+        rest.is_empty(),
+        "unknown argument {:?}; see --help",
+        rest[0]
+    );
+    let began = Instant::now();
+    println!("seed {}", scope.seed);
+    let rows = smol::block_on(targets::measure(scope, |row| println!("{}", row.text())))?;
+    let met = rows.iter().filter(|row| row.is_met()).count();
+    println!("{met} of {} met in {:.0?}", rows.len(), began.elapsed());
+    Ok(met == rows.len())
+}
+
+fn measure_overhead(args: Arguments) -> anyhow::Result<bool> {
+    let rest = args.finish();
+    anyhow::ensure!(
+        rest.is_empty(),
+        "unknown argument {:?}; see --help",
+        rest[0]
+    );
+    println!(
+        "{:>8} {:>22} {:>22} {:>8}",
+        "callers", "direct calls/s, p50 ms", "through calls/s, p50", "cpu ms"
+    );
+    for callers in [1, 8, 32, 128] {
+        let figures = smol::block_on(overhead::measure(callers, Duration::from_secs(3)))?;
+        let (direct, through) = figures;
+        println!(
+            "{callers:>8} {:>13.0} {:>8.3} {:>13.0} {:>8.3} {:>8.3}",
+            direct.rate,
+            direct.tail.p50,
+            through.rate,
+            through.tail.p50,
+            through.cpu - direct.cpu
+        );
+    }
+    Ok(true)
+}
+
+/// The fleet sizes for which the way of a ticket into force is timed.
+const FLEETS: [usize; 4] = [3, 13, 50, 100];
+
+fn measure_propagation(args: Arguments) -> anyhow::Result<bool> {
+    let rest = args.finish();
+    anyhow::ensure!(
+        rest.is_empty(),
+        "unknown argument {:?}; see --help",
+        rest[0]
+    );
+    println!(
+        "{:>6} {:>14} {:>16}",
+        "VMs", "worst of 5, s", "platform calls"
+    );
+    for vms in FLEETS {
+        let (worst, calls) = smol::block_on(targets::propagation(vms))?;
+        println!("{vms:>6} {:>14.3} {calls:>16}", worst.as_secs_f64());
     }
-    ExitCode::SUCCESS
+    Ok(true)
 }
--- a/crates/load/src/overhead.rs
+++ b/crates/load/src/overhead.rs
@@ -1,1 +1,122 @@
-//! Placeholder.
+//! What one daemon costs: calls through it against calls straight to a server.
+
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::time::Duration;
+use std::time::Instant;
+
+use conf::settings::Policy;
+use http::header;
+use http::Request;
+use net::body;
+use net::client;
+use net::exec::Handle;
+use net::Pool;
+
+use crate::fleet::Fleet;
+use crate::fleet::Start;
+use crate::plan::Plan;
+use crate::run::cpu_time;
+use crate::tally::Tail;
+
+/// The deployment: one service whose servers answer at once.
+const PLAN: &str = r#"{
+  "name": "overhead",
+  "domains": ["one"],
+  "vms": 1,
+  "latency": { "peers": "0s", "callers": "0s", "servers": "0s" },
+  "services": [{ "name": "fast", "servers": 8, "slots": 64, "mean": "1us", "deadline": "5s" }],
+  "load": 0.5, "warmup": "0s", "time": "1s", "threads": 4
+}"#;
+
+/// What came of one way to call.
+#[derive(Clone, Copy, Debug)]
+pub struct Figures {
+    /// Calls a second.
+    pub rate: f64,
+    /// Times of the calls.
+    pub tail: Tail,
+    /// Processor seconds of the whole process for each thousand calls.
+    pub cpu: f64,
+}
+
+/// Measures `callers` that call one after the other for `time`, straight to
+/// the servers and through one daemon.
+pub async fn measure(callers: usize, time: Duration) -> anyhow::Result<(Figures, Figures)> {
+    let plan = Plan::parse(PLAN)?;
+    let start = Start {
+        policy: Policy::Home,
+        vms: 1,
+        scattered: false,
+    };
+    let fleet = Fleet::start(&plan, &start).await?;
+    let servers: Vec<_> = fleet.members.iter().map(|m| m.backend.address()).collect();
+    let pool = Pool::new("callers", 2);
+    let through = vec![fleet.vms[0].callers];
+    // The first round warms the servers up.
+    drive(&pool, &through, callers, Duration::from_secs(1)).await;
+    let direct = drive(&pool, &servers, callers, time).await;
+    let through = drive(&pool, &through, callers, time).await;
+    fleet.stop().await;
+    Ok((direct, through))
+}
+
+async fn drive(
+    pool: &Pool,
+    to: &[std::net::SocketAddr],
+    callers: usize,
+    time: Duration,
+) -> Figures {
+    let times: Arc<Mutex<Vec<Duration>>> = Arc::default();
+    let began = Instant::now();
+    let cpu = cpu_time();
+    let tasks: Vec<_> = (0..callers)
+        .map(|n| {
+            let times = times.clone();
+            let address = to[n % to.len()];
+            let handle = pool.handle();
+            pool.spawn(async move {
+                let mine = call_until(address, &handle, began + time).await;
+                if let Ok(mut times) = times.lock() {
+                    times.extend(mine);
+                }
+            })
+        })
+        .collect();
+    for task in tasks {
+        task.await;
+    }
+    let taken = began.elapsed().as_secs_f64();
+    let times = times.lock().map(|times| times.clone()).unwrap_or_default();
+    let count = times.len().max(1) as f64;
+    Figures {
+        rate: times.len() as f64 / taken,
+        tail: Tail::new(times.into_iter()),
+        cpu: (cpu_time() - cpu) * 1e3 / count,
+    }
+}
+
+async fn call_until(to: std::net::SocketAddr, handle: &Handle, end: Instant) -> Vec<Duration> {
+    let mut times = Vec::new();
+    let Ok(mut sender) = client::connect(handle, to, false).await else {
+        return times;
+    };
+    while Instant::now() < end {
+        let mut request = Request::new(body::empty());
+        *request.uri_mut() = http::Uri::from_static("/fast");
+        let host = header::HeaderValue::from_static("load");
+        request.headers_mut().insert(header::HOST, host);
+        let began = Instant::now();
+        if sender.ready().await.is_err() {
+            break;
+        }
+        let Ok(answer) = sender.send(request).await else {
+            break;
+        };
+        if body::collect(answer.into_body(), 1 << 20).await.is_err() {
+            break;
+        }
+        times.push(began.elapsed());
+    }
+    times
+}
--- a/crates/node/src/cell.rs
+++ b/crates/node/src/cell.rs
@@ -158,7 +158,7 @@
         if let Body::Lead { epoch, .. } = body {
             // The own ledger ends before the promise to follow another leaves.
             let legacy = lock(&self.seat).overtake(epoch, now);
-            self.inherit(legacy);
+            self.inherit(legacy, now);
         }
         self.in_side(|side| side.follower.receive(from, body, now))
     }
@@ -202,15 +202,15 @@
         }
         let legacy = over.and_then(|epoch| seat.overtake(epoch, now));
         drop(seat);
-        self.inherit(legacy);
+        self.inherit(legacy, now);
         todo
     }
 
     /// Keeps what the own ledger knew for the next home.
-    fn inherit(&self, legacy: Option<Legacy>) {
+    fn inherit(&self, legacy: Option<Legacy>, now: Time) {
         if let Some(legacy) = legacy {
             let mut side = lock(&self.side);
-            side.follower.inherit(legacy.epoch, legacy.lines);
+            side.follower.inherit(legacy.epoch, legacy.lines, now);
         }
     }
 
--- a/crates/route/src/follower.rs
+++ b/crates/route/src/follower.rs
@@ -16,6 +16,7 @@
 use base::VmId;
 
 use crate::epoch::Epoch;
+use crate::heritage::Sheet;
 use crate::msg::Ask;
 use crate::msg::Body;
 use crate::msg::CallNo;
@@ -123,6 +124,7 @@
     last: CallNo,
     lines: Vec<Line>,
     source: Epoch,
+    told: Time,
     owned: Vec<(ServerId, u32)>,
     refresh_at: Time,
     reports: u64,
@@ -150,6 +152,7 @@
             last: u64::from(life) << 32,
             lines: Vec::new(),
             source: Epoch::default(),
+            told: Time::ZERO,
             owned: Vec::new(),
             refresh_at: Time::ZERO,
             reports: 0,
@@ -265,8 +268,10 @@
             return;
         };
         self.calls.remove(at);
-        if matches!(release.outcome, Outcome::Cancelled | Outcome::Late) {
-            self.linger(&release, now);
+        match release.outcome {
+            Outcome::Cancelled | Outcome::Late => self.linger(&release, now),
+            Outcome::Broken | Outcome::Unreachable => self.distrust(release.server),
+            Outcome::Done | Outcome::Shed | Outcome::Unused => {}
         }
         if self.following {
             let epoch = self.seen;
@@ -274,6 +279,16 @@
         }
     }
 
+    /// Keeps this VM from using a server that just failed without a home, and
+    /// the next home from thinking it warm.
+    fn distrust(&mut self, server: ServerId) {
+        let found = self.lines.binary_search_by_key(&server, |line| line.server);
+        if let Ok(at) = found {
+            self.lines[at].warmth = Warmth::Down;
+            self.lines[at].limit = 1;
+        }
+    }
+
     /// Remembers an attempt that the server may still run, for the next home.
     fn linger(&mut self, release: &Release, now: Time) {
         let at = self
@@ -337,6 +352,7 @@
                 if self.is_current(epoch, now) {
                     self.lines = lines;
                     self.source = epoch;
+                    self.told = now;
                 }
             }
             Body::Join { .. }
@@ -402,8 +418,11 @@
         let body = Body::Attach {
             epoch,
             holding: self.holding(now),
-            lines: self.lines.clone(),
-            source: self.source,
+            sheet: Sheet {
+                source: self.source,
+                age: now.saturating_sub(self.told),
+                lines: self.lines.clone(),
+            },
         };
         self.send_home(body);
         if moved {
@@ -432,10 +451,11 @@
     }
 
     /// Takes over what this VM knew as home of `epoch`, which has ended.
-    pub fn inherit(&mut self, epoch: Epoch, lines: Vec<Line>) {
+    pub fn inherit(&mut self, epoch: Epoch, lines: Vec<Line>, now: Time) {
         if epoch >= self.source {
             self.source = epoch;
             self.lines = lines;
+            self.told = now;
         }
     }
 
--- a/crates/route/src/ledger.rs
+++ b/crates/route/src/ledger.rs
@@ -23,6 +23,8 @@
 use crate::choose;
 use crate::choose::Candidate;
 use crate::epoch::Epoch;
+use crate::heritage::Heritage;
+use crate::heritage::Sheet;
 use crate::limit::Limit;
 use crate::msg;
 use crate::msg::Ask;
@@ -139,8 +141,8 @@
     pub(crate) queue: Queue,
     pub(crate) roster: Roster,
     pub(crate) complete: bool,
-    inherited: Epoch,
-    lines: Vec<Line>,
+    trusted: bool,
+    heritage: Heritage,
     active: Vec<Active>,
     retries: Budget,
     hedges: Budget,
@@ -163,8 +165,8 @@
             queue: Queue::default(),
             roster: Roster::new(fleet.vms, fleet.alive, now).with_strangers(fleet.strangers),
             complete: false,
-            inherited: Epoch::default(),
-            lines: Vec::new(),
+            trusted: false,
+            heritage: Heritage::default(),
             active: Vec::new(),
             retries: Budget::new(spec.retry_percent),
             hedges: Budget::new(spec.hedge_percent),
@@ -278,11 +280,10 @@
             Body::Attach {
                 epoch,
                 holding,
-                lines,
-                source,
+                sheet,
             } => {
                 if self.is_current(from, epoch) {
-                    self.attach(from, &holding, lines, source, now);
+                    self.attach(from, &holding, &sheet, now);
                 }
             }
             Body::Refresh { epoch, holding } => {
@@ -360,18 +361,10 @@
         epoch == self.epoch
     }
 
-    fn attach(
-        &mut self,
-        from: VmId,
-        holding: &Holding,
-        lines: Vec<Line>,
-        source: Epoch,
-        now: Time,
-    ) {
+    fn attach(&mut self, from: VmId, holding: &Holding, sheet: &Sheet, now: Time) {
         self.reconcile(from, holding, now);
-        if source > self.inherited && source < self.epoch {
-            self.inherited = source;
-            self.lines = lines;
+        if sheet.source < self.epoch {
+            self.heritage.merge(sheet);
         }
         if self.roster.promise(from) {
             self.review(now);
@@ -379,22 +372,22 @@
         self.pump(now);
     }
 
-    /// Takes over what the last home knew once nobody can know better.
+    /// Takes over what the last home knew, but for what this one knows better.
     fn inherit(&mut self, now: Time) {
-        let latest = self.inherited >= self.prior || self.complete;
-        if !latest || self.lines.is_empty() {
-            return;
-        }
-        for line in std::mem::take(&mut self.lines) {
-            if let Some(at) = self.find(line.server) {
-                let server = &mut self.servers[at];
-                if !server.touched {
-                    server.touched = true;
-                    server.limit.adopt(&line, now);
-                    self.changed = true;
-                }
+        for line in self.heritage.lines() {
+            let found = self.servers.binary_search_by_key(&line.server, |s| s.id);
+            let Ok(at) = found else {
+                continue;
+            };
+            let server = &mut self.servers[at];
+            if !server.touched {
+                server.limit.adopt(line, now);
+                self.changed = true;
             }
         }
+        if self.complete {
+            self.heritage = Heritage::default();
+        }
     }
 
     /// Brings the ledger in line with all that `from` has.
@@ -642,7 +635,7 @@
         if self.complete {
             return server.limit.current();
         }
-        if !warm {
+        if !warm || !self.trusted {
             return 0;
         }
         server.limit.current().saturating_sub(server.reserved)
@@ -750,10 +743,16 @@
     /// Works out again whether the epoch is complete and what is reserved.
     fn review(&mut self, now: Time) {
         self.complete = self.roster.is_complete(GONE, now);
+        // Before the last home or most VMs have spoken, nobody may have told
+        // of a server that has just restarted.
+        let heard = self.roster.has(self.prior.home) || self.roster.has_majority();
+        self.trusted = self.complete || heard;
         for server in &mut self.servers {
             server.reserved = 0;
         }
-        self.inherit(now);
+        if self.trusted {
+            self.inherit(now);
+        }
         if self.complete {
             return;
         }
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod choose;
 pub mod epoch;
 pub mod follower;
+pub mod heritage;
 pub mod keys;
 pub mod ledger;
 pub mod limit;
--- a/crates/route/src/limit.rs
+++ b/crates/route/src/limit.rs
@@ -19,8 +19,14 @@
 const WEIGHT: f64 = 0.2;
 /// An answer is healthy if it took at most this many usual service times.
 const HEALTHY: f64 = 3.0;
-/// Weight of one answer in the average by which a jump is noticed.
-const JUMP_WEIGHT: f64 = 0.125;
+/// Weight of one answer in the average pace of a server.
+const PACE_WEIGHT: f64 = 0.125;
+/// The limit grows only while answers take at most this many usual service
+/// times on average; a server that is not yet warm is slower.
+const WARM_PACE: f64 = 1.5;
+/// How much longer than the service asks for a server is kept at a limit at
+/// the most, after it failed at the next one.
+const NEED_MAX: u32 = 16;
 /// A server whose answers take this many usual service times on that average
 /// counts as cold; a neighbour's noise stays below it.
 const JUMP: f64 = 5.0;
@@ -41,6 +47,7 @@
     slots: u32,
     current: u32,
     healthy: u32,
+    need: u32,
     pace: f64,
     failures: u32,
     down: bool,
@@ -57,6 +64,7 @@
             slots: server.slots,
             current: spec.cold_limit.min(server.slots),
             healthy: 0,
+            need: spec.grow_after,
             pace: 1.0,
             failures: 0,
             down: false,
@@ -163,16 +171,21 @@
         if known && took > typical * HEALTHY {
             return;
         }
-        self.healthy += 1;
-        if self.healthy >= spec.grow_after && self.current < self.slots {
+        self.healthy = self.healthy.saturating_add(1);
+        if self.healthy < self.need || self.pace > WARM_PACE {
+            return;
+        }
+        if self.current < self.slots {
             self.current += 1;
             self.healthy = 0;
+        } else {
+            self.need = spec.grow_after;
         }
     }
 
     /// Notes how many usual times an answer took; returns whether that is a jump.
     fn jumps(&mut self, times: f64) -> bool {
-        self.pace += (times - self.pace) * JUMP_WEIGHT;
+        self.pace += (times - self.pace) * PACE_WEIGHT;
         self.pace > JUMP
     }
 
@@ -198,6 +211,11 @@
     }
 
     fn fail(&mut self, spec: &Spec, now: Time) {
+        let grew = self.current > spec.cold_limit && self.healthy < self.need;
+        if grew && !self.down {
+            // It may have failed because the limit grew too soon.
+            self.need = (self.need * 2).min(spec.grow_after * NEED_MAX);
+        }
         self.chill(spec);
         let pause = PAUSE_MIN * 2_u32.saturating_pow(self.failures.min(8));
         self.failures += 1;
--- a/crates/route/src/msg.rs
+++ b/crates/route/src/msg.rs
@@ -12,6 +12,7 @@
 use serde::Serialize;
 
 use crate::epoch::Epoch;
+use crate::heritage::Sheet;
 
 /// Numbers the attempts of one VM over all its lives: the upper half is drawn
 /// at the start of the process, the lower half counts.
@@ -176,9 +177,7 @@
         /// What it has.
         holding: Holding,
         /// What it last heard about the servers from an earlier home.
-        lines: Vec<Line>,
-        /// The epoch that the lines are from.
-        source: Epoch,
+        sheet: Sheet,
     },
     /// A follower repeats what it has, so that lost messages do no harm.
     Refresh {
--- a/crates/route/src/roster.rs
+++ b/crates/route/src/roster.rs
@@ -105,14 +105,19 @@
         self.find(vm).is_ok_and(|at| self.voters[at].promised)
     }
 
+    /// Returns whether most of the VMs have promised, unknown ones counted.
+    pub fn has_majority(&self) -> bool {
+        let promised = self.voters.iter().filter(|voter| voter.promised).count();
+        2 * promised > self.voters.len() + self.strangers
+    }
+
     /// Returns whether all have promised, but for those silent or unknown for
     /// `gone` while a majority is heard.
     ///
     /// The majority keeps two halves of a divided fleet from both giving the
     /// other half up.
     pub fn is_complete(&self, gone: Duration, now: Time) -> bool {
-        let promised = self.voters.iter().filter(|voter| voter.promised).count();
-        let majority = 2 * promised > self.voters.len() + self.strangers;
+        let majority = self.has_majority();
         let met = self.strangers == 0 || (majority && now >= self.begun + gone);
         let gone = |voter: &Voter| majority && !voter.alive && now >= voter.unseen + gone;
         met && self.voters.iter().all(|v| v.promised || gone(v))
--- a/crates/route/src/spec.rs
+++ b/crates/route/src/spec.rs
@@ -64,7 +64,7 @@
             shard: base::id::shard(service, 0),
             servers,
             cold_limit: 1,
-            grow_after: 8,
+            grow_after: 16,
             queues: true,
             retry_percent: 10,
             hedge_percent: 0,
--- a/crates/route/tests/parts.rs
+++ b/crates/route/tests/parts.rs
@@ -9,6 +9,9 @@
 use route::attempts::Failure;
 use route::attempts::Verdict;
 use route::budget::Budget;
+use route::epoch::Epoch;
+use route::heritage::Heritage;
+use route::heritage::Sheet;
 use route::keys;
 use route::keys::Claim;
 use route::keys::Keys;
@@ -16,6 +19,7 @@
 use route::limit::Limit;
 use route::msg::Ask;
 use route::msg::Kind;
+use route::msg::Line;
 use route::msg::Warmth;
 use route::queue::Queue;
 use route::queue::Waiter;
@@ -124,7 +128,7 @@
     let spec = Spec::new(1, vec![server(4, 220)]);
     let warm = || {
         let mut limit = Limit::new(&spec.servers[0], &spec);
-        for _ in 0..40 {
+        for _ in 0..spec.grow_after * 3 {
             limit.note(Outcome::Done, 0.01, 0.01, &spec, Time::ZERO);
         }
         assert_eq!(limit.current(), 4);
@@ -231,3 +235,58 @@
     assert_eq!(ids.len(), 1000);
     assert!(shards.len() >= 16);
 }
+
+#[test]
+fn note_failure_after_growth_makes_the_next_growth_slower() {
+    let spec = Spec::new(1, vec![server(4, 220)]);
+    let mut limit = Limit::new(&spec.servers[0], &spec);
+    let answers_to_grow = |limit: &mut Limit| {
+        let from = limit.current();
+        let mut count = 0;
+        while limit.current() == from {
+            limit.note(Outcome::Done, 0.01, 0.01, &spec, Time::ZERO);
+            count += 1;
+        }
+        count
+    };
+    let first = answers_to_grow(&mut limit);
+    limit.note(Outcome::Broken, 0.0, 0.01, &spec, Time::ZERO);
+    limit.probed(true, &spec, Duration::from_secs(1));
+    let second = answers_to_grow(&mut limit);
+    assert!(second >= 2 * first, "{first} then {second}");
+}
+
+#[test]
+fn note_answers_twice_as_slow_do_not_warm_a_server_up() {
+    let spec = Spec::new(1, vec![server(4, 220)]);
+    let mut limit = Limit::new(&spec.servers[0], &spec);
+    for _ in 0..200 {
+        limit.note(Outcome::Done, 0.02, 0.01, &spec, Time::ZERO);
+    }
+    // The average needs a few answers until it shows the pace.
+    assert!(limit.current() <= 2);
+}
+
+#[test]
+fn merge_recent_sheets_take_the_most_careful_word() {
+    let line = |warmth, limit| Line {
+        server: 7,
+        limit,
+        warmth,
+        usual: Duration::from_millis(10),
+    };
+    let sheet = |count, age, line| Sheet {
+        source: Epoch { count, home: 1 },
+        age: Duration::from_secs(age),
+        lines: vec![line],
+    };
+    let mut heritage = Heritage::default();
+    heritage.merge(&sheet(1, 0, line(Warmth::Cold, 1)));
+    heritage.merge(&sheet(2, 60, line(Warmth::Cold, 1)));
+    heritage.merge(&sheet(2, 0, line(Warmth::Warm, 3)));
+    assert_eq!(heritage.lines()[0].limit, 3);
+    heritage.merge(&sheet(2, 1, line(Warmth::Down, 1)));
+    heritage.merge(&sheet(2, 0, line(Warmth::Warm, 3)));
+    heritage.merge(&sheet(2, 60, line(Warmth::Warm, 3)));
+    assert_eq!(heritage.lines()[0].warmth, Warmth::Down);
+}
--- a/crates/route/tests/world/mod.rs
+++ b/crates/route/tests/world/mod.rs
@@ -191,7 +191,7 @@
         } else {
             if let Body::Lead { epoch, .. } = body {
                 if let Some(legacy) = vm.seat.overtake(epoch, self.now) {
-                    vm.follower.inherit(legacy.epoch, legacy.lines);
+                    vm.follower.inherit(legacy.epoch, legacy.lines, self.now);
                 }
             }
             vm.follower.receive(flight.from, body, self.now);
--- a/crates/standin/src/backend.rs
+++ b/crates/standin/src/backend.rs
@@ -48,6 +48,7 @@
 struct State {
     running: usize,
     waiting: usize,
+    free_since: Vec<Duration>,
     cold: bool,
     sudden: bool,
     finished: usize,
@@ -79,6 +80,9 @@
 /// A slot in use, or a place in line, until it is dropped.
 struct Place<'a> {
     inner: &'a Inner,
+    arrived: Duration,
+    begins: Duration,
+    ends: Option<Duration>,
     runs: bool,
     done: bool,
 }
@@ -88,6 +92,8 @@
         let mut state = self.inner.lock();
         if self.runs {
             state.running -= 1;
+            let freed = self.ends.unwrap_or_else(|| self.inner.clock.now());
+            state.free_since.push(freed);
         } else {
             state.waiting -= 1;
         }
@@ -124,8 +130,12 @@
                     self.fall_over();
                 }
             }
+            let now = self.clock.now();
             Place {
                 inner: self,
+                arrived: now,
+                begins: now,
+                ends: None,
                 runs: false,
                 done: false,
             }
@@ -138,6 +148,10 @@
                     state.waiting -= 1;
                     state.running += 1;
                     place.runs = true;
+                    // The time counts from when the slot was due to be free,
+                    // so that late wake-ups of this process cost no capacity.
+                    let free = state.free_since.pop().unwrap_or_default();
+                    place.begins = place.arrived.max(free);
                     return Some(place);
                 }
             }
@@ -169,6 +183,14 @@
         self.lock().record.begin(call, now);
     }
 
+    /// Keeps the slot of `place` for `time`.
+    async fn run(&self, place: &mut Place<'_>, time: Duration) {
+        let ends = place.begins + time;
+        sleep(ends.saturating_sub(self.clock.now())).await;
+        place.ends = Some(ends);
+        place.done = true;
+    }
+
     fn finish(&self) {
         let mut state = self.lock();
         state.record.done += 1;
@@ -215,8 +237,7 @@
         let Some(mut place) = self.enter_probe().await else {
             return self.answer(StatusCode::SERVICE_UNAVAILABLE, 0);
         };
-        sleep(self.model.probe).await;
-        place.done = true;
+        self.run(&mut place, self.model.probe).await;
         let mut state = self.lock();
         state.record.probes += 1;
         state.record.probe_time += self.model.probe;
@@ -246,8 +267,7 @@
             return self.answer(StatusCode::BAD_REQUEST, 0);
         };
         self.begin(call);
-        sleep(self.draw()).await;
-        place.done = true;
+        self.run(&mut place, self.draw()).await;
         self.finish();
         drop(received);
         self.answer(StatusCode::OK, self.model.answer)
@@ -286,6 +306,7 @@
         let state = State {
             running: 0,
             waiting: 0,
+            free_since: vec![Duration::ZERO; model.slots],
             cold: false,
             sudden: false,
             finished: 0,
