--- /dev/null
+++ b/crates/conf/tests/accept.rs
@@ -0,0 +1,340 @@
+//! Tickets and orders under races, lost answers, outages and old reads.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use conf::accept;
+use conf::accept::Applicant;
+use conf::accept::Error;
+use conf::domains::Order;
+use conf::ticket::Change;
+use conf::ticket::Domain;
+use conf::Mirror;
+use conf::Server;
+use conf::Service;
+use conf::Ticket;
+use plat::Store;
+use standin::objects::Faults;
+use standin::Objects;
+
+fn who() -> Applicant {
+    Applicant {
+        name: "test".into(),
+        at: 0,
+        force: false,
+    }
+}
+
+fn service(name: &str, slots: u32) -> Service {
+    let address = ([127, 0, 0, 1], 9000).into();
+    Service::new(name, &format!("/{name}"), Duration::from_secs(1))
+        .with_servers(vec![Server::new("one", address, "north", slots)])
+}
+
+fn ticket(number: u64, services: Vec<Service>) -> Ticket {
+    let mut ticket = Ticket::new(number, "amy");
+    ticket.domains = vec![Domain {
+        name: "north".into(),
+        region: String::new(),
+        ticket: 0,
+    }];
+    if number > 1 {
+        ticket.domains.clear();
+    }
+    ticket.services = services;
+    ticket
+}
+
+fn first(store: &Objects) {
+    let ticket = ticket(1, vec![service("a", 1), service("b", 1), service("c", 1)]);
+    smol::block_on(accept::ticket(store, &ticket, &who())).unwrap();
+}
+
+/// Reads the platform's whole configuration into a mirror.
+fn mirror(store: &Objects) -> Mirror {
+    let mut mirror = Mirror::new();
+    let (_, head) = smol::block_on(accept::read_head(store)).unwrap();
+    for entry in mirror.offer(head) {
+        let object = smol::block_on(store.get(&entry.key())).unwrap().unwrap();
+        mirror.take(&entry, object.value).unwrap();
+    }
+    mirror
+}
+
+fn slots(mirror: &Mirror, service: &str) -> u32 {
+    let state = mirror.state();
+    state.service(base::id::service(service)).unwrap().servers[0].slots
+}
+
+#[test]
+fn ticket_repeated_is_accepted_once() {
+    let store = Objects::new(1);
+    first(&store);
+    let ticket = ticket(2, vec![service("a", 2)]);
+    let one = smol::block_on(accept::ticket(&store, &ticket, &who())).unwrap();
+    let two = smol::block_on(accept::ticket(&store, &ticket, &who())).unwrap();
+    assert_eq!(one, two);
+    assert_eq!(mirror(&store).revision(), 2);
+}
+
+#[test]
+fn ticket_other_content_under_a_number_is_refused() {
+    let store = Objects::new(1);
+    first(&store);
+    smol::block_on(accept::ticket(
+        &store,
+        &ticket(2, vec![service("a", 2)]),
+        &who(),
+    ))
+    .unwrap();
+    let other = ticket(2, vec![service("a", 3)]);
+    let refused = smol::block_on(accept::ticket(&store, &other, &who()));
+    assert_eq!(refused, Err(Error::NumberTaken(2)));
+}
+
+#[test]
+fn ticket_lower_number_on_the_same_item_is_superseded() {
+    let store = Objects::new(1);
+    first(&store);
+    smol::block_on(accept::ticket(
+        &store,
+        &ticket(5, vec![service("a", 5)]),
+        &who(),
+    ))
+    .unwrap();
+    let late = smol::block_on(accept::ticket(
+        &store,
+        &ticket(4, vec![service("a", 4)]),
+        &who(),
+    ));
+    assert!(
+        matches!(late, Err(Error::Superseded { by: 5, .. })),
+        "{late:?}"
+    );
+    smol::block_on(accept::ticket(
+        &store,
+        &ticket(3, vec![service("b", 3)]),
+        &who(),
+    ))
+    .unwrap();
+    let mirror = mirror(&store);
+    assert_eq!((slots(&mirror, "a"), slots(&mirror, "b")), (5, 3));
+}
+
+#[test]
+fn ticket_one_server_leaves_the_others_alone() {
+    let store = Objects::new(1);
+    first(&store);
+    let mut ticket = ticket(2, Vec::new());
+    let address = ([127, 0, 0, 1], 9001).into();
+    ticket.servers = vec![Change {
+        service: "a".into(),
+        server: Server::new("two", address, "north", 7),
+    }];
+    smol::block_on(accept::ticket(&store, &ticket, &who())).unwrap();
+    let state = mirror(&store).state();
+    let service = state.service(base::id::service("a")).unwrap();
+    let slots: Vec<u32> = service.servers.iter().map(|s| s.slots).collect();
+    assert_eq!(slots, [1, 7]);
+    assert_eq!(service.servers[0].ticket, 1);
+    assert_eq!(service.servers[1].ticket, 2);
+}
+
+#[test]
+fn ticket_unknown_references_are_all_listed() {
+    let store = Objects::new(1);
+    let mut ticket = ticket(2, vec![service("a", 1)]);
+    ticket.services[0].servers[0].domain = "nowhere".into();
+    let refused = smol::block_on(accept::ticket(&store, &ticket, &who()));
+    let Err(Error::Faults(faults)) = refused else {
+        panic!("{refused:?}");
+    };
+    assert!(faults.to_string().contains("nowhere"));
+}
+
+#[test]
+fn ticket_without_a_server_needs_force() {
+    let store = Objects::new(1);
+    first(&store);
+    let empty = service("a", 1).with_servers(Vec::new());
+    let ticket = ticket(2, vec![empty]);
+    let refused = smol::block_on(accept::ticket(&store, &ticket, &who()));
+    assert!(matches!(refused, Err(Error::NeedsForce(_))));
+    let forced = Applicant {
+        force: true,
+        ..who()
+    };
+    smol::block_on(accept::ticket(&store, &ticket, &forced)).unwrap();
+}
+
+#[test]
+fn ticket_too_large_for_one_object_is_refused_whole() {
+    let store = Objects::new(1);
+    first(&store);
+    let address = ([127, 0, 0, 1], 9000).into();
+    let servers = (0..9000).map(|n| Server::new(&format!("server-{n}"), address, "north", 1));
+    let big = service("a", 1).with_servers(servers.collect());
+    let both = ticket(2, vec![service("b", 9), big]);
+    let refused = smol::block_on(accept::ticket(&store, &both, &who()));
+    assert!(
+        matches!(refused, Err(Error::Platform(plat::Error::TooLarge(_)))),
+        "{refused:?}"
+    );
+    assert_eq!(slots(&mirror(&store), "b"), 1);
+}
+
+/// One writer of the race: which service it changes, and its number.
+type Writer = (u8, u8);
+
+/// Lets writers race for a store with faults; returns what each was told.
+fn race(store: &Arc<Objects>, writers: &[Writer]) -> Vec<(Ticket, accept::Result<u64>)> {
+    let names = ["a", "b", "c"];
+    let executor = smol::LocalExecutor::new();
+    let tasks: Vec<_> = writers
+        .iter()
+        .enumerate()
+        .map(|(n, (which, number))| {
+            let number = 2 + u64::from(*number) * 8 + n as u64;
+            let which = usize::from(*which);
+            let mut services = vec![service(names[which % 3], number as u32 % 1000 + 1)];
+            if which >= 128 {
+                services.push(service(names[(which + 1) % 3], number as u32 % 1000 + 1));
+            }
+            let ticket = ticket(number, services);
+            let store = store.clone();
+            let task = executor.spawn(async move {
+                let told = accept::ticket(&*store, &ticket, &who()).await;
+                (ticket, told.map(|accepted| accepted.revision))
+            });
+            task
+        })
+        .collect();
+    smol::block_on(executor.run(async {
+        let mut told = Vec::new();
+        for task in tasks {
+            told.push(task.await);
+        }
+        told
+    }))
+}
+
+#[test]
+fn ticket_racing_writers_and_lost_answers_lose_and_split_nothing() {
+    bolero::check!()
+        .with_iterations(60)
+        .with_type::<(u64, u8, u8, Vec<Writer>)>()
+        .for_each(|(seed, lost, stale, writers)| {
+            let store = Arc::new(Objects::new(*seed));
+            first(&store);
+            store.set_faults(Faults {
+                lost: f64::from(*lost) / 1000.0,
+                stale: f64::from(*stale) / 2000.0,
+                ..Faults::default()
+            });
+            let writers = &writers[..writers.len().min(6)];
+            let told = race(&store, writers);
+            store.set_faults(Faults::default());
+            let mirror = mirror(&store);
+            for (ticket, told) in &told {
+                let accepted = mirror.head().has(ticket.number, &ticket.digest());
+                if told.is_ok() {
+                    assert!(
+                        accepted,
+                        "ticket {} was accepted and is lost",
+                        ticket.number
+                    );
+                }
+                let settled = matches!(
+                    told,
+                    Err(Error::Superseded { .. } | Error::Raced { .. } | Error::NumberTaken(_))
+                );
+                assert!(
+                    !(settled && accepted),
+                    "ticket {} was refused",
+                    ticket.number
+                );
+            }
+            check_whole(&mirror, &told);
+        });
+}
+
+/// Checks that each service is as its highest accepted ticket left it.
+fn check_whole(mirror: &Mirror, told: &[(Ticket, accept::Result<u64>)]) {
+    for name in ["a", "b", "c"] {
+        let last = told
+            .iter()
+            .map(|(ticket, _)| ticket)
+            .filter(|ticket| mirror.head().has(ticket.number, &ticket.digest()))
+            .filter(|ticket| ticket.touched().contains(&name))
+            .max_by_key(|ticket| ticket.number);
+        let wanted = last.map_or(1, |ticket| ticket.number as u32 % 1000 + 1);
+        assert_eq!(slots(mirror, name), wanted, "service {name}");
+    }
+}
+
+#[test]
+fn ticket_while_the_platform_is_down_can_be_repeated() {
+    let store = Objects::new(1);
+    first(&store);
+    store.set_faults(Faults {
+        down: true,
+        ..Faults::default()
+    });
+    let ticket = ticket(2, vec![service("a", 2)]);
+    let refused = smol::block_on(accept::ticket(&store, &ticket, &who()));
+    assert!(matches!(
+        refused,
+        Err(Error::Platform(plat::Error::Down(_)))
+    ));
+    store.set_faults(Faults::default());
+    smol::block_on(accept::ticket(&store, &ticket, &who())).unwrap();
+    assert_eq!(slots(&mirror(&store), "a"), 2);
+}
+
+#[test]
+fn offer_older_or_partial_heads_change_nothing() {
+    let store = Objects::new(1);
+    first(&store);
+    let (_, old) = smol::block_on(accept::read_head(&store)).unwrap();
+    let two = ticket(2, vec![service("a", 2), service("b", 2)]);
+    smol::block_on(accept::ticket(&store, &two, &who())).unwrap();
+    let mut mirror = mirror(&store);
+    assert!(mirror.offer(old).is_empty());
+    assert_eq!(mirror.revision(), 2);
+    let three = ticket(3, vec![service("a", 3), service("b", 3)]);
+    smol::block_on(accept::ticket(&store, &three, &who())).unwrap();
+    let (_, head) = smol::block_on(accept::read_head(&store)).unwrap();
+    let missing = mirror.offer(head);
+    assert_eq!(missing.len(), 2);
+    let part = smol::block_on(store.get(&missing[0].key()))
+        .unwrap()
+        .unwrap();
+    assert!(mirror.take(&missing[0], b"{}".to_vec()).is_err());
+    mirror.take(&missing[0], part.value).unwrap();
+    assert_eq!((slots(&mirror, "a"), slots(&mirror, "b")), (2, 2));
+    let part = smol::block_on(store.get(&missing[1].key()))
+        .unwrap()
+        .unwrap();
+    mirror.take(&missing[1], part.value).unwrap();
+    assert_eq!((slots(&mirror, "a"), slots(&mirror, "b")), (3, 3));
+}
+
+#[test]
+fn order_lost_answers_take_a_domain_out_once() {
+    for seed in 0..50 {
+        let store = Objects::new(seed);
+        store.set_faults(Faults {
+            lost: 0.3,
+            ..Faults::default()
+        });
+        let order = Order {
+            domain: "north".into(),
+            out: true,
+            by: "amy".into(),
+            at: 0,
+        };
+        let domains = smol::block_on(accept::order(&store, order)).unwrap();
+        assert!(domains.is_out("north"));
+        assert_eq!(domains.revision, 1);
+    }
+}
--- /dev/null
+++ b/crates/conf/tests/settings.rs
@@ -0,0 +1,81 @@
+//! Settings: what is refused, and that all faults are listed at once.
+
+use conf::Settings;
+
+const GOOD: &str = r#"{
+  // An entry VM of Port Louis.
+  "vm": "vm-1",
+  "domain": "north",
+  "callers": { "listen": ["127.0.0.1:8080"], "patience": "5s", "head": "32KiB" },
+  "peers": {
+    "listen": "127.0.0.1:7000",
+    "seeds": ["127.0.0.1:7001"], # another one
+    "keys": ["5e0f6a7d5e0f6a7d5e0f6a7d5e0f6a7d5e0f6a7d5e0f6a7d5e0f6a7d5e0f6a7d"]
+  },
+  "admin": { "listen": "127.0.0.1:9100" },
+  "platform": { "address": "127.0.0.1:6000" }
+}"#;
+
+fn faults(text: &str) -> String {
+    Settings::parse(text).unwrap_err().to_string()
+}
+
+#[test]
+fn parse_settings_with_comments() {
+    let settings = Settings::parse(GOOD).unwrap();
+    assert_eq!(settings.callers.head, 32 << 10);
+    assert_eq!(settings.callers.patience.as_secs(), 5);
+}
+
+#[test]
+fn parse_unknown_fields_are_all_listed() {
+    let text = GOOD
+        .replace("\"patience\"", "\"patient\"")
+        .replace("\"seeds\"", "\"sedes\"");
+    let faults = faults(&text);
+    assert!(
+        faults.contains("callers.patient: unknown field"),
+        "{faults}"
+    );
+    assert!(faults.contains("peers.sedes: unknown field"), "{faults}");
+}
+
+#[test]
+fn parse_wrong_units_and_names_of_hosts_name_the_field() {
+    let unit = faults(&GOOD.replace("\"5s\"", "\"5 parsecs\""));
+    assert!(unit.starts_with("callers.patience"), "{unit}");
+    let number = faults(&GOOD.replace("\"5s\"", "5"));
+    assert!(number.starts_with("callers.patience"), "{number}");
+    let host = faults(&GOOD.replace("127.0.0.1:6000", "platform.example:6000"));
+    assert!(host.starts_with("platform.address"), "{host}");
+}
+
+#[test]
+fn check_all_faults_at_once() {
+    let text = GOOD
+        .replace("\"vm-1\"", "\"VM 1\"")
+        .replace("127.0.0.1:9100", "0.0.0.0:9100")
+        .replace("5e0f6a7d\"]", "\"]")
+        .replace("127.0.0.1:8080", "127.0.0.1:7000");
+    let faults = faults(&text);
+    for field in ["vm:", "listen:", "peers.keys[0]:", "admin.tokens:"] {
+        assert!(faults.contains(field), "{field} is not in\n{faults}");
+    }
+}
+
+#[test]
+fn parse_duplicate_field_is_refused() {
+    let text = GOOD.replace("\"vm\": \"vm-1\",", "\"vm\": \"vm-1\", \"vm\": \"vm-2\",");
+    assert!(faults(&text).contains("duplicate field"));
+}
+
+#[test]
+fn parse_any_text_without_panic() {
+    bolero::check!()
+        .with_iterations(3000)
+        .for_each(|bytes: &[u8]| {
+            let text = String::from_utf8_lossy(bytes);
+            let _ = Settings::parse(&text);
+            let _ = conf::read::parse::<conf::Ticket>(&text);
+        });
+}
--- a/crates/standin/src/objects.rs
+++ b/crates/standin/src/objects.rs
@@ -103,6 +103,11 @@
     }
 
     async fn arrive(&self) -> Result<()> {
+        // Calls that come together are served in an order that the seed draws.
+        let turns = self.lock().rng.u8(..4);
+        for _ in 0..turns {
+            futures_lite::future::yield_now().await;
+        }
         let slow = self.lock().faults.slow;
         if !slow.is_zero() {
             Timer::after(slow).await;
--- /dev/null
+++ b/crates/wire/tests/datagrams.rs
@@ -0,0 +1,109 @@
+//! Datagrams: what is put in comes out, and nothing else gets in.
+
+use base::Class;
+use route::epoch::Epoch;
+use route::msg::Ask;
+use route::msg::Body;
+use route::msg::Kind;
+use wire::datagram;
+use wire::datagram::Datagram;
+use wire::datagram::Error;
+use wire::KeyMsg;
+use wire::Keyring;
+use wire::Msg;
+
+fn keys(first: u8, second: u8) -> Keyring {
+    Keyring::new(vec![[first; 32], [second; 32]])
+}
+
+fn acquire(call: u64) -> Msg {
+    let ask = Ask {
+        class: Class::Critical,
+        left: std::time::Duration::from_millis(call % 1000),
+        kind: Kind::First,
+        avoid: vec![call, 1],
+        domain: 3,
+    };
+    let epoch = Epoch { count: 2, home: 9 };
+    Msg::Route(route::Msg {
+        shard: 5,
+        body: Body::Acquire { epoch, call, ask },
+    })
+}
+
+#[test]
+fn open_returns_what_was_added() {
+    bolero::check!()
+        .with_iterations(500)
+        .with_type::<Vec<u64>>()
+        .for_each(|calls| {
+            let msgs: Vec<Msg> = calls.iter().map(|call| acquire(*call)).collect();
+            let mut datagram = Datagram::new(7);
+            let added = msgs.iter().take_while(|msg| datagram.add(msg)).count();
+            let bytes = datagram.seal(&keys(1, 2));
+            assert!(bytes.len() <= datagram::FULL);
+            let (from, opened) = datagram::open(&bytes, &keys(1, 2)).unwrap();
+            assert_eq!(from, 7);
+            assert_eq!(opened, msgs[..added]);
+        });
+}
+
+#[test]
+fn open_changed_or_foreign_bytes_are_refused() {
+    let mut datagram = Datagram::new(7);
+    datagram.add(&acquire(1));
+    let bytes = datagram.seal(&keys(1, 2));
+    assert_eq!(datagram::open(&bytes, &keys(3, 4)), Err(Error::Unsigned));
+    for at in 0..bytes.len() {
+        let mut changed = bytes.clone();
+        changed[at] ^= 1;
+        assert_eq!(datagram::open(&changed, &keys(1, 2)), Err(Error::Unsigned));
+    }
+}
+
+#[test]
+fn open_any_bytes_without_panic() {
+    let keys = keys(1, 2);
+    bolero::check!()
+        .with_iterations(5000)
+        .for_each(|bytes: &[u8]| {
+            let _ = datagram::open(bytes, &keys);
+            let mut signed = keys.sign(bytes).to_vec();
+            signed.extend_from_slice(bytes);
+            let _ = datagram::open(&signed, &keys);
+        });
+}
+
+#[test]
+fn accepts_keys_are_replaced_without_a_gap() {
+    let steps = [
+        (keys(1, 1), keys(1, 2)),
+        (keys(1, 2), keys(2, 1)),
+        (keys(2, 1), keys(2, 2)),
+    ];
+    for (before, after) in steps {
+        assert!(after.accepts(b"text", &before.sign(b"text")));
+        assert!(before.accepts(b"text", &after.sign(b"text")));
+    }
+}
+
+#[test]
+fn add_message_larger_than_a_datagram_goes_alone() {
+    let mut datagram = Datagram::new(7);
+    let msg = Msg::Key(KeyMsg::Forget { key: 1, call: 2 });
+    assert!(datagram.add(&msg));
+    let mut big = acquire(1);
+    if let Msg::Route(route::Msg {
+        body: Body::Acquire { ask, .. },
+        ..
+    }) = &mut big
+    {
+        ask.avoid = (0..1000).map(|n| u64::MAX - n).collect();
+    }
+    assert!(!datagram.add(&big));
+    let mut alone = Datagram::new(7);
+    assert!(alone.add(&big));
+    let bytes = alone.seal(&keys(1, 2));
+    let (_, opened) = datagram::open(&bytes, &keys(1, 2)).unwrap();
+    assert_eq!(opened, [big]);
+}
