--- a/crates/load/src/fleet.rs
+++ b/crates/load/src/fleet.rs
@@ -340,7 +340,7 @@
 
 /// Finds a port that is free for UDP and TCP, below those that the system
 /// gives to outgoing connections.
-fn free_port() -> anyhow::Result<SocketAddr> {
+pub fn free_port() -> anyhow::Result<SocketAddr> {
     for _ in PORTS {
         let next = NEXT_PORT.fetch_add(1, Ordering::Relaxed) % PORTS.len() as u32;
         let address = SocketAddr::from((Ipv4Addr::LOCALHOST, PORTS.start + next as u16));
--- /dev/null
+++ b/crates/load/tests/calls.rs
@@ -0,0 +1,367 @@
+//! The path of a call over real sockets: what callers get when servers, bodies
+//! and callers themselves misbehave.
+
+mod lab;
+
+use std::io::Read;
+use std::io::Write;
+use std::net::Shutdown;
+use std::net::TcpStream;
+use std::time::Duration;
+
+use lab::whole;
+use lab::Lab;
+use lab::Scripted;
+
+fn close(stream: &mut TcpStream, _head: &str) {
+    let _ = stream.shutdown(Shutdown::Both);
+}
+
+fn cut(stream: &mut TcpStream, _head: &str) {
+    let _ = stream.write_all(b"HTTP/1.1 200 OK\r\ncontent-length: 10\r\n\r\nhal");
+    let _ = stream.shutdown(Shutdown::Both);
+}
+
+fn refuse(stream: &mut TcpStream, _head: &str) {
+    let _ = stream
+        .write_all(b"HTTP/1.1 503 Busy\r\nsnipepaddle-not-run: 1\r\ncontent-length: 0\r\n\r\n");
+}
+
+fn never(_stream: &mut TcpStream, _head: &str) {
+    std::thread::sleep(Duration::from_secs(3));
+}
+
+fn echo(stream: &mut TcpStream, head: &str) {
+    let answer = format!(
+        "HTTP/1.1 200 OK\r\nconnection: x-hop\r\nx-hop: 1\r\ncontent-length: {}\r\n\r\n{head}",
+        head.len()
+    );
+    let _ = stream.write_all(answer.as_bytes());
+}
+
+fn trailers(stream: &mut TcpStream, _head: &str) {
+    let _ = stream.write_all(
+        b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\ntrailer: x-sum\r\n\r\n\
+          5\r\nwhole\r\n0\r\nx-sum: 7\r\n\r\n",
+    );
+}
+
+fn has(answer: &str, field: &str) -> bool {
+    answer.to_ascii_lowercase().contains(field)
+}
+
+#[test]
+fn call_shows_where_it_was_served() {
+    let server = Scripted::new(whole);
+    let lab = Lab::new(&[server.address]);
+    let answer = lab.call("GET", "/", "", "");
+    assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+    assert!(answer.ends_with("whole"));
+    for field in [
+        "snipepaddle-vm: vm-1",
+        "snipepaddle-domain: north",
+        "snipepaddle-server: s-0",
+        "snipepaddle-outcome: served",
+    ] {
+        assert!(has(&answer, field), "{field} is not in {answer}");
+    }
+}
+
+#[test]
+fn call_passes_fields_on_but_not_those_of_one_connection() {
+    let server = Scripted::new(echo);
+    let lab = Lab::new(&[server.address]);
+    let parent = "00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01";
+    let fields = format!(
+        "traceparent: {parent}\r\nx-mine: 1\r\nx-once: 2\r\nconnection: x-once\r\n\
+         snipepaddle-outcome: forged\r\n"
+    );
+    let answer = lab.call("POST", "/a?b=c", &fields, "body");
+    let (head, seen) = answer.split_once("\r\n\r\n").unwrap();
+    assert!(!has(head, "x-hop"), "{head}");
+    assert!(seen.starts_with("POST /a?b=c HTTP/1.1"), "{seen}");
+    assert!(has(seen, "x-mine: 1") && seen.ends_with("body"), "{seen}");
+    assert!(!has(seen, "x-once") && !has(seen, "forged"), "{seen}");
+    assert!(has(seen, "0af7651916cd43dd8448eb211c80319c"), "{seen}");
+    assert!(
+        !has(seen, "b7ad6b7169203331"),
+        "the span has to be a new one: {seen}"
+    );
+    assert!(has(seen, "snipepaddle-deadline-ms: "), "{seen}");
+    assert!(has(seen, "x-forwarded-for: 127.0.0.1"), "{seen}");
+}
+
+#[test]
+fn call_non_idempotent_is_not_repeated_after_a_break() {
+    let first = Scripted::new(close);
+    let second = Scripted::new(close);
+    let lab = Lab::new(&[first.address, second.address]);
+    let answer = lab.call("POST", "/", "", "activate");
+    assert!(answer.starts_with("HTTP/1.1 502"), "{answer}");
+    assert!(has(&answer, "snipepaddle-outcome: unknown"), "{answer}");
+    assert_eq!(first.count() + second.count(), 1);
+}
+
+#[test]
+fn call_idempotent_is_repeated_elsewhere_after_a_break() {
+    let bad = Scripted::new(close);
+    let good = Scripted::new(whole);
+    let lab = Lab::new(&[bad.address, good.address]);
+    for _ in 0..4 {
+        let answer = lab.call("GET", "/", "", "");
+        assert!(answer.ends_with("whole"), "{answer}");
+    }
+    assert!(
+        bad.count() <= 1,
+        "a broken server got {} calls",
+        bad.count()
+    );
+}
+
+#[test]
+fn call_refused_by_the_server_is_repeated_even_if_not_idempotent() {
+    let busy = Scripted::new(refuse);
+    let good = Scripted::new(whole);
+    let lab = Lab::new(&[busy.address, good.address]);
+    for _ in 0..4 {
+        let answer = lab.call("POST", "/", "", "activate");
+        assert!(answer.ends_with("whole"), "{answer}");
+    }
+    assert_eq!(good.count(), 4);
+}
+
+#[test]
+fn call_refused_by_all_servers_says_not_run() {
+    let busy = Scripted::new(refuse);
+    let lab = Lab::new(&[busy.address]);
+    let answer = lab.call("POST", "/", "", "activate");
+    assert!(answer.starts_with("HTTP/1.1 503"), "{answer}");
+    assert!(has(&answer, "snipepaddle-outcome: not-run"), "{answer}");
+    assert!(has(&answer, "retry-after: "), "{answer}");
+}
+
+#[test]
+fn call_to_a_server_that_is_gone_says_not_run() {
+    // Nothing listens on the discard port.
+    let gone = ([127, 0, 0, 9], 9).into();
+    let lab = Lab::new(&[gone]);
+    let answer = lab.call("POST", "/", "snipepaddle-deadline-ms: 400\r\n", "activate");
+    assert!(answer.starts_with("HTTP/1.1 503"), "{answer}");
+    assert!(has(&answer, "snipepaddle-outcome: not-run"), "{answer}");
+}
+
+#[test]
+fn call_body_cut_by_the_server_is_not_whole_for_the_caller() {
+    let server = Scripted::new(cut);
+    let lab = Lab::new(&[server.address]);
+    let answer = lab.call("GET", "/", "", "");
+    let (head, body) = answer.split_once("\r\n\r\n").unwrap_or((&answer, ""));
+    assert!(has(head, "content-length: 10"), "{answer}");
+    assert!(body.len() < 10, "{answer}");
+}
+
+#[test]
+fn call_without_answer_ends_at_its_deadline() {
+    let server = Scripted::new(never);
+    let lab = Lab::new(&[server.address]);
+    let answer = lab.call("POST", "/slow", "", "activate");
+    assert!(answer.starts_with("HTTP/1.1 504"), "{answer}");
+    assert!(has(&answer, "snipepaddle-outcome: unknown"), "{answer}");
+    assert_eq!(server.count(), 1);
+}
+
+#[test]
+fn call_after_a_cut_answer_gets_its_own() {
+    let server = Scripted::new(|stream, head| {
+        if head.contains("/cut") {
+            let _ = stream.write_all(b"HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\nfor-");
+            std::thread::sleep(Duration::from_millis(400));
+            let _ = stream.write_all(b"other");
+        } else {
+            whole(stream, head);
+        }
+    });
+    let lab = Lab::with_service(&[server.address], |service| {
+        service.routes[0].prefix = "/cut".into();
+        service.routes[0].deadline = Some(Duration::from_millis(150));
+    });
+    let first = lab.call("GET", "/cut", "", "");
+    assert!(!first.ends_with("for-other"), "{first}");
+    for _ in 0..3 {
+        let answer = lab.call("GET", "/", "", "");
+        assert!(answer.ends_with("\r\n\r\nwhole"), "{answer}");
+    }
+}
+
+#[test]
+fn call_trailers_reach_the_caller() {
+    let server = Scripted::new(trailers);
+    let lab = Lab::new(&[server.address]);
+    let answer =
+        lab.raw(b"GET / HTTP/1.1\r\nhost: s\r\nte: trailers\r\nconnection: te, close\r\n\r\n");
+    assert!(has(&answer, "x-sum: 7"), "{answer}");
+}
+
+#[test]
+fn call_half_closed_caller_gets_its_answer() {
+    let server = Scripted::new(whole);
+    let lab = Lab::new(&[server.address]);
+    let mut stream = lab.open();
+    stream
+        .write_all(b"GET / HTTP/1.1\r\nhost: s\r\n\r\n")
+        .unwrap();
+    stream.shutdown(Shutdown::Write).unwrap();
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).unwrap();
+    assert!(answer.ends_with("whole"), "{answer}");
+}
+
+#[test]
+fn call_expect_continue_is_answered_before_the_body() {
+    let server = Scripted::new(echo);
+    let lab = Lab::new(&[server.address]);
+    let mut stream = lab.open();
+    let head = "POST / HTTP/1.1\r\nhost: s\r\nexpect: 100-continue\r\ncontent-length: 4\r\n\r\n";
+    stream.write_all(head.as_bytes()).unwrap();
+    let interim = lab::read_head(&mut stream).unwrap();
+    assert!(interim.starts_with("HTTP/1.1 100"), "{interim}");
+    stream.write_all(b"body").unwrap();
+    let answer = lab::read_head(&mut stream).unwrap();
+    assert!(answer.ends_with("body"), "{answer}");
+}
+
+#[test]
+fn call_malformed_and_smuggling_requests_reach_no_server() {
+    let server = Scripted::new(whole);
+    let lab = Lab::new(&[server.address]);
+    let bad: [&[u8]; 7] = [
+        b"GET / HTTP/1.1\r\nhost: s\r\nbad field\r\n\r\n",
+        b"NONSENSE\r\n\r\n",
+        b"POST / HTTP/1.1\r\nhost: s\r\ncontent-length: 3\r\ncontent-length: 4\r\n\r\nabcd",
+        b"POST / HTTP/1.1\r\nhost: s\r\ntransfer-encoding: chunked\r\n\r\nZZ\r\nabc\r\n0\r\n\r\n",
+        b"POST / HTTP/1.1\r\nhost: s\r\ntransfer-encoding: gzip\r\n\r\nabc",
+        b"POST / HTTP/1.1\r\nhost: s\r\ncontent-length: -1\r\n\r\n",
+        b"GET / HTTP/1.1\r\nhost: s\r\nx: a\0b\r\n\r\n",
+    ];
+    for request in bad {
+        let answer = lab.raw(request);
+        let served = answer.starts_with("HTTP/1.1 200");
+        assert!(!served, "{} got {answer}", String::from_utf8_lossy(request));
+    }
+    assert_eq!(server.count(), 0);
+}
+
+#[test]
+fn call_both_lengths_do_not_hide_a_second_request() {
+    // RFC 9112, section 6.3: the chunked length counts and the other is dropped.
+    let server = Scripted::new(|stream, head| {
+        let both = head.contains("chunked") && head.contains("content-length");
+        let reached = head.contains("/hidden") || both;
+        let answer = if reached { "leaks" } else { "whole" };
+        let head = "HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\n";
+        let _ = stream.write_all(format!("{head}{answer}").as_bytes());
+    });
+    let lab = Lab::new(&[server.address]);
+    for lengths in [
+        "content-length: 4\r\ntransfer-encoding: chunked",
+        "transfer-encoding: chunked\r\ncontent-length: 4",
+    ] {
+        let answer = lab.raw(
+            format!(
+                "POST / HTTP/1.1\r\nhost: s\r\n{lengths}\r\nconnection: close\r\n\r\n\
+                 0\r\n\r\nGET /hidden HTTP/1.1\r\nhost: s\r\n\r\n"
+            )
+            .as_bytes(),
+        );
+        assert!(answer.matches("HTTP/1.1").count() <= 1, "{answer}");
+        assert!(!answer.contains("leaks"), "{answer}");
+    }
+}
+
+#[test]
+fn call_oversized_heads_and_bodies_are_refused() {
+    let server = Scripted::new(whole);
+    let lab = Lab::new(&[server.address]);
+    let field = format!("x-big: {}\r\n", "x".repeat(20_000));
+    let answer = lab.call("GET", "/", &field, "");
+    assert!(answer.starts_with("HTTP/1.1 431"), "{answer}");
+    let answer = lab.call("POST", "/", "", &"x".repeat(300_000));
+    assert!(answer.starts_with("HTTP/1.1 413"), "{answer}");
+    assert!(has(&answer, "snipepaddle-outcome: not-run"), "{answer}");
+    assert_eq!(server.count(), 0);
+}
+
+#[test]
+fn call_slow_heads_are_closed() {
+    let server = Scripted::new(whole);
+    let lab = Lab::new(&[server.address]);
+    let answer = lab.raw(b"GET / HTTP/1.1\r\nhost:");
+    assert!(!answer.starts_with("HTTP/1.1 200"), "{answer}");
+    assert_eq!(server.count(), 0);
+}
+
+#[test]
+fn call_large_bodies_are_streamed_whole() {
+    let server = Scripted::new(echo);
+    let lab = Lab::new(&[server.address]);
+    let body = "0123456789".repeat(20_000);
+    let answer = lab.call("POST", "/", "", &body);
+    assert!(answer.ends_with(&body), "{} bytes came back", answer.len());
+}
+
+#[test]
+fn call_unknown_service_is_not_found() {
+    let server = Scripted::new(whole);
+    let lab = Lab::with_service(&[server.address], |service| {
+        service.matches[0].prefix = "/only".into();
+    });
+    let answer = lab.call("GET", "/other", "", "");
+    assert!(answer.starts_with("HTTP/1.1 404"), "{answer}");
+    assert!(has(&answer, "snipepaddle-outcome: not-run"), "{answer}");
+}
+
+#[test]
+fn call_second_with_an_idempotency_key_is_not_run() {
+    let server = Scripted::new(whole);
+    let lab = Lab::new(&[server.address]);
+    lab.node.shared().trust_memory();
+    let field = "idempotency-key: booking-17\r\n";
+    let first = lab.call("POST", "/", field, "book");
+    assert!(first.ends_with("whole"), "{first}");
+    let second = lab.call("POST", "/", field, "book");
+    assert!(second.starts_with("HTTP/1.1 409"), "{second}");
+    assert!(has(&second, "snipepaddle-outcome: duplicate"), "{second}");
+    assert_eq!(server.count(), 1);
+}
+
+#[test]
+fn call_with_a_key_is_refused_while_memory_is_young() {
+    let server = Scripted::new(whole);
+    let lab = Lab::new(&[server.address]);
+    let answer = lab.call("POST", "/", "idempotency-key: booking-17\r\n", "book");
+    assert!(answer.starts_with("HTTP/1.1 503"), "{answer}");
+    assert!(has(&answer, "snipepaddle-outcome: not-run"), "{answer}");
+    assert_eq!(server.count(), 0);
+}
+
+#[test]
+fn stop_lets_calls_in_flight_end() {
+    let server = Scripted::new(|stream, head| {
+        std::thread::sleep(Duration::from_millis(1200));
+        whole(stream, head);
+    });
+    let lab = Lab::new(&[server.address]);
+    let mut stream = lab.open();
+    stream
+        .write_all(b"GET / HTTP/1.1\r\nhost: s\r\n\r\n")
+        .unwrap();
+    while server.count() == 0 {
+        std::thread::sleep(Duration::from_millis(5));
+    }
+    let Lab { node, callers, .. } = lab;
+    assert!(smol::block_on(node.stop()));
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).unwrap();
+    assert!(answer.ends_with("whole"), "{answer}");
+    assert!(TcpStream::connect(callers).is_err());
+}
--- /dev/null
+++ b/crates/load/tests/fleet.rs
@@ -0,0 +1,91 @@
+//! A small fleet under faults keeps its promises; no figure is checked.
+
+use conf::settings::Policy;
+use load::fleet::Start;
+use load::plan::Plan;
+use load::run;
+
+const PLAN: &str = r#"{
+  "name": "smoke",
+  "domains": ["a", "b", "c"],
+  "vms": 4,
+  "latency": { "peers": "500us", "callers": "0s", "servers": "500us" },
+  "services": [
+    { "name": "reads", "servers": 4, "slots": 2, "mean": "5ms", "deadline": "1s", "class": "critical", "hedges": 5 },
+    { "name": "posts", "servers": 4, "slots": 2, "mean": "5ms", "deadline": "1s", "posts": 1.0 },
+    { "name": "sheds", "servers": 3, "slots": 2, "mean": "5ms", "deadline": "1s", "posts": 0.5, "sheds": true }
+  ],
+  "noise": { "share": 0.1, "factor": 4.0, "period": "50ms" },
+  "load": 0.5, "warmup": "300ms", "time": "1700ms"
+}"#;
+
+/// Runs the small fleet with `events` and checks the promises that hold at any
+/// speed of the machine.
+fn keeps_promises(policy: Policy, events: &str) {
+    let text = PLAN.replace("\"load\"", &format!("\"events\": [{events}], \"load\""));
+    let plan = Plan::parse(&text).unwrap();
+    let start = Start {
+        policy,
+        vms: plan.vms,
+        scattered: false,
+    };
+    let (outcome, tally) = smol::block_on(run::run(&plan, &start)).unwrap();
+    assert!(tally.samples.len() > 100, "{} calls", tally.samples.len());
+    let broken = outcome.broken;
+    assert_eq!(broken.twice, 0, "calls ran twice");
+    assert_eq!(broken.false_refusals, 0, "refused calls ran");
+    assert_eq!(broken.short, 0, "short answers passed as whole");
+}
+
+#[test]
+fn run_without_faults() {
+    keeps_promises(Policy::Home, "");
+}
+
+#[test]
+fn run_home_killed_and_servers_restarted() {
+    keeps_promises(
+        Policy::Home,
+        r#"{ "at": "200ms", "kind": "kill-home", "service": "posts" },
+           { "at": "500ms", "kind": "restart", "service": "posts", "count": 2 },
+           { "at": "600ms", "kind": "restart", "service": "sheds", "count": 1 }"#,
+    );
+}
+
+#[test]
+fn run_loss_pause_and_platform_outage() {
+    keeps_promises(
+        Policy::Home,
+        r#"{ "at": "100ms", "kind": "loss", "share": 0.1 },
+           { "at": "200ms", "kind": "platform", "down": true },
+           { "at": "300ms", "kind": "pause-home", "service": "reads" },
+           { "at": "600ms", "kind": "restart", "service": "reads", "count": 2 },
+           { "at": "1500ms", "kind": "resume" }"#,
+    );
+}
+
+#[test]
+fn run_domain_vanishes_and_another_goes_out() {
+    keeps_promises(
+        Policy::Home,
+        r#"{ "at": "200ms", "kind": "domain-vanish", "domain": "c" },
+           { "at": "500ms", "kind": "domain-out", "domain": "a" },
+           { "at": "1s", "kind": "domain-in", "domain": "a" }"#,
+    );
+}
+
+#[test]
+fn run_baselines() {
+    for policy in [
+        Policy::Random,
+        Policy::RoundRobin,
+        Policy::Least,
+        Policy::TwoChoices,
+        Policy::ProbePool,
+    ] {
+        keeps_promises(
+            policy,
+            r#"{ "at": "300ms", "kind": "restart", "service": "posts", "count": 1 }"#,
+        );
+    }
+}
--- /dev/null
+++ b/crates/load/tests/lab/mod.rs
@@ -0,0 +1,207 @@
+//! One entry VM in front of servers that answer as a test says, over sockets.
+
+#![allow(dead_code)]
+
+use std::io::Read;
+use std::io::Write;
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::net::TcpStream;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+use std::sync::Arc;
+use std::time::Duration;
+
+use conf::service::Route;
+use conf::settings::Settings;
+use conf::ticket::Domain;
+use conf::Server;
+use conf::Service;
+use conf::Ticket;
+use entry::Ports;
+use net::Pool;
+use node::Node;
+use node::Options;
+use standin::Platform;
+
+/// The longest wait for anything in these tests.
+const WAIT: Duration = Duration::from_secs(20);
+
+/// What a scripted server does with one connection.
+pub(crate) type Script = fn(&mut TcpStream, &str);
+
+/// A server that answers as a script says and counts the requests it read.
+pub(crate) struct Scripted {
+    pub(crate) address: SocketAddr,
+    pub(crate) requests: Arc<AtomicUsize>,
+}
+
+impl Scripted {
+    pub(crate) fn new(script: Script) -> Self {
+        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).unwrap();
+        let address = listener.local_addr().unwrap();
+        let requests = Arc::new(AtomicUsize::new(0));
+        let counter = requests.clone();
+        std::thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let counter = counter.clone();
+                std::thread::spawn(move || serve(stream, script, &counter));
+            }
+        });
+        Self { address, requests }
+    }
+
+    pub(crate) fn count(&self) -> usize {
+        self.requests.load(Ordering::SeqCst)
+    }
+}
+
+fn serve(mut stream: TcpStream, script: Script, counter: &AtomicUsize) {
+    while let Some(head) = read_head(&mut stream) {
+        if !head.starts_with("GET /health") {
+            counter.fetch_add(1, Ordering::SeqCst);
+        }
+        script(&mut stream, &head);
+    }
+}
+
+/// Reads up to the empty line after a head, and a body whose length it names.
+pub(crate) fn read_head(stream: &mut TcpStream) -> Option<String> {
+    let mut head = Vec::new();
+    let mut byte = [0];
+    while !head.ends_with(b"\r\n\r\n") {
+        if stream.read(&mut byte).ok()? == 0 {
+            return None;
+        }
+        head.push(byte[0]);
+    }
+    let mut text = String::from_utf8_lossy(&head).into_owned();
+    let length = text
+        .to_ascii_lowercase()
+        .lines()
+        .find_map(|line| line.strip_prefix("content-length: ")?.parse().ok())
+        .unwrap_or(0);
+    let mut body = vec![0; length];
+    stream.read_exact(&mut body).ok()?;
+    text.push_str(&String::from_utf8_lossy(&body));
+    Some(text)
+}
+
+/// A VM with one service, `s`, at `/`.
+pub(crate) struct Lab {
+    pub(crate) node: Node,
+    pub(crate) platform: Platform,
+    pub(crate) callers: SocketAddr,
+    _pool: Pool,
+}
+
+impl Lab {
+    pub(crate) fn new(servers: &[SocketAddr]) -> Self {
+        Self::with_service(servers, |_| {})
+    }
+
+    pub(crate) fn with_service(servers: &[SocketAddr], change: impl FnOnce(&mut Service)) -> Self {
+        let servers = servers
+            .iter()
+            .enumerate()
+            .map(|(n, address)| Server::new(&format!("s-{n}"), *address, "north", 2));
+        let mut service =
+            Service::new("s", "/", Duration::from_secs(5)).with_servers(servers.collect());
+        service.routes = vec![Route {
+            prefix: "/slow".into(),
+            methods: Vec::new(),
+            class: None,
+            deadline: Some(Duration::from_millis(300)),
+            idempotent: None,
+        }];
+        change(&mut service);
+        Self::with_ticket(service, |_| {})
+    }
+
+    pub(crate) fn with_settings(
+        servers: &[SocketAddr],
+        change: impl FnOnce(&mut Settings),
+    ) -> Self {
+        let server = Server::new("s-0", servers[0], "north", 2);
+        let service = Service::new("s", "/", Duration::from_secs(5)).with_servers(vec![server]);
+        Self::with_ticket(service, change)
+    }
+
+    fn with_ticket(service: Service, change: impl FnOnce(&mut Settings)) -> Self {
+        let mut ticket = Ticket::new(1, "test");
+        ticket.domains = vec![Domain {
+            name: "north".into(),
+            region: String::new(),
+            ticket: 0,
+        }];
+        ticket.services = vec![service];
+        smol::block_on(Self::start(&ticket, change))
+    }
+
+    async fn start(ticket: &Ticket, change: impl FnOnce(&mut Settings)) -> Self {
+        let pool = Pool::new("lab", 2);
+        let local = Ipv4Addr::LOCALHOST.into();
+        let platform = Platform::start(local, 1, pool.handle()).await.unwrap();
+        let text = format!(
+            r#"{{ "vm": "vm-1", "domain": "north", "threads": 2, "drain": "5s",
+                "callers": {{ "listen": ["127.0.0.2:0"], "head": "8KiB", "body": "256KiB",
+                             "patience": "500ms" }},
+                "peers": {{ "listen": "{}", "keys": ["{}"] }},
+                "admin": {{ "listen": "127.0.0.1:0" }},
+                "traces": {{ "share": 1.0 }},
+                "platform": {{ "address": "{}" }} }}"#,
+            load::fleet::free_port().unwrap(),
+            "5e0f6a7d".repeat(8),
+            platform.address()
+        );
+        let mut settings = Settings::parse(&text).unwrap();
+        change(&mut settings);
+        let node = Node::start(settings, Options::default()).await.unwrap();
+        let who = conf::accept::Applicant {
+            name: "test".into(),
+            at: 0,
+            force: false,
+        };
+        node.shared().apply(ticket, &who).await.unwrap();
+        assert_eq!(node.shared().state().revision, 1);
+        Self {
+            callers: node.callers()[0],
+            node,
+            platform,
+            _pool: pool,
+        }
+    }
+
+    /// Sends `bytes` and returns all that comes back until the end.
+    pub(crate) fn raw(&self, bytes: &[u8]) -> String {
+        let mut stream = self.open();
+        stream.write_all(bytes).unwrap();
+        let mut answer = Vec::new();
+        let _ = stream.read_to_end(&mut answer);
+        String::from_utf8_lossy(&answer).into_owned()
+    }
+
+    pub(crate) fn open(&self) -> TcpStream {
+        let stream = TcpStream::connect(self.callers).unwrap();
+        stream.set_read_timeout(Some(WAIT)).unwrap();
+        stream
+    }
+
+    /// Sends one request on a connection of its own.
+    pub(crate) fn call(&self, method: &str, path: &str, fields: &str, body: &str) -> String {
+        let length = body.len();
+        self.raw(
+            format!(
+                "{method} {path} HTTP/1.1\r\nhost: s\r\nconnection: close\r\n\
+                 content-length: {length}\r\n{fields}\r\n{body}"
+            )
+            .as_bytes(),
+        )
+    }
+}
+
+/// Answers 200 with the body "whole".
+pub(crate) fn whole(stream: &mut TcpStream, _head: &str) {
+    let _ = stream.write_all(b"HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nwhole");
+}
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -436,6 +436,12 @@
         Some(cells[fastrand::usize(..cells.len())].1.clone())
     }
 
+    /// Takes this VM's memory of idempotency keys for whole although it is
+    /// young; for tests, which cannot wait for it to grow old.
+    pub fn trust_memory(&self) {
+        *lock(&self.memory) = Keys::aged();
+    }
+
     async fn acquire_home(&self, cell: Arc<Cell>, ask: Ask) -> Result<Permit, Refused> {
         self.check_pause();
         let (sender, receiver) = async_channel::bounded(1);
--- a/crates/route/src/keys.rs
+++ b/crates/route/src/keys.rs
@@ -51,6 +51,7 @@
 #[derive(Clone, Debug)]
 pub struct Keys {
     since: Time,
+    aged: bool,
     entries: Vec<Entry>,
     swept: Time,
 }
@@ -60,11 +61,20 @@
     pub fn new(now: Time) -> Self {
         Self {
             since: now,
+            aged: false,
             entries: Vec::new(),
             swept: now,
         }
     }
 
+    /// Makes an empty memory that counts as having remembered for long.
+    pub fn aged() -> Self {
+        Self {
+            aged: true,
+            ..Self::new(Time::ZERO)
+        }
+    }
+
     /// Returns how many claims are remembered.
     pub fn len(&self) -> usize {
         self.entries.len()
@@ -79,6 +89,7 @@
     pub fn claim(&mut self, key: KeyHash, vm: VmId, call: CallNo, now: Time) -> Claim {
         self.sweep(now);
         let age = now.saturating_sub(self.since);
+        let age = if self.aged { MEMORY } else { age };
         match self.find(key) {
             Ok(at) => {
                 let entry = &mut self.entries[at];
