Measure the cost of control and warm fleets up at a part of the load

Cause: an experiment at load 0.85 began at full load with all servers cold, and the queue of that first second (300 to 600 calls) took seconds to drain, so the tail told of the start. Ruled out: lost capacity later on; all limits were full two seconds in. Change: the first half of the warm-up runs at 0.4 of the load. New: `load idle` and benchmarks of the decision crates.

--- a/crates/load/src/callers.rs
+++ b/crates/load/src/callers.rs
@@ -38,6 +38,9 @@
 const TRIES: usize = 4;
 /// Time beyond its deadline that a caller waits for an answer.
 const PATIENCE: Duration = Duration::from_secs(1);
+/// The share of the load in the first half of the warm-up, in which servers
+/// that have just started warm up.
+const RAMP: f64 = 0.4;
 /// The largest answer.
 const ANSWER_MAX: usize = 1 << 20;
 /// Threads of the callers.
@@ -160,7 +163,9 @@
         let seed = self.plan.seed ^ base::hash::of(&["callers", &known.name]);
         let mut rng = fastrand::Rng::with_seed(seed);
         let mut due = start;
+        let ramp = start + self.plan.warmup / 2;
         loop {
+            let rate = if due < ramp { rate * RAMP } else { rate };
             due += Duration::from_secs_f64(-(1.0 - rng.f64()).ln() / rate);
             if due >= start + time {
                 return;
--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod delay;
 pub mod faults;
 pub mod fleet;
+pub mod idle;
 pub mod overhead;
 pub mod plan;
 pub mod plot;
--- a/crates/load/src/main.rs
+++ b/crates/load/src/main.rs
@@ -8,6 +8,7 @@
 
 use conf::settings::Policy;
 use load::fleet::Start;
+use load::idle;
 use load::overhead;
 use load::plan::Plan;
 use load::plot;
@@ -36,6 +37,7 @@
       --seed NUMBER
   overhead                 one daemon against calling servers directly
   propagation              time until a ticket is in force, by fleet size
+  idle                     cost of control, by fleet size and services
 
 Exit codes: 0 done and all promises and targets kept, 1 not, 2 bad use.
 ";
@@ -49,6 +51,7 @@
         Some("targets") => measure_targets(args),
         Some("overhead") => measure_overhead(args),
         Some("propagation") => measure_propagation(args),
+        Some("idle") => measure_idle(args),
         _ => {
             print!("{HELP}");
             return if help {
@@ -207,3 +210,31 @@
     }
     Ok(true)
 }
+
+/// Fleet sizes and services for which the cost of control is measured.
+const IDLE: [(usize, usize); 6] = [(3, 3), (13, 3), (50, 3), (100, 3), (13, 100), (13, 400)];
+
+fn measure_idle(mut args: Arguments) -> anyhow::Result<bool> {
+    let one: Option<usize> = args.opt_value_from_str("--row")?;
+    let rest = args.finish();
+    anyhow::ensure!(
+        rest.is_empty(),
+        "unknown argument {:?}; see --help",
+        rest[0]
+    );
+    println!(
+        "{:>5} {:>9} {:>8} {:>9} {:>11} {:>10} {:>15}",
+        "VMs", "services", "% core", "bytes/s", "datagrams/s", "MB a VM", "platform calls/s"
+    );
+    for (at, (vms, services)) in IDLE.into_iter().enumerate() {
+        if one.is_some_and(|one| one != at) {
+            continue;
+        }
+        let cost = smol::block_on(idle::measure(vms, services, Duration::from_secs(8)))?;
+        println!(
+            "{vms:>5} {services:>9} {:>8.3} {:>9.0} {:>11.1} {:>10.2} {:>15.2}",
+            cost.core, cost.bytes, cost.datagrams, cost.memory, cost.platform
+        );
+    }
+    Ok(true)
+}
--- a/crates/load/src/run.rs
+++ b/crates/load/src/run.rs
@@ -159,7 +159,8 @@
     plan.services.iter().enumerate().map(result).collect()
 }
 
-fn sent(fleet: &Fleet) -> wire::outbox::Sent {
+/// Returns what all entry VMs together have sent to each other.
+pub fn sent(fleet: &Fleet) -> wire::outbox::Sent {
     let mut all = wire::outbox::Sent::default();
     for vm in &fleet.vms {
         let sent = vm.shared.outbox.sent();
--- /dev/null
+++ b/crates/member/benches/cost.rs
@@ -0,0 +1,88 @@
+//! Time and memory of the membership, by the size of the fleet.
+
+use std::net::SocketAddr;
+
+use base::Time;
+use divan::AllocProfiler;
+use divan::Bencher;
+use member::Config;
+use member::Health;
+use member::Membership;
+use member::Msg;
+use member::Profile;
+
+#[global_allocator]
+static ALLOC: AllocProfiler = AllocProfiler::system();
+
+fn main() {
+    divan::main();
+}
+
+const FLEETS: [usize; 4] = [13, 100, 300, 1000];
+
+fn profile(n: usize) -> Profile {
+    Profile {
+        vm: base::id::vm(&n.to_string()),
+        name: format!("vm-{n}"),
+        address: SocketAddr::from(([127, 0, (n >> 8) as u8, n as u8], 7000)),
+        domain: 1,
+        region: 1,
+    }
+}
+
+fn members(fleet: usize) -> Membership {
+    let mut members = Membership::new(profile(0), 1, Config::default(), 1);
+    for n in 1..fleet {
+        let profile = profile(n);
+        let from = profile.vm;
+        let address = profile.address;
+        let item = member::news::Item {
+            profile,
+            incarnation: 1,
+            health: Health::Alive,
+        };
+        let msg = Msg::Roster { news: vec![item] };
+        members.receive(Time::ZERO, from, address, msg);
+    }
+    members.take_actions();
+    members
+}
+
+/// One period: a tick that probes, and the answer to it.
+#[divan::bench(args = FLEETS)]
+fn period_by_fleet(bencher: Bencher<'_, '_>, fleet: usize) {
+    let mut members = members(fleet);
+    let mut now = Time::from_secs(1);
+    bencher.bench_local(|| {
+        now += Config::default().period;
+        members.tick(now);
+        for action in members.take_actions() {
+            if let member::Action::Send {
+                to,
+                msg:
+                    Msg::Ping {
+                        to: about,
+                        probe,
+                        marks,
+                        digest,
+                        ..
+                    },
+            } = action
+            {
+                let ack = Msg::Ack {
+                    about,
+                    probe,
+                    marks,
+                    digest,
+                    news: Vec::new(),
+                };
+                members.receive(now, about, to, ack);
+            }
+        }
+    });
+}
+
+#[divan::bench(args = FLEETS)]
+fn whole_membership(fleet: usize) -> Membership {
+    members(fleet)
+}
--- /dev/null
+++ b/crates/route/benches/cost.rs
@@ -0,0 +1,148 @@
+//! Time and memory of the decisions about calls, by the number of servers.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use base::Class;
+use base::Outcome;
+use base::Time;
+use base::VmId;
+use divan::AllocProfiler;
+use divan::Bencher;
+use route::ledger::Fleet;
+use route::msg::Ask;
+use route::msg::Body;
+use route::msg::Holding;
+use route::msg::Kind;
+use route::msg::Release;
+use route::spec::ServerSpec;
+use route::CallNo;
+use route::Ledger;
+use route::Spec;
+
+#[global_allocator]
+static ALLOC: AllocProfiler = AllocProfiler::system();
+
+fn main() {
+    divan::main();
+}
+
+const SERVERS: [usize; 4] = [10, 64, 1000, 10_000];
+const FLEETS: [usize; 3] = [13, 100, 300];
+const NOW: Time = Time::from_secs(10);
+
+fn spec(servers: usize) -> Spec {
+    let server = |n: usize| ServerSpec {
+        id: base::id::server("s", &n.to_string()),
+        domain: n as u64 % 4,
+        slots: 2,
+        connections: 220,
+        open: true,
+    };
+    Spec::new(base::id::service("s"), (0..servers).map(server).collect())
+}
+
+fn vms(count: usize) -> Vec<VmId> {
+    let mut vms: Vec<VmId> = (0..count).map(|n| base::id::vm(&n.to_string())).collect();
+    vms.sort_unstable();
+    vms
+}
+
+/// Returns the ledger of one shard that all VMs follow.
+fn ledger(servers: usize, fleet: usize) -> Ledger {
+    let shards = spec(servers).shards();
+    let vms = vms(fleet);
+    let known = Fleet {
+        vms: &vms,
+        alive: &vms,
+        strangers: 0,
+    };
+    let spec = Arc::new(shards[0].clone());
+    let mut ledger = Ledger::new(vms[0], Default::default(), spec, known, NOW);
+    for vm in &vms {
+        let body = Body::Attach {
+            epoch: ledger.epoch(),
+            holding: Holding::default(),
+            sheet: Default::default(),
+        };
+        ledger.receive(*vm, body, NOW);
+    }
+    ledger.take_actions();
+    ledger
+}
+
+fn ask() -> Ask {
+    Ask {
+        class: Class::Interactive,
+        left: Duration::from_secs(1),
+        kind: Kind::First,
+        avoid: Vec::new(),
+        domain: 1,
+    }
+}
+
+/// One permit, granted and released, with half of the slots in use.
+fn permit(ledger: &mut Ledger, vm: VmId, call: CallNo, now: Time) {
+    let epoch = ledger.epoch();
+    let ask = ask();
+    ledger.receive(vm, Body::Acquire { epoch, call, ask }, now);
+    let server = ledger
+        .permits()
+        .iter()
+        .find(|p| p.call == call)
+        .map(|p| p.server);
+    let release = Release {
+        call,
+        server: server.unwrap_or_default(),
+        outcome: Outcome::Done,
+        took: Duration::from_millis(10),
+        load: None,
+    };
+    ledger.receive(vm, Body::Release { epoch, release }, now);
+    divan::black_box(ledger.take_actions());
+}
+
+#[divan::bench(args = SERVERS)]
+fn permit_by_servers(bencher: Bencher<'_, '_>, servers: usize) {
+    let mut ledger = ledger(servers, 13);
+    let vm = vms(13)[3];
+    let mut call = 1 << 32;
+    bencher.bench_local(|| {
+        call += 1;
+        permit(&mut ledger, vm, call, NOW);
+    });
+}
+
+#[divan::bench(args = FLEETS)]
+fn permit_by_fleet(bencher: Bencher<'_, '_>, fleet: usize) {
+    let mut ledger = ledger(13, fleet);
+    let vm = vms(fleet)[3];
+    let mut call = 1 << 32;
+    bencher.bench_local(|| {
+        call += 1;
+        permit(&mut ledger, vm, call, NOW);
+    });
+}
+
+#[divan::bench(args = FLEETS)]
+fn tick_by_fleet(bencher: Bencher<'_, '_>, fleet: usize) {
+    let mut ledger = ledger(13, fleet);
+    bencher.bench_local(|| {
+        ledger.tick(NOW);
+        divan::black_box(ledger.take_actions());
+    });
+}
+
+#[divan::bench(args = FLEETS)]
+fn new_ledger_by_fleet(fleet: usize) -> Ledger {
+    ledger(13, fleet)
+}
+
+#[divan::bench(args = [1, 16, 157])]
+fn partition_by_shards(shards: usize) {
+    let vms = vms(300);
+    for _ in 0..shards {
+        let keys: Vec<(u64, u32)> = (0..13).map(|n| (n, 2)).collect();
+        divan::black_box(base::rendezvous::partition(&keys, &vms));
+    }
+}
