--- a/crates/member/src/membership.rs
+++ b/crates/member/src/membership.rs
@@ -205,7 +205,19 @@
         std::mem::take(&mut self.actions)
     }
 
-    /// Sends what is due; to be called every few milliseconds.
+    /// Returns when [`Membership::tick`] has something to do.
+    pub fn due(&self) -> Time {
+        let patience = self.config.patience;
+        let probes = self.probes.iter().map(|probe| {
+            let turns = if probe.relayed { 2 } else { 1 };
+            probe.sent + patience * turns
+        });
+        let suspects = self.peers.iter().filter(|p| p.health == Health::Suspect);
+        let falls = suspects.map(|peer| peer.since + self.config.suspicion);
+        probes.chain(falls).fold(self.next_period, Time::min)
+    }
+
+    /// Sends what is due; see [`Membership::due`].
     pub fn tick(&mut self, now: Time) {
         self.check_probes(now);
         self.check_suspects(now);
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -37,10 +37,12 @@
 use crate::shared::Shared;
 use crate::sync::Watched;
 
-/// The time between two ticks of the followers and the membership.
-const SIDE_TICK: Duration = Duration::from_millis(5);
-/// The time between two ticks of the seats.
+/// The time between two ticks of the seats while any of them is busy.
 const SEAT_TICK: Duration = Duration::from_millis(20);
+/// The time between two ticks of the seats while none is.
+const IDLE_SEAT_TICK: Duration = Duration::from_millis(200);
+/// The time between two looks for connections that have been idle for long.
+const SWEEP: Duration = Duration::from_secs(2);
 /// The time between giving up readiness and closing the listeners, so that
 /// the balancer in front has seen it.
 const NOTICE: Duration = Duration::from_millis(500);
@@ -173,15 +175,23 @@
         let shared = self.shared.clone();
         self.tasks.push(self.pool.spawn(async move {
             loop {
-                smol::Timer::after(SIDE_TICK).await;
+                shared.next_tick().await;
                 shared.tick_sides();
             }
         }));
         let shared = self.shared.clone();
         self.tasks.push(self.pool.spawn(async move {
             loop {
-                smol::Timer::after(SEAT_TICK).await;
-                shared.tick_seats();
+                let busy = shared.tick_seats();
+                let rest = if busy { SEAT_TICK } else { IDLE_SEAT_TICK };
+                smol::Timer::after(rest).await;
+            }
+        }));
+        let shared = self.shared.clone();
+        self.tasks.push(self.pool.spawn(async move {
+            loop {
+                smol::Timer::after(SWEEP).await;
+                shared.pools.sweep(shared.clock.now());
             }
         }));
     }
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
+use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -27,6 +28,7 @@
 use entry::Pools;
 use entry::Ports;
 use entry::Refused;
+use event_listener::Event;
 use member::Membership;
 use net::exec::Handle;
 use net::BoxFuture;
@@ -65,6 +67,10 @@
 
 /// A gap between two ticks after which this VM counts as paused.
 const PAUSE: Duration = Duration::from_secs(1);
+/// The time between two ticks of the followers while attempts wait.
+const SIDE_TICK: Duration = Duration::from_millis(5);
+/// The longest time between two ticks of the followers.
+const IDLE_TICK: Duration = Duration::from_millis(250);
 /// The longest wait for one owner of an idempotency key.
 const CLAIM_WAIT: Duration = Duration::from_millis(60);
 /// Times that an owner of an idempotency key is asked.
@@ -117,6 +123,8 @@
     memory: Mutex<Keys>,
     pulse: AtomicU64,
     next_claim: AtomicU64,
+    waiting: AtomicUsize,
+    asked: Event,
     pauses: AtomicU64,
 }
 
@@ -160,7 +168,7 @@
     *place.write().unwrap_or_else(PoisonError::into_inner) = value;
 }
 
-/// Gives an attempt up unless its caller got the answer.
+/// An attempt that waits; it is given up unless its caller got the answer.
 struct Pending<'a> {
     shared: &'a Shared,
     cell: Arc<Cell>,
@@ -170,6 +178,7 @@
 
 impl Drop for Pending<'_> {
     fn drop(&mut self) {
+        self.shared.waiting.fetch_sub(1, Ordering::Relaxed);
         if self.armed {
             let todo = self.cell.abandon(self.call, self.shared.clock.now());
             self.shared.run(&self.cell, todo);
@@ -211,6 +220,8 @@
             memory: Mutex::new(Keys::new(now)),
             pulse: AtomicU64::new(now.as_millis() as u64),
             next_claim: AtomicU64::new(1),
+            waiting: AtomicUsize::new(0),
+            asked: Event::new(),
             pauses: AtomicU64::new(0),
         }
     }
@@ -357,6 +368,20 @@
         }
     }
 
+    /// Waits for the next tick of the followers and the membership: a short time
+    /// while attempts wait, or else until the membership has something to do or
+    /// an attempt begins to wait.
+    pub(crate) async fn next_tick(&self) {
+        let asked = self.asked.listen();
+        if self.waiting.load(Ordering::Relaxed) == 0 {
+            let due = lock(&self.members).due();
+            let rest = due.saturating_sub(self.clock.now());
+            net::timeout(rest.clamp(SIDE_TICK, IDLE_TICK), asked).await;
+        } else {
+            smol::Timer::after(SIDE_TICK).await;
+        }
+    }
+
     /// Does what is due on the followers' side and in the membership.
     pub(crate) fn tick_sides(&self) {
         self.check_pause();
@@ -368,14 +393,16 @@
         }
     }
 
-    /// Does what is due at the seats and in the pools.
-    pub(crate) fn tick_seats(&self) {
+    /// Does what is due at the seats; returns whether any is busy.
+    pub(crate) fn tick_seats(&self) -> bool {
         let now = self.clock.now();
+        let mut busy = false;
         for cell in self.table().cells() {
             let todo = cell.tick_seat(now);
             self.run(cell, todo);
+            busy |= cell.with_seat(|seat| seat.is_busy());
         }
-        self.pools.sweep(now);
+        busy
     }
 
     /// Takes a message that came from another VM.
@@ -446,6 +473,9 @@
         self.check_pause();
         let (sender, receiver) = async_channel::bounded(1);
         let (call, todo) = cell.acquire(ask, sender, self.clock.now());
+        if self.waiting.fetch_add(1, Ordering::Relaxed) == 0 {
+            self.asked.notify(1);
+        }
         let mut pending = Pending {
             shared: self,
             cell: cell.clone(),
--- a/crates/route/src/seat.rs
+++ b/crates/route/src/seat.rs
@@ -70,6 +70,15 @@
         self.ledger.as_ref()
     }
 
+    /// Returns whether the ledger has permits out, requests that wait, or VMs
+    /// whose promise it lacks.
+    pub fn is_busy(&self) -> bool {
+        let idle = |ledger: &Ledger| {
+            ledger.permits().is_empty() && ledger.waiting() == 0 && ledger.is_complete()
+        };
+        !self.ledger.as_ref().is_none_or(idle)
+    }
+
     /// Takes the actions that have come up since the last time.
     pub fn take_actions(&mut self) -> Vec<Action> {
         let mut actions = std::mem::take(&mut self.actions);
