Let each region look after its own servers

A region's homes are chosen among its own VMs, and its ledgers hold the servers of its own failure domains, so that regions that lose each other go on as they are. Domains that name no region belong to all. Tests: HTTP/2 on both sides, TLS towards callers, slots used without a home.

--- a/crates/conf/src/state.rs
+++ b/crates/conf/src/state.rs
@@ -9,6 +9,7 @@
 use crate::server::Mode;
 use crate::server::Server;
 use crate::service::Service;
+use crate::ticket::Domain;
 
 /// What one VM works by at one moment; it is replaced whole, never changed.
 #[derive(Clone, Debug, Default)]
@@ -19,6 +20,7 @@
     pub services: Vec<Service>,
     /// The orders about failure domains.
     pub domains: Domains,
+    regions: Vec<Domain>,
     ids: Vec<ServiceId>,
 }
 
@@ -31,6 +33,7 @@
             revision: head.revision,
             services,
             domains,
+            regions: head.domains.clone(),
             ids,
         }
     }
@@ -65,6 +68,18 @@
         server.mode == Mode::Active && !self.domains.is_out(&server.domain)
     }
 
+    /// Returns whether `server` stands in `region`, or in a domain that names
+    /// no region.
+    pub fn is_near(&self, server: &Server, region: &str) -> bool {
+        let found = self
+            .regions
+            .binary_search_by(|domain| domain.name.as_str().cmp(&server.domain));
+        found.is_ok_and(|at| {
+            let named = &self.regions[at].region;
+            named.is_empty() || named == region
+        })
+    }
+
     /// Returns the server with `id` of `service`.
     pub fn server(&self, service: ServiceId, id: ServerId) -> Option<&Server> {
         let service = self.service(service)?;
--- a/crates/load/src/idle.rs
+++ b/crates/load/src/idle.rs
@@ -11,6 +11,8 @@
 
 /// The time after the start before anything counts.
 const SETTLE: Duration = Duration::from_secs(3);
+/// What each VM adds to it: news of its start has to have been told on.
+const SETTLE_EACH: Duration = Duration::from_millis(350);
 
 /// The cost of control of one daemon.
 #[derive(Clone, Copy, Debug)]
@@ -63,7 +65,7 @@
     };
     let before = resident();
     let fleet = Fleet::start(&plan, &start).await?;
-    smol::Timer::after(SETTLE).await;
+    smol::Timer::after(SETTLE + SETTLE_EACH * vms as u32).await;
     let sent = crate::run::sent(&fleet);
     let cpu = cpu_time();
     let calls = fleet.platform.objects().calls();
--- a/crates/load/tests/calls.rs
+++ b/crates/load/tests/calls.rs
@@ -9,6 +9,7 @@
 use std::net::TcpStream;
 use std::time::Duration;
 
+use futures_rustls::rustls;
 use lab::whole;
 use lab::Lab;
 use lab::Scripted;
@@ -365,3 +366,88 @@
     assert!(answer.ends_with("whole"), "{answer}");
     assert!(TcpStream::connect(callers).is_err());
 }
+
+/// Sends one request over HTTP/2 and returns the status and the body.
+fn call_http2(lab: &Lab, method: &str) -> (u16, String) {
+    let handle = lab.node.pool().handle();
+    smol::block_on(async {
+        let mut sender = net::client::connect(&handle, lab.callers, true)
+            .await
+            .unwrap();
+        let request = http::Request::builder()
+            .method(method)
+            .uri(format!("http://{}/plans", lab.callers))
+            .body(net::body::full("body"))
+            .unwrap();
+        let answer = sender.send(request).await.map_err(|f| f.error).unwrap();
+        let status = answer.status().as_u16();
+        let served = answer.headers()["snipepaddle-outcome"].clone();
+        let bytes = net::body::collect(answer.into_body(), 1 << 20)
+            .await
+            .unwrap();
+        let text = String::from_utf8_lossy(&bytes);
+        (status, format!("{}: {text}", served.to_str().unwrap()))
+    })
+}
+
+#[test]
+fn call_http2_caller_is_served_by_an_http1_server() {
+    let server = Scripted::new(whole);
+    let lab = Lab::new(&[server.address]);
+    for method in ["GET", "POST"] {
+        assert_eq!(call_http2(&lab, method), (200, "served: whole".into()));
+    }
+}
+
+#[test]
+fn call_http1_caller_is_served_by_an_http2_server() {
+    let pool = net::Pool::new("backend", 1);
+    let backend = standin::Backend::start(
+        std::net::Ipv4Addr::LOCALHOST.into(),
+        standin::Model::default(),
+        base::Clock::new(),
+        pool.handle(),
+    );
+    let backend = smol::block_on(backend).unwrap();
+    let lab = Lab::with_service(&[backend.address()], |service| service.http2 = true);
+    for _ in 0..3 {
+        let answer = lab.call("POST", "/", "x-call-id: 5\r\n", "body");
+        assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+    }
+    assert_eq!(backend.record().begun, 3);
+}
+
+#[test]
+fn call_tls_caller_negotiates_its_protocol() {
+    let made = rcgen::generate_simple_self_signed(vec!["entry".into()]).unwrap();
+    let directory = std::env::temp_dir().join(format!("snipepaddle-tls-{}", std::process::id()));
+    std::fs::create_dir_all(&directory).unwrap();
+    let tls = conf::settings::Tls {
+        certificate: directory.join("certificate.pem"),
+        key: directory.join("key.pem"),
+    };
+    std::fs::write(&tls.certificate, made.cert.pem()).unwrap();
+    std::fs::write(&tls.key, made.signing_key.serialize_pem()).unwrap();
+    let server = Scripted::new(whole);
+    let lab = Lab::with_settings(&[server.address], |settings| {
+        settings.callers.tls = Some(tls);
+    });
+    let _ = std::fs::remove_dir_all(&directory);
+    let mut roots = rustls::RootCertStore::empty();
+    roots.add(made.cert.der().clone()).unwrap();
+    let mut config = rustls::ClientConfig::builder()
+        .with_root_certificates(roots)
+        .with_no_client_auth();
+    config.alpn_protocols = vec![b"http/1.1".to_vec()];
+    let name = rustls::pki_types::ServerName::try_from("entry").unwrap();
+    let mut client = rustls::ClientConnection::new(std::sync::Arc::new(config), name).unwrap();
+    let mut stream = lab.open();
+    let mut tls = rustls::Stream::new(&mut client, &mut stream);
+    tls.write_all(b"GET / HTTP/1.1\r\nhost: s\r\nconnection: close\r\n\r\n")
+        .unwrap();
+    let mut answer = Vec::new();
+    let _ = tls.read_to_end(&mut answer);
+    let answer = String::from_utf8_lossy(&answer);
+    assert!(answer.ends_with("whole"), "{answer}");
+    assert_eq!(client.alpn_protocol(), Some(b"http/1.1".as_slice()));
+}
--- a/crates/member/tests/swim.rs
+++ b/crates/member/tests/swim.rs
@@ -253,7 +253,7 @@
     net.vms[7].set_marks(marks);
     net.vms[7].announce();
     let end = net.now + Duration::from_secs(1);
-    let mut known = vec![false; 50];
+    let mut known = [false; 50];
     known[7] = true;
     while net.now < end {
         net.run(STEP);
--- a/crates/node/src/fleet.rs
+++ b/crates/node/src/fleet.rs
@@ -9,12 +9,13 @@
 /// A snapshot of the membership; it is replaced whole.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct View {
-    /// The VMs that answer, this one included, sorted.
+    /// The VMs of this one's region that answer, this one included, sorted.
     pub alive: Vec<VmId>,
-    /// The VMs that may hold permits, this one included, sorted.
+    /// The VMs of this one's region that may hold permits, this one included,
+    /// sorted.
     pub vms: Vec<VmId>,
-    /// The VMs of this one's region that answer, sorted.
-    pub region: Vec<VmId>,
+    /// How many VMs answer in all regions.
+    pub everywhere: usize,
     /// VMs that should exist and of which nothing has been heard.
     pub strangers: usize,
     addresses: Vec<(VmId, SocketAddr)>,
@@ -24,13 +25,11 @@
     /// Takes a snapshot.
     pub fn new(members: &Membership) -> Self {
         let me = members.me();
-        let near = |vm: &VmId| {
-            let peer = members.peer(*vm);
-            peer.is_none_or(|peer| peer.profile.region == me.region)
-        };
-        let alive = members.alive().to_vec();
-        let region = alive.iter().copied().filter(near).collect();
-        let holds = |peer: &&member::Peer| peer.health != Health::Left;
+        let near = |peer: &member::Peer| peer.profile.region == me.region;
+        let everywhere = members.alive();
+        let mut alive = everywhere.to_vec();
+        alive.retain(|vm| members.peer(*vm).is_none_or(near));
+        let holds = |peer: &&member::Peer| peer.health != Health::Left && near(peer);
         let mut vms: Vec<VmId> = members
             .peers()
             .iter()
@@ -47,7 +46,7 @@
         Self {
             alive,
             vms,
-            region,
+            everywhere: everywhere.len(),
             strangers: members.strangers(),
             addresses,
         }
--- a/crates/node/src/gauges.rs
+++ b/crates/node/src/gauges.rs
@@ -13,7 +13,7 @@
     let meter = shared.metrics.meter();
     let weak = Arc::downgrade(shared);
     gauge(&meter, &weak, "vms_alive", "Entry VMs that answer", |s| {
-        s.view().alive.len() as u64
+        s.view().everywhere as u64
     });
     gauge(&meter, &weak, "revision", "Revision in force", |s| {
         s.state().revision
--- a/crates/node/src/specs.rs
+++ b/crates/node/src/specs.rs
@@ -5,18 +5,25 @@
 use route::spec::ServerSpec;
 use route::Spec;
 
-/// Returns the shards of all services, sorted by id.
-pub fn of_state(state: &State) -> Vec<Spec> {
+/// Returns the shards of all services in `region`, sorted by id.
+///
+/// A region looks after its own servers only, so that regions that lose each
+/// other go on as they are.
+pub fn of_state(state: &State, region: &str) -> Vec<Spec> {
     let all = state.services.iter();
     let mut specs: Vec<Spec> = all
-        .flat_map(|service| of_service(state, service).shards())
+        .flat_map(|service| of_service(state, service, region).shards())
         .collect();
     specs.sort_by_key(|spec| spec.shard);
     specs
 }
 
-fn of_service(state: &State, service: &Service) -> Spec {
-    let servers = service.servers.iter().map(|server| ServerSpec {
+fn of_service(state: &State, service: &Service, region: &str) -> Spec {
+    let near = service
+        .servers
+        .iter()
+        .filter(|server| state.is_near(server, region));
+    let servers = near.map(|server| ServerSpec {
         id: server.id(&service.name),
         domain: base::id::domain(&server.domain),
         slots: server.slots,
--- a/crates/node/src/sync.rs
+++ b/crates/node/src/sync.rs
@@ -60,7 +60,7 @@
 
 impl Shared {
     fn watchers(&self) -> Vec<VmId> {
-        rendezvous::top(WATCH_KEY, &self.view().region, WATCHERS)
+        rendezvous::top(WATCH_KEY, &self.view().alive, WATCHERS)
     }
 
     /// Watches one object of the platform whenever this VM is a watcher.
@@ -244,7 +244,7 @@
                 Ok(_) => {}
                 Err(error) => log::debug!("plat: VM list: {error}"),
             }
-            let fleet = self.view().vms.len() as u32;
+            let fleet = self.view().everywhere as u32;
             let period = LIST_PERIOD + LIST_PERIOD_EACH * fleet;
             smol::Timer::after(period.mul_f64(0.8 + 0.4 * fastrand::f64())).await;
         }
--- a/crates/route/tests/homes.rs
+++ b/crates/route/tests/homes.rs
@@ -128,3 +128,49 @@
         assert_eq!(world.in_flight(broken), 0);
     }
 }
+
+#[test]
+fn tick_without_a_home_each_vm_uses_its_own_slots_only() {
+    let mut world = World::new(spec(3, 2));
+    for _ in 0..60 {
+        for at in 0..VMS {
+            world.acquire(at, Duration::from_secs(2));
+        }
+        world.settle(Duration::from_millis(30));
+    }
+    let home = world.vms[0].follower.home().unwrap();
+    let at = world.vms.iter().position(|vm| vm.id == home).unwrap();
+    world.pause(at);
+    for vm in (0..VMS).filter(|vm| *vm != at) {
+        for _ in 0..10 {
+            world.acquire(vm, Duration::from_secs(2));
+        }
+    }
+    for _ in 0..100 {
+        world.tick(Duration::from_millis(3));
+        // Each server has three slots, whoever uses them.
+        world.check(3);
+    }
+    let alone: u64 = world.vms.iter().map(|vm| vm.follower.alone()).sum();
+    assert!(alone > 0, "nobody used a slot of its own");
+}
+
+#[test]
+fn tick_without_a_home_cold_servers_are_left_alone() {
+    let mut world = World::new(spec(3, 1_000_000));
+    world.settle(Duration::from_millis(60));
+    for at in 0..VMS {
+        world.acquire(at, Duration::from_secs(2));
+    }
+    world.settle(Duration::from_millis(60));
+    let home = world.vms[0].follower.home().unwrap();
+    let at = world.vms.iter().position(|vm| vm.id == home).unwrap();
+    world.pause(at);
+    for vm in (0..VMS).filter(|vm| *vm != at) {
+        world.acquire(vm, Duration::from_secs(2));
+    }
+    for _ in 0..100 {
+        world.tick(Duration::from_millis(3));
+    }
+    assert!(world.vms.iter().all(|vm| vm.follower.alone() == 0));
+}
--- a/crates/route/tests/world/mod.rs
+++ b/crates/route/tests/world/mod.rs
@@ -250,6 +250,11 @@
         }
     }
 
+    /// Stops a VM where it is.
+    pub(crate) fn pause(&mut self, at: usize) {
+        self.set_paused(at, true);
+    }
+
     pub(crate) fn tick(&mut self, time: Duration) {
         self.now += time;
         for at in 0..VMS {
