Test that a hedge does not go to the server that is slow

It fails with two calls at one server when the first attempt's server is not noted; the test with two servers does not, because the home prefers the idle one anyway.

--- a/crates/load/tests/calls.rs
+++ b/crates/load/tests/calls.rs
@@ -479,3 +479,20 @@
     let after = [servers[0].count(), servers[1].count()];
     assert_eq!([after[0] - before[0], after[1] - before[1]], [1, 1]);
 }
+
+#[test]
+fn call_hedge_does_not_go_to_the_same_server() {
+    let server = Scripted::new(stall);
+    let lab = Lab::with_service(&[server.address], |service| {
+        service.hedges = 100;
+        service.cold.grow = 1;
+    });
+    for _ in 0..30 {
+        let answer = lab.call("GET", "/", "", "");
+        assert!(answer.ends_with("whole"), "{answer}");
+    }
+    let before = server.count();
+    let answer = lab.call("GET", "/stall", "", "");
+    assert!(answer.ends_with("whole"), "{answer}");
+    assert_eq!(server.count() - before, 1);
+}
