--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -6,6 +6,7 @@
 mod error;
 mod remote;
 
+use std::ffi::OsString;
 use std::process::ExitCode;
 
 use pico_args::Arguments;
@@ -44,7 +45,8 @@
 ";
 
 fn main() -> ExitCode {
-    let mut args = Arguments::from_env();
+    let given = std::env::args_os().skip(1).collect();
+    let mut args = Arguments::from_vec(command_first(given));
     if args.contains(["-V", "--version"]) {
         println!("snipepaddle {}", env!("CARGO_PKG_VERSION"));
         return ExitCode::SUCCESS;
@@ -68,6 +70,25 @@
     }
 }
 
+/// Options that have a value.
+const WITH_VALUE: [&str; 2] = ["--admin", "--token-file"];
+
+/// Moves options that stand before the command behind everything else, where
+/// the commands look for them.
+fn command_first(mut given: Vec<OsString>) -> Vec<OsString> {
+    let mut end = 0;
+    while let Some(option) = given.get(end).and_then(|arg| arg.to_str()) {
+        if !option.starts_with('-') {
+            break;
+        }
+        let has_value = WITH_VALUE.contains(&option);
+        end += if has_value { 2 } else { 1 };
+    }
+    let end = end.min(given.len());
+    given.rotate_left(end);
+    given
+}
+
 fn run(command: &str, args: Arguments) -> Result<(), Error> {
     match command {
         "check" => cmd::check::run(args),
