Make one piece of what stood twice, and say what a measure does not show

Found by reading the whole change again. Pings number themselves instead of each caller counting; a VM's share of connections is a function of two numbers, no longer asked of a server made up for it at each attempt; the worst of some tickets is timed in one place; the callers of the load tool use the daemon's names of header fields. Behaviour stays as it is; no check is changed.

Two comments said that servers come back cold with their failure domain.

--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -14,6 +14,7 @@
 use net::Body;
 use route::attempts::Failure;
 use route::msg::Load;
+use route::spec;
 
 use crate::guard::Guard;
 use crate::headers;
@@ -74,7 +75,7 @@
     /// Makes the attempt; the permit is released on every way out.
     pub async fn run(self, request: Request<Body>) -> Result<Head, Failed> {
         let mut guard = Guard::new(self.ports.clone(), self.permit);
-        let share = self.share();
+        let share = spec::share(self.server.connections, self.ports.fleet());
         let connecting = self
             .pools
             .get(self.permit.server, &self.server, self.http2, share);
@@ -138,17 +139,6 @@
             took,
         })
     }
-
-    fn share(&self) -> usize {
-        let spec = route::spec::ServerSpec {
-            id: self.permit.server,
-            domain: 0,
-            slots: self.server.slots,
-            connections: self.server.connections,
-            open: true,
-        };
-        spec.share(self.ports.fleet())
-    }
 }
 
 /// Reads a server's report of its load.
--- a/crates/load/src/callers.rs
+++ b/crates/load/src/callers.rs
@@ -14,7 +14,9 @@
 
 use base::Clock;
 use base::Time;
+use entry::headers;
 use http::header;
+use http::header::HeaderName;
 use http::HeaderMap;
 use http::Method;
 use http::Request;
@@ -264,16 +266,16 @@
             return Got::default();
         };
         self.door.keep(vm, sender);
-        let told = text(&parts.headers, "snipepaddle-outcome");
+        let told = text(&parts.headers, &headers::OUTCOME);
         let end = match told {
             Some("served") if bytes.len() == standin::Model::default().answer => End::Served,
             Some("served") => End::Short,
             Some("not-run") => End::NotRun,
             _ => End::Unknown,
         };
-        let domain = text(&parts.headers, "snipepaddle-domain");
+        let domain = text(&parts.headers, &headers::DOMAIN);
         let domain = domain.and_then(|name| self.plan.domains.iter().position(|d| d == name));
-        let attempts = text(&parts.headers, "snipepaddle-attempts");
+        let attempts = text(&parts.headers, &headers::ATTEMPTS);
         let attempts: u32 = attempts.and_then(|n| n.parse().ok()).unwrap_or(1);
         Got {
             end,
@@ -299,13 +301,13 @@
     request
 }
 
-fn text<'a>(fields: &'a HeaderMap, name: &str) -> Option<&'a str> {
+fn text<'a>(fields: &'a HeaderMap, name: &HeaderName) -> Option<&'a str> {
     fields.get(name)?.to_str().ok()
 }
 
 /// Reads the time that the entry VM says it added.
 fn added(fields: &HeaderMap) -> Option<Duration> {
-    let timing = text(fields, "server-timing")?;
+    let timing = text(fields, &headers::SERVER_TIMING)?;
     let millis: f64 = timing.strip_prefix("snipepaddle;dur=")?.parse().ok()?;
     Some(Duration::from_secs_f64(millis / 1e3))
 }
--- a/crates/load/src/plan.rs
+++ b/crates/load/src/plan.rs
@@ -78,7 +78,7 @@
         /// The domain.
         domain: String,
     },
-    /// Operators bring a failure domain back; its servers are cold by then.
+    /// Operators bring a failure domain back, its servers as they were.
     DomainIn {
         /// The domain.
         domain: String,
--- a/crates/load/src/targets.rs
+++ b/crates/load/src/targets.rs
@@ -193,7 +193,7 @@
     Ok(())
 }
 
-/// Service while a domain leaves, returns cold, and its VMs stay.
+/// Service while a domain leaves and returns; its servers and VMs stay up.
 async fn domain(plan: &Plan, note: &mut impl FnMut(Row)) -> anyhow::Result<()> {
     let mut plan = plan.clone();
     plan.load = 0.6;
@@ -379,10 +379,7 @@
 /// The time until a ticket is in force on every VM.
 async fn tickets(plan: &Plan, note: &mut impl FnMut(Row)) -> anyhow::Result<()> {
     let fleet = Fleet::start(plan, &start(Policy::Home, plan.vms)).await?;
-    let mut worst = Duration::ZERO;
-    for number in 2..2 + TICKETS {
-        worst = worst.max(time_ticket(&fleet, plan, number).await?);
-    }
+    let worst = worst_ticket(&fleet, plan).await?;
     fleet.stop().await;
     note(Row::new(
         plan,
@@ -393,8 +390,17 @@
     Ok(())
 }
 
+/// Returns the longest time that one of some tickets took.
+async fn worst_ticket(fleet: &Fleet, plan: &Plan) -> anyhow::Result<Duration> {
+    let mut worst = Duration::ZERO;
+    for number in 2..2 + TICKETS {
+        worst = worst.max(time_ticket(fleet, plan, number).await?);
+    }
+    Ok(worst)
+}
+
 /// Applies a ticket and waits until all VMs have it in force.
-pub async fn time_ticket(fleet: &Fleet, plan: &Plan, number: u64) -> anyhow::Result<Duration> {
+async fn time_ticket(fleet: &Fleet, plan: &Plan, number: u64) -> anyhow::Result<Duration> {
     let mut ticket = fleet.ticket(plan);
     ticket.number = number;
     ticket.note = format!("the same again, {number}");
@@ -423,10 +429,7 @@
     plan.vms = vms;
     let fleet = Fleet::start(&plan, &start(Policy::Home, vms)).await?;
     let before = fleet.platform.objects().calls();
-    let mut worst = Duration::ZERO;
-    for number in 2..2 + TICKETS {
-        worst = worst.max(time_ticket(&fleet, &plan, number).await?);
-    }
+    let worst = worst_ticket(&fleet, &plan).await?;
     let calls = fleet.platform.objects().calls() - before;
     fleet.stop().await;
     Ok((worst, calls))
--- a/crates/member/src/membership.rs
+++ b/crates/member/src/membership.rs
@@ -254,10 +254,9 @@
             let Some(to) = self.address(vm) else {
                 continue;
             };
-            self.next_probe = self.next_probe.wrapping_add(1);
             let msg = Msg::Ping {
                 to: vm,
-                probe: self.next_probe,
+                probe: self.next_number(),
                 marks: self.marks,
                 digest: self.digest,
                 news: vec![item.clone()],
@@ -316,8 +315,7 @@
         self.rng.shuffle(&mut others);
         for vm in others.into_iter().take(ANNOUNCED) {
             if let Some(to) = self.address(vm) {
-                self.next_probe = self.next_probe.wrapping_add(1);
-                self.send_ping(vm, to, self.next_probe);
+                self.send_ping(vm, to);
             }
         }
     }
@@ -380,15 +378,14 @@
         let Some(to) = self.address(about) else {
             return;
         };
-        self.next_probe = self.next_probe.wrapping_add(1);
+        let number = self.send_ping(about, to);
         self.errands.push(Errand {
             asker,
             asked,
-            number: self.next_probe,
+            number,
             about,
             sent: now,
         });
-        self.send_ping(about, to, self.next_probe);
     }
 
     fn answered(&mut self, now: Time, about: VmId, number: ProbeNo) {
@@ -512,8 +509,7 @@
             .collect();
         if let Some(vm) = self.rng.choice(dead) {
             if let Some(to) = self.address(vm) {
-                self.next_probe = self.next_probe.wrapping_add(1);
-                self.send_ping(vm, to, self.next_probe);
+                self.send_ping(vm, to);
             }
         }
         let strangers: Vec<SocketAddr> = self.unknown_seeds().collect();
@@ -561,18 +557,23 @@
         let Some(to) = self.address(vm) else {
             return;
         };
-        self.next_probe = self.next_probe.wrapping_add(1);
-        let number = self.next_probe;
+        let number = self.send_ping(vm, to);
         self.probes.push(Probe {
             vm,
             number,
             sent: now,
             relayed: false,
         });
-        self.send_ping(vm, to, number);
     }
 
-    fn send_ping(&mut self, vm: VmId, to: SocketAddr, probe: ProbeNo) {
+    fn next_number(&mut self) -> ProbeNo {
+        self.next_probe = self.next_probe.wrapping_add(1);
+        self.next_probe
+    }
+
+    /// Pings a VM; returns the number by which its answer is known.
+    fn send_ping(&mut self, vm: VmId, to: SocketAddr) -> ProbeNo {
+        let probe = self.next_number();
         let msg = Msg::Ping {
             to: vm,
             probe,
@@ -581,6 +582,7 @@
             news: self.news_for(vm),
         };
         self.actions.push(Action::Send { to, msg });
+        probe
     }
 
     /// Picks news for a message to `vm`; a peer that is not thought alive
--- a/crates/route/src/spec.rs
+++ b/crates/route/src/spec.rs
@@ -111,23 +111,22 @@
 }
 
 impl ServerSpec {
-    /// Returns how many connections each of `fleet` VMs may keep to the server.
-    pub fn share(&self, fleet: usize) -> usize {
-        let usable = self.usable();
-        (usable / fleet.max(1)).max(1)
-    }
-
     /// Returns the VMs of `fleet` that may connect to the server, sorted.
     ///
     /// In a fleet larger than the server's connections only some VMs may. They
     /// are chosen by rank, so that few change when a VM comes or goes.
     pub fn admitted(&self, fleet: &[VmId]) -> Vec<VmId> {
-        let mut vms = rendezvous::top(self.id, fleet, self.usable());
+        let mut vms = rendezvous::top(self.id, fleet, usable(self.connections));
         vms.sort_unstable();
         vms
     }
+}
 
-    fn usable(&self) -> usize {
-        (self.connections as usize * CONNECTION_PERCENT / 100).max(1)
-    }
+/// Returns how many of a server's `connections` each of `fleet` VMs may keep.
+pub fn share(connections: u32, fleet: usize) -> usize {
+    (usable(connections) / fleet.max(1)).max(1)
+}
+
+fn usable(connections: u32) -> usize {
+    (connections as usize * CONNECTION_PERCENT / 100).max(1)
 }
--- a/crates/route/tests/parts.rs
+++ b/crates/route/tests/parts.rs
@@ -23,6 +23,7 @@
 use route::msg::Warmth;
 use route::queue::Queue;
 use route::queue::Waiter;
+use route::spec::share;
 use route::spec::ServerSpec;
 use route::Spec;
 
@@ -201,7 +202,7 @@
         let vms: Vec<u64> = (0..fleet).map(|n| base::id::vm(&format!("{n}"))).collect();
         let server = server(2, 220);
         let admitted = server.admitted(&vms);
-        let open = admitted.len() * server.share(vms.len());
+        let open = admitted.len() * share(server.connections, vms.len());
         assert!(open <= 220, "{fleet} VMs may open {open} connections");
         assert!(!admitted.is_empty());
     }
