Take servers for cold that may have restarted while nobody called them

Cause: the measurement of a domain that leaves and returns kept its servers up. With servers that restart while their domain is out (new fault domain-restart), they came back at full limits: the ledger kept what it knew from before. The same held for servers that restart between two calls at low load, and after a drain.

Ruled out: the order itself (new work after out stays at 0.001 s), growth (servers that fall over do grow slowly).

Change: three rules that leave no gap together. A server that may get work again is cold. A server without calls that has answered nobody for 4 s is cold. A server that closes an idle connection within 4 s of its last use is cold; the VM that sees it tells the home, three times, and keeps it for the next home. Ages travel in sheets, so that a new home or a VM without a home does not take old knowledge for new.

The stand-in's cost of a connection was declared but never charged; it is now, with the round trip of the handshake. The load tool can change the load in a run.

--- a/crates/entry/src/pool.rs
+++ b/crates/entry/src/pool.rs
@@ -4,12 +4,17 @@
 //! answer, so that nobody gets the rest of somebody else's. Each server bears
 //! a number of connections from the whole fleet; a VM keeps to its even share
 //! of it, and waits for one of its own when the share is used up.
+//!
+//! A server that closes an idle connection soon after its last use has most
+//! likely restarted. That is told at once, because nothing else tells it of a
+//! server without calls; see `docs/design/limits.md`.
 
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::PoisonError;
 use std::time::Duration;
 
+use base::Clock;
 use base::ServerId;
 use base::Time;
 use conf::Server;
@@ -17,6 +22,7 @@
 use net::client;
 use net::client::Sender;
 use net::exec::Handle;
+use route::limit::FRESH;
 
 /// Shards of the table of servers, each under its own lock.
 const SHARDS: usize = 16;
@@ -31,11 +37,16 @@
 
 /// The connections to one server.
 struct Pool {
+    id: ServerId,
     idle: Mutex<Vec<Idle>>,
     open: Mutex<usize>,
     freed: Event,
+    lost: Lost,
 }
 
+/// Where servers are told that closed an idle connection.
+type Lost = async_channel::Sender<ServerId>;
+
 /// The connections to one server, with the server.
 #[derive(Clone)]
 struct Named {
@@ -47,6 +58,8 @@
 pub struct Pools {
     shards: Vec<Mutex<Vec<Named>>>,
     handle: Handle,
+    clock: Clock,
+    lost: Lost,
 }
 
 /// A connection in use; it is closed when it is dropped without being kept.
@@ -57,11 +70,13 @@
 }
 
 impl Pool {
-    fn new() -> Self {
+    fn new(id: ServerId, lost: Lost) -> Self {
         Self {
+            id,
             idle: Mutex::default(),
             open: Mutex::default(),
             freed: Event::new(),
+            lost,
         }
     }
 
@@ -76,6 +91,28 @@
         }
     }
 
+    /// Removes idle connections for which `ends` holds; returns how long ago
+    /// the most recently used of those that the server closed was used.
+    fn remove_idle(&self, now: Time, ends: impl Fn(&Idle) -> bool) -> Option<Duration> {
+        let mut idle = lock(&self.idle);
+        let (out, kept) = std::mem::take(&mut *idle).into_iter().partition(ends);
+        *idle = kept;
+        drop(idle);
+        let out: Vec<Idle> = out;
+        out.iter().for_each(|_| self.close());
+        let closed = out.iter().filter(|idle| idle.sender.is_closed());
+        closed.map(|idle| now.saturating_sub(idle.since)).min()
+    }
+
+    /// Takes note that a connection has ended.
+    fn ended(&self, now: Time) {
+        let unused = self.remove_idle(now, |idle| idle.sender.is_closed());
+        if unused.is_some_and(|unused| unused < FRESH) {
+            // Without a receiver nobody has to know.
+            let _ = self.lost.try_send(self.id);
+        }
+    }
+
     /// Counts a new connection if the share allows it.
     fn open(&self, share: usize) -> bool {
         let mut open = lock(&self.open);
@@ -97,11 +134,14 @@
 }
 
 impl Pools {
-    /// Makes pools whose connections run on `handle`.
-    pub fn new(handle: Handle) -> Self {
+    /// Makes pools whose connections run on `handle`; servers that close an
+    /// idle connection soon after its last use are sent to `lost`.
+    pub fn new(handle: Handle, clock: Clock, lost: Lost) -> Self {
         Self {
             shards: (0..SHARDS).map(|_| Mutex::default()).collect(),
             handle,
+            clock,
+            lost,
         }
     }
 
@@ -125,8 +165,16 @@
             freed.await;
         }
         // The count is taken back if connecting fails or is given up.
+        let clock = self.clock;
+        let watched = Arc::downgrade(&pool);
+        let ended = move || {
+            if let Some(pool) = watched.upgrade() {
+                pool.ended(clock.now());
+            }
+        };
         let mut conn = Conn::new(None, pool);
-        let sender = client::connect(&self.handle, server.address, http2).await?;
+        let address = server.address;
+        let sender = client::connect_watched(&self.handle, address, http2, ended).await?;
         conn.sender = Some(sender);
         Ok(conn)
     }
@@ -149,12 +197,7 @@
         for shard in &self.shards {
             let pools = lock(shard).clone();
             for Named { pool, .. } in pools {
-                let mut idle = lock(&pool.idle);
-                let count = idle.len();
-                idle.retain(|idle| now < idle.since + IDLE_MAX && !idle.sender.is_closed());
-                let closed = count - idle.len();
-                drop(idle);
-                (0..closed).for_each(|_| pool.close());
+                pool.remove_idle(now, |idle| now >= idle.since + IDLE_MAX);
             }
         }
     }
@@ -169,7 +212,7 @@
         match shard.binary_search_by_key(&id, |named| named.id) {
             Ok(at) => shard[at].pool.clone(),
             Err(at) => {
-                let pool = Arc::new(Pool::new());
+                let pool = Arc::new(Pool::new(id, self.lost.clone()));
                 let named = Named {
                     id,
                     pool: pool.clone(),
@@ -201,6 +244,8 @@
             self.kept = true;
             lock(&self.pool.idle).push(idle);
             self.pool.freed.notify(1);
+            // One that ended before it was put back was not found there.
+            self.pool.ended(now);
         }
     }
 }
--- a/crates/load/src/callers.rs
+++ b/crates/load/src/callers.rs
@@ -52,6 +52,7 @@
 pub struct Door {
     vms: Mutex<Vec<SocketAddr>>,
     idle: Mutex<Vec<(SocketAddr, Sender)>>,
+    factor: Mutex<f64>,
 }
 
 fn lock<T>(mutex: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
@@ -64,6 +65,7 @@
         Self {
             vms: Mutex::new(vms),
             idle: Mutex::default(),
+            factor: Mutex::new(1.0),
         }
     }
 
@@ -73,6 +75,11 @@
         lock(&self.idle).retain(|(known, _)| *known != vm);
     }
 
+    /// Makes callers call `factor` times as often as the plan says.
+    pub fn set_factor(&self, factor: f64) {
+        *lock(&self.factor) = factor;
+    }
+
     fn pick(&self) -> Option<SocketAddr> {
         let vms = lock(&self.vms);
         if vms.is_empty() {
@@ -187,6 +194,7 @@
         let ramp = start + self.plan.warmup / 2;
         loop {
             let rate = if due < ramp { rate * RAMP } else { rate };
+            let rate = rate * *lock(&self.door.factor);
             due += Duration::from_secs_f64(-(1.0 - rng.f64()).ln() / rate);
             if due >= start + time {
                 return;
--- a/crates/load/src/faults.rs
+++ b/crates/load/src/faults.rs
@@ -80,6 +80,11 @@
             Fault::Restart { service, count } => {
                 self.each(service, *count, |member| member.backend.restart(AWAY));
             }
+            Fault::DomainRestart { domain } => {
+                let members = self.fleet.members.iter();
+                let there = members.filter(|member| member.domain == *domain);
+                there.for_each(|member| member.backend.restart(AWAY));
+            }
             Fault::Drain { service, count, on } => {
                 self.each(service, *count, |member| member.backend.set_drains(*on));
             }
@@ -95,6 +100,7 @@
             Fault::Resume => self.fleet.vms.iter().for_each(crate::fleet::Vm::resume),
             Fault::Loss { share } => self.fleet.weather.set_loss(*share),
             Fault::Platform { down } => self.platform(*down),
+            Fault::Load { factor } => self.door.set_factor(*factor),
             Fault::Mark => {}
         }
         Ok(())
--- a/crates/load/src/plan.rs
+++ b/crates/load/src/plan.rs
@@ -78,7 +78,7 @@
         /// The domain.
         domain: String,
     },
-    /// Operators bring a failure domain back, its servers as they were.
+    /// Operators bring a failure domain back.
     DomainIn {
         /// The domain.
         domain: String,
@@ -111,6 +111,11 @@
         /// How many of its servers.
         count: usize,
     },
+    /// All servers of a failure domain restart.
+    DomainRestart {
+        /// The domain.
+        domain: String,
+    },
     /// Servers refuse new calls by themselves, or take them again.
     Drain {
         /// The service.
@@ -142,6 +147,11 @@
         /// Whether it is down.
         down: bool,
     },
+    /// Callers call more or less often.
+    Load {
+        /// The load in place of the plan's, in parts of it.
+        factor: f64,
+    },
     /// Only marks a moment.
     Mark,
 }
--- a/crates/load/src/targets.rs
+++ b/crates/load/src/targets.rs
@@ -41,6 +41,8 @@
 const IN_FORCE_MAX: Duration = Duration::from_secs(20);
 /// Tickets whose way into force is timed.
 const TICKETS: u64 = 5;
+/// The part of the load that is left when few call.
+const FEW: f64 = 0.002;
 
 /// One measure with its target.
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -193,12 +195,14 @@
     Ok(())
 }
 
-/// Service while a domain leaves and returns; its servers and VMs stay up.
+/// Service while a domain leaves and returns; its servers restart meanwhile, so
+/// that they come back cold, and its VMs stay up.
 async fn domain(plan: &Plan, note: &mut impl FnMut(Row)) -> anyhow::Result<()> {
     let mut plan = plan.clone();
     plan.load = 0.6;
     let domain = plan.domains[0].clone();
     let out = plan.time.mul_f64(0.2);
+    let restart = plan.time.mul_f64(0.35);
     let back = plan.time.mul_f64(0.65);
     plan.events = vec![
         Event {
@@ -207,6 +211,12 @@
                 domain: domain.clone(),
             },
         },
+        Event {
+            at: restart,
+            fault: Fault::DomainRestart {
+                domain: domain.clone(),
+            },
+        },
         Event {
             at: back,
             fault: Fault::DomainIn {
@@ -373,6 +383,15 @@
                 restart(second, 1),
             ],
         ),
+        (
+            "servers restart while few call, then many do",
+            vec![
+                Fault::Load { factor: FEW },
+                restart(first, usize::MAX),
+                restart(second, usize::MAX),
+                Fault::Load { factor: 1.0 },
+            ],
+        ),
     ]
 }
 
--- a/crates/load/tests/lab/mod.rs
+++ b/crates/load/tests/lab/mod.rs
@@ -187,7 +187,8 @@
         let table = self.node.shared().table();
         table.cells().iter().all(|cell| {
             cell.with_seat(|seat| {
-                let lines = seat.ledger().map_or(Vec::new(), |ledger| ledger.lines());
+                let now = self.node.shared().clock.now();
+                let lines = seat.ledger().map_or(Vec::new(), |l| l.lines(now));
                 let warm = |line: &route::msg::Line| line.warmth == route::msg::Warmth::Warm;
                 !lines.is_empty() && lines.iter().all(warm)
             })
--- a/crates/net/src/client.rs
+++ b/crates/net/src/client.rs
@@ -87,6 +87,17 @@
 
 /// Opens a connection to `address`; its driver runs on `handle`.
 pub async fn connect(handle: &Handle, address: SocketAddr, http2: bool) -> Result<Sender, Error> {
+    connect_watched(handle, address, http2, || {}).await
+}
+
+/// Opens a connection as [`connect`] does; `ended` is called once it has ended,
+/// whichever side ended it.
+pub async fn connect_watched(
+    handle: &Handle,
+    address: SocketAddr,
+    http2: bool,
+    ended: impl FnOnce() + Send + 'static,
+) -> Result<Sender, Error> {
     let stream = TcpStream::connect(address)
         .await
         .map_err(|error| Error::Connect(address, error))?;
@@ -99,12 +110,14 @@
             .await?;
         handle.detach(async move {
             let _ = driver.await;
+            ended();
         });
         return Ok(Sender::Http2(sender));
     }
     let (sender, driver) = conn::http1::Builder::new().handshake(io).await?;
     handle.detach(async move {
         let _ = driver.await;
+        ended();
     });
     Ok(Sender::Http1(sender))
 }
--- a/crates/node/src/cell.rs
+++ b/crates/node/src/cell.rs
@@ -134,6 +134,11 @@
         (call, todo)
     }
 
+    /// Notes that `server` closed a connection that it had just been used on.
+    pub fn lost(&self, server: ServerId, now: Time) -> Todo {
+        self.in_side(|side| side.follower.lost(server, now))
+    }
+
     /// Ends an attempt.
     pub fn release(&self, release: Release, now: Time) -> Todo {
         self.in_side(|side| side.follower.release(release, now))
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -43,6 +43,9 @@
 const IDLE_SEAT_TICK: Duration = Duration::from_millis(200);
 /// The time between two looks for connections that have been idle for long.
 const SWEEP: Duration = Duration::from_secs(2);
+/// Lost connections that wait to be told at the most; a service that is not
+/// told of one learns of it from the next call.
+const LOSSES_MAX: usize = 1024;
 /// The time between giving up readiness and closing the listeners, so that
 /// the balancer in front has seen it.
 const NOTICE: Duration = Duration::from_millis(500);
@@ -75,6 +78,7 @@
         let pool = Pool::new(&settings.vm, threads);
         let handle = pool.handle();
         let (pulls, wanted) = async_channel::bounded(1);
+        let (lost, losses) = async_channel::bounded(LOSSES_MAX);
         let peers = settings.peers.listen;
         let transport: Arc<dyn Transport> = match options.transport {
             Some(transport) => transport,
@@ -109,6 +113,7 @@
             spans: Arc::new(spans),
             settings,
             pulls,
+            lost,
         }));
         gauges::register(&shared);
         let mut node = Self {
@@ -119,6 +124,8 @@
             tasks: Vec::new(),
             kill: Stop::new(),
         };
+        node.tasks
+            .push(node.pool.spawn(node.shared.clone().take_losses(losses)));
         node.start_peers(wanted).await?;
         node.start_ticks();
         node.start_callers().await?;
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use base::ServerId;
 use http::Request;
 use net::client;
 use net::exec::Handle;
@@ -25,6 +26,19 @@
 const REST: Duration = Duration::from_millis(10);
 
 impl Shared {
+    /// Tells the homes of lost connections for as long as it is polled.
+    pub(crate) async fn take_losses(self: Arc<Self>, losses: async_channel::Receiver<ServerId>) {
+        while let Ok(server) = losses.recv().await {
+            self.check_pause();
+            for cell in self.table().cells() {
+                if cell.spec().server(server).is_some() {
+                    let todo = cell.lost(server, self.clock.now());
+                    self.run(cell, todo);
+                }
+            }
+        }
+    }
+
     /// Takes datagrams for as long as it is polled.
     pub(crate) async fn receive_datagrams(self: Arc<Self>) {
         let mut buffer = vec![0; datagram::MAX];
--- a/crates/node/src/ports.rs
+++ b/crates/node/src/ports.rs
@@ -162,11 +162,12 @@
     }
 
     fn usual(&self, service: ServiceId) -> Option<Duration> {
+        let now = self.clock.now();
         let table = self.table();
         let mut times: Vec<Duration> = Vec::new();
         for (_, cell) in table.service(service) {
             cell.with_follower(|follower| {
-                let known = follower.lines().iter().map(|line| line.usual);
+                let known = follower.lines(now).map(|line| line.usual);
                 times.extend(known.filter(|usual| !usual.is_zero()));
             });
         }
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -132,6 +132,8 @@
     pub life: u32,
     /// Where addresses of peers with newer configuration are put.
     pub pulls: async_channel::Sender<SocketAddr>,
+    /// Where servers are put that closed an idle connection.
+    pub lost: async_channel::Sender<ServerId>,
 }
 
 pub(crate) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
@@ -152,7 +154,7 @@
         let now = parts.clock.now();
         Self {
             me: parts.settings.vm_id(),
-            pools: Arc::new(Pools::new(parts.handle.clone())),
+            pools: Arc::new(Pools::new(parts.handle.clone(), parts.clock, parts.lost)),
             settings: parts.settings,
             clock: parts.clock,
             handle: parts.handle,
--- a/crates/node/src/status.rs
+++ b/crates/node/src/status.rs
@@ -191,13 +191,14 @@
 
     fn shard(&self, cell: &Cell) -> ShardStatus {
         let state = self.state();
+        let now = self.clock.now();
         let (home, epoch, alone, told) = cell.with_follower(|follower| {
-            let lines = follower.lines().to_vec();
+            let lines: Vec<Line> = follower.lines(now).collect();
             (follower.home(), follower.seen(), follower.alone(), lines)
         });
         let kept = cell.with_seat(|seat| {
             seat.ledger().map(|ledger| {
-                let lines = ledger.lines();
+                let lines = ledger.lines(now);
                 let busy: Vec<u32> = lines.iter().map(|l| ledger.busy(l.server)).collect();
                 (ledger.is_complete(), ledger.waiting(), lines, busy)
             })
--- a/crates/route/src/follower.rs
+++ b/crates/route/src/follower.rs
@@ -16,7 +16,9 @@
 use base::VmId;
 
 use crate::epoch::Epoch;
+use crate::heritage::Known;
 use crate::heritage::Sheet;
+use crate::limit::FRESH;
 use crate::msg::Ask;
 use crate::msg::Body;
 use crate::msg::CallNo;
@@ -48,6 +50,8 @@
 const EXPIRED_WAIT: Duration = Duration::from_millis(100);
 /// The shortest time that a call that was given up is thought to run on.
 const LINGER_MIN: Duration = Duration::from_millis(20);
+/// How often the home is told of a lost connection, as messages may be lost.
+const LOST_TRIES: u32 = 3;
 
 /// Where an attempt is.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -91,6 +95,14 @@
     until: Time,
 }
 
+/// A server that closed a connection, of which the home is still to be told.
+#[derive(Clone, Copy, Debug)]
+struct Lost {
+    server: ServerId,
+    tries: u32,
+    next: Time,
+}
+
 /// What the caller has to do.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Event {
@@ -131,8 +143,9 @@
     hinted: Time,
     calls: Vec<Call>,
     lingering: Vec<Lingering>,
+    lost: Vec<Lost>,
     last: CallNo,
-    lines: Vec<Line>,
+    lines: Vec<Known>,
     source: Epoch,
     told: Time,
     owned: Vec<(ServerId, u32)>,
@@ -159,6 +172,7 @@
             hinted: Time::ZERO,
             calls: Vec::new(),
             lingering: Vec::new(),
+            lost: Vec::new(),
             last: u64::from(life) << 32,
             lines: Vec::new(),
             source: Epoch::default(),
@@ -181,9 +195,10 @@
         self.following.then_some(self.seen.home)
     }
 
-    /// Returns what the home last told about the servers.
-    pub fn lines(&self) -> &[Line] {
-        &self.lines
+    /// Returns what is known of the servers `now`, sorted by id: what the home
+    /// last told, and what this VM has seen since.
+    pub fn lines(&self, now: Time) -> impl Iterator<Item = Line> + '_ {
+        self.lines.iter().map(move |known| known.at(now))
     }
 
     /// Returns how many attempts were placed without a home.
@@ -193,7 +208,7 @@
 
     /// Returns whether there is nothing to be done in [`Follower::tick`].
     pub fn is_idle(&self) -> bool {
-        self.calls.is_empty()
+        self.calls.is_empty() && self.lost.is_empty()
     }
 
     /// Returns the attempts at a server, with the server.
@@ -277,8 +292,15 @@
         self.calls.remove(at);
         match release.outcome {
             Outcome::Cancelled | Outcome::Late => self.linger(&release, now),
-            Outcome::Broken | Outcome::Unreachable => self.distrust(release.server),
-            Outcome::Done | Outcome::Shed | Outcome::Unused => {}
+            Outcome::Broken | Outcome::Unreachable => {
+                self.distrust(release.server, Warmth::Down);
+            }
+            Outcome::Done => {
+                if let Some(known) = self.known(release.server) {
+                    known.answered(now);
+                }
+            }
+            Outcome::Shed | Outcome::Unused => {}
         }
         if self.following {
             let epoch = self.seen;
@@ -286,22 +308,62 @@
         }
     }
 
+    /// Notes that `server` closed a connection that it had just been used on.
+    ///
+    /// It has restarted, or is about to, so nobody may take it for warm.
+    pub fn lost(&mut self, server: ServerId, now: Time) {
+        self.distrust(server, Warmth::Cold);
+        let listed = self.lost.iter().any(|lost| lost.server == server);
+        if self.following && !listed {
+            self.lost.push(Lost {
+                server,
+                tries: LOST_TRIES,
+                next: now,
+            });
+            self.tell_lost(now);
+        }
+    }
+
+    /// Tells the home of lost connections as often as is due.
+    fn tell_lost(&mut self, now: Time) {
+        let epoch = self.seen;
+        let mut due = Vec::new();
+        for lost in self.lost.iter_mut().filter(|lost| now >= lost.next) {
+            lost.tries -= 1;
+            lost.next = now + RESEND_MIN;
+            due.push(lost.server);
+        }
+        self.lost.retain(|lost| lost.tries > 0);
+        if !self.following {
+            // The next home reads it in the sheet that it is sent.
+            self.lost.clear();
+            return;
+        }
+        for server in due {
+            self.send_home(Body::Lost { epoch, server });
+        }
+    }
+
     /// Keeps this VM from using a server that just failed without a home, and
     /// the next home from thinking it warm.
-    fn distrust(&mut self, server: ServerId) {
-        let found = self.lines.binary_search_by_key(&server, |line| line.server);
-        if let Ok(at) = found {
-            self.lines[at].warmth = Warmth::Down;
-            self.lines[at].limit = 1;
+    fn distrust(&mut self, server: ServerId, warmth: Warmth) {
+        if let Some(known) = self.known(server) {
+            known.line.warmth = known.line.warmth.min(warmth);
+            known.line.limit = 1;
         }
     }
 
+    fn known(&mut self, server: ServerId) -> Option<&mut Known> {
+        let found = self
+            .lines
+            .binary_search_by_key(&server, |known| known.line.server);
+        found.ok().map(|at| &mut self.lines[at])
+    }
+
     /// Remembers an attempt that the server may still run, for the next home.
     fn linger(&mut self, release: &Release, now: Time) {
-        let at = self
-            .lines
-            .binary_search_by_key(&release.server, |line| line.server);
-        let usual = at.map_or(Duration::ZERO, |at| self.lines[at].usual);
+        let known = self.known(release.server);
+        let usual = known.map_or(Duration::ZERO, |known| known.line.usual);
         self.lingering.retain(|lingering| now < lingering.until);
         self.lingering.push(Lingering {
             number: release.call,
@@ -357,9 +419,7 @@
             }
             Body::Sheet { epoch, lines } => {
                 if self.is_current(epoch, now) {
-                    self.lines = lines;
-                    self.source = epoch;
-                    self.told = now;
+                    self.take_lines(epoch, lines, now);
                 }
             }
             Body::Join { .. }
@@ -367,12 +427,22 @@
             | Body::Refresh { .. }
             | Body::Stale { .. }
             | Body::Acquire { .. }
+            | Body::Lost { .. }
             | Body::Release { .. } => {}
         }
     }
 
+    fn take_lines(&mut self, source: Epoch, lines: Vec<Line>, now: Time) {
+        self.lines.clear();
+        self.lines
+            .extend(lines.into_iter().map(|line| Known::new(line, now)));
+        self.source = source;
+        self.told = now;
+    }
+
     /// Does what is due; to be called every few milliseconds unless idle.
     pub fn tick(&mut self, now: Time) {
+        self.tell_lost(now);
         self.expire(now);
         if self.calls.is_empty() {
             return;
@@ -428,7 +498,7 @@
             sheet: Sheet {
                 source: self.source,
                 age: now.saturating_sub(self.told),
-                lines: self.lines.clone(),
+                lines: self.lines(now).collect(),
             },
         };
         self.send_home(body);
@@ -457,9 +527,7 @@
     /// Takes over what this VM knew as home of `epoch`, which has ended.
     pub fn inherit(&mut self, epoch: Epoch, lines: Vec<Line>, now: Time) {
         if epoch >= self.source {
-            self.source = epoch;
-            self.lines = lines;
-            self.told = now;
+            self.take_lines(epoch, lines, now);
         }
     }
 
@@ -577,7 +645,7 @@
             let Stage::Waiting { .. } = self.calls[at].stage else {
                 continue;
             };
-            let Some(server) = self.own_server(&self.calls[at].ask.avoid) else {
+            let Some(server) = self.own_server(&self.calls[at].ask.avoid, now) else {
                 continue;
             };
             if now.saturating_sub(self.calls[at].since) < FALL_BACK_AFTER {
@@ -590,15 +658,22 @@
         }
     }
 
-    fn own_server(&self, avoid: &[ServerId]) -> Option<ServerId> {
-        let warm = |server: ServerId| {
-            let at = self.lines.binary_search_by_key(&server, |line| line.server);
-            at.is_ok_and(|at| self.lines[at].warmth == Warmth::Warm)
-        };
+    /// Returns a server that is known to be warm and on which this VM has a
+    /// slot of its own that is free.
+    fn own_server(&self, avoid: &[ServerId], now: Time) -> Option<ServerId> {
         let busy = |server: ServerId| {
             let held = self.held().filter(|(_, at)| *at == server);
             held.count() as u32
         };
+        let warm = |server: ServerId| {
+            let known = self
+                .lines
+                .binary_search_by_key(&server, |known| known.line.server);
+            known.is_ok_and(|at| {
+                let line = self.lines[at].at(now);
+                line.warmth == Warmth::Warm && (line.age < FRESH || busy(server) > 0)
+            })
+        };
         self.owned
             .iter()
             .filter(|(server, units)| warm(*server) && busy(*server) < *units)
--- a/crates/route/src/heritage.rs
+++ b/crates/route/src/heritage.rs
@@ -7,6 +7,7 @@
 
 use std::time::Duration;
 
+use base::Time;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -23,21 +24,50 @@
     pub source: Epoch,
     /// How long ago that was.
     pub age: Duration,
-    /// The servers, sorted by id.
+    /// The servers as they are thought to be when the sheet is sent, sorted by
+    /// id.
     pub lines: Vec<Line>,
 }
 
+/// A line with the time at which it was true.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Known {
+    pub(crate) line: Line,
+    since: Time,
+}
+
+impl Known {
+    /// Takes `line` for true `now`.
+    pub(crate) fn new(line: Line, now: Time) -> Self {
+        Self { line, since: now }
+    }
+
+    /// Returns the line with the age of what it says as it is `now`.
+    pub(crate) fn at(&self, now: Time) -> Line {
+        Line {
+            age: self.line.age + now.saturating_sub(self.since),
+            ..self.line
+        }
+    }
+
+    /// Notes that the server has answered `now`.
+    pub(crate) fn answered(&mut self, now: Time) {
+        self.line.age = Duration::ZERO;
+        self.since = now;
+    }
+}
+
 /// The sheets heard so far, merged.
 #[derive(Clone, Debug, Default)]
 pub struct Heritage {
     source: Epoch,
     recent: bool,
-    lines: Vec<Line>,
+    known: Vec<Known>,
 }
 
 impl Heritage {
-    /// Takes one more sheet into account.
-    pub fn merge(&mut self, sheet: &Sheet) {
+    /// Takes one more sheet, which has come `now`, into account.
+    pub fn merge(&mut self, sheet: &Sheet, now: Time) {
         let recent = sheet.age <= RECENT;
         let (old, new) = ((self.source, self.recent), (sheet.source, recent));
         if new < old || sheet.lines.is_empty() {
@@ -45,24 +75,31 @@
         }
         if new > old {
             (self.source, self.recent) = new;
-            self.lines = sheet.lines.clone();
-            return;
+            self.known.clear();
         }
         for line in &sheet.lines {
-            match self.lines.binary_search_by_key(&line.server, |l| l.server) {
-                Ok(at) => {
-                    let kept = &mut self.lines[at];
-                    if (line.warmth, line.limit) < (kept.warmth, kept.limit) {
-                        *kept = *line;
-                    }
+            self.add(Known::new(*line, now));
+        }
+    }
+
+    fn add(&mut self, new: Known) {
+        let found = self
+            .known
+            .binary_search_by_key(&new.line.server, |known| known.line.server);
+        match found {
+            Ok(at) => {
+                let kept = &mut self.known[at];
+                let word = |line: &Line| (line.warmth, line.limit);
+                if word(&new.line) < word(&kept.line) {
+                    *kept = new;
                 }
-                Err(at) => self.lines.insert(at, *line),
             }
+            Err(at) => self.known.insert(at, new),
         }
     }
 
-    /// Returns the servers as they are thought to be, sorted by id.
-    pub fn lines(&self) -> &[Line] {
-        &self.lines
+    /// Returns the servers as they are thought to be `now`, sorted by id.
+    pub fn lines(&self, now: Time) -> impl Iterator<Item = Line> + '_ {
+        self.known.iter().map(move |known| known.at(now))
     }
 }
--- a/crates/route/src/ledger/mod.rs
+++ b/crates/route/src/ledger/mod.rs
@@ -222,6 +222,7 @@
         self.expire(now);
         self.review(now);
         self.ask_promises(now);
+        self.forget_stale(now);
         self.learn_typical();
         self.pump(now);
         self.send_sheets(now);
@@ -258,6 +259,11 @@
                     self.release(from, release, now);
                 }
             }
+            Body::Lost { epoch, server } => {
+                if self.is_current(from, epoch) {
+                    self.lost(server, now);
+                }
+            }
             Body::Lead { .. }
             | Body::NotHome { .. }
             | Body::Grant { .. }
@@ -387,6 +393,7 @@
             return;
         }
         if let Some(at) = self.find(server) {
+            self.changed |= self.servers[at].forget_stale(&self.spec, now);
             self.servers[at].busy += 1;
             self.servers[at].used = now;
         }
--- a/crates/route/src/ledger/promises.rs
+++ b/crates/route/src/ledger/promises.rs
@@ -58,7 +58,7 @@
     pub(super) fn attach(&mut self, from: VmId, holding: &Holding, sheet: &Sheet, now: Time) {
         self.reconcile(from, holding, now);
         if sheet.source < self.epoch {
-            self.heritage.merge(sheet);
+            self.heritage.merge(sheet, now);
         }
         if self.roster.promise(from) {
             self.review(now);
@@ -68,14 +68,14 @@
 
     /// Takes over what the last home knew, but for what this one knows better.
     pub(super) fn inherit(&mut self, now: Time) {
-        for line in self.heritage.lines() {
+        for line in self.heritage.lines(now) {
             let found = self.servers.binary_search_by_key(&line.server, |s| s.id);
             let Ok(at) = found else {
                 continue;
             };
             let server = &mut self.servers[at];
             if !server.touched {
-                server.limit.adopt(line, now);
+                server.limit.adopt(&line, now);
                 self.changed = true;
             }
         }
--- a/crates/route/src/ledger/servers.rs
+++ b/crates/route/src/ledger/servers.rs
@@ -34,6 +34,7 @@
     pub(crate) limit: Limit,
     pub(crate) busy: u32,
     pub(crate) reserved: u32,
+    pub(super) open: bool,
     pub(super) admitted: Vec<VmId>,
     pub(super) used: Time,
     pub(super) touched: bool,
@@ -43,13 +44,14 @@
 }
 
 impl Ledger {
-    /// Describes the servers, sorted by id.
-    pub fn lines(&self) -> Vec<Line> {
+    /// Describes the servers as they are `now`, sorted by id.
+    pub fn lines(&self, now: Time) -> Vec<Line> {
         let line = |server: &Server| Line {
             server: server.id,
             limit: server.limit.current(),
             warmth: server.limit.warmth(&self.spec),
             usual: Duration::from_secs_f64(server.limit.usual()),
+            age: server.limit.age(now),
         };
         self.servers.iter().map(line).collect()
     }
@@ -108,6 +110,28 @@
         }
     }
 
+    /// Notes that a server closed a connection that it had just been used on:
+    /// it has restarted, or is about to.
+    pub(super) fn lost(&mut self, server: ServerId, now: Time) {
+        let spec = self.spec.clone();
+        let Some(at) = self.find(server) else {
+            return;
+        };
+        let server = &mut self.servers[at];
+        server.touched = true;
+        server.limit.chill(&spec);
+        self.changed = true;
+        self.send_sheets(now);
+    }
+
+    /// Forgets how warm servers were that have not answered for long.
+    pub(super) fn forget_stale(&mut self, now: Time) {
+        let spec = self.spec.clone();
+        for server in &mut self.servers {
+            self.changed |= server.forget_stale(&spec, now);
+        }
+    }
+
     pub(super) fn learn_typical(&mut self) {
         let mut times: Vec<f64> = self
             .servers
@@ -136,7 +160,7 @@
         if due.is_empty() {
             return;
         }
-        let lines = self.lines();
+        let lines = self.lines(now);
         let epoch = self.epoch;
         for vm in due {
             let lines = lines.clone();
@@ -173,6 +197,11 @@
             let kept = old.iter().find(|server| server.id == known.id);
             let mut server = kept.cloned().unwrap_or_else(|| Server::new(known, &spec));
             server.limit.set_slots(known.slots);
+            if known.open && !server.open {
+                // It may have been restarted while it got no work.
+                server.limit.chill(&spec);
+            }
+            server.open = known.open;
             self.servers.push(server);
         }
         for at in 0..self.servers.len() {
@@ -189,12 +218,23 @@
 }
 
 impl Server {
+    /// Takes the server for cold if nothing has been heard of it for long;
+    /// returns whether that is so.
+    pub(super) fn forget_stale(&mut self, spec: &Spec, now: Time) -> bool {
+        let stale = self.busy == 0 && self.limit.is_stale(spec, now);
+        if stale {
+            self.limit.chill(spec);
+        }
+        stale
+    }
+
     pub(super) fn new(known: &ServerSpec, spec: &Spec) -> Self {
         Self {
             id: known.id,
             limit: Limit::new(known, spec),
             busy: 0,
             reserved: 0,
+            open: known.open,
             admitted: Vec::new(),
             used: Time::ZERO,
             touched: false,
--- a/crates/route/src/limit.rs
+++ b/crates/route/src/limit.rs
@@ -3,7 +3,9 @@
 //! A server starts cold, at the few calls its service names. Healthy answers
 //! raise the limit one by one up to its slots. A refusal, a broken connection
 //! or a jump of its service times lower it at once, because servers turn cold
-//! without warning. See `docs/design/limits.md`.
+//! without warning. What is known of a server that has not answered for long
+//! does not count any more: it may have restarted meanwhile. See
+//! `docs/design/limits.md`.
 
 use std::time::Duration;
 
@@ -39,6 +41,10 @@
 const PAUSE_MAX: Duration = Duration::from_secs(5);
 /// The pause of a server that refused a call.
 const SHED_PAUSE: Duration = Duration::from_millis(20);
+/// The time after its last answer for which a server without calls counts as
+/// it was. A connection that a server closes sooner after its last use tells of
+/// a restart; one that was idle for longer may just have been idle too long.
+pub const FRESH: Duration = Duration::from_secs(4);
 /// The age at which half of what was learned about a server's speed counts.
 const HALF_LIFE: f64 = 1.0;
 
@@ -81,7 +87,23 @@
         self.current = line.limit.clamp(1, self.slots);
         self.down = line.warmth == Warmth::Down;
         self.usual = line.usual.as_secs_f64();
-        self.heard = now;
+        self.heard = now.saturating_sub(line.age);
+    }
+
+    /// Returns how long ago the server last answered.
+    pub fn age(&self, now: Time) -> Duration {
+        now.saturating_sub(self.heard)
+    }
+
+    /// Returns whether its limit is above that of a server that has just
+    /// started although it has not answered for long, in which it may have
+    /// restarted.
+    pub fn is_stale(&self, spec: &Spec, now: Time) -> bool {
+        self.current > self.coldest(spec) && self.age(now) >= FRESH
+    }
+
+    fn coldest(&self, spec: &Spec) -> u32 {
+        spec.cold_limit.min(self.slots)
     }
 
     /// Follows a change of the server's slots.
@@ -191,8 +213,8 @@
     }
 
     /// Sets the limit back to that of a server that has just started.
-    fn chill(&mut self, spec: &Spec) {
-        self.current = spec.cold_limit.min(self.slots);
+    pub fn chill(&mut self, spec: &Spec) {
+        self.current = self.coldest(spec);
         self.healthy = 0;
         self.pace = 1.0;
     }
@@ -200,7 +222,7 @@
     fn shed(&mut self, spec: &Spec, now: Time) {
         self.sheds = true;
         self.healthy = 0;
-        self.current = (self.current - 1).max(spec.cold_limit.min(self.slots));
+        self.current = (self.current - 1).max(self.coldest(spec));
         self.paused = self.paused.max(now + SHED_PAUSE);
     }
 
--- a/crates/route/src/msg.rs
+++ b/crates/route/src/msg.rs
@@ -98,6 +98,8 @@
     pub warmth: Warmth,
     /// Its usual service time.
     pub usual: Duration,
+    /// How long ago it last answered.
+    pub age: Duration,
 }
 
 /// What a backend server said about its load in an answer.
@@ -234,6 +236,13 @@
         /// The end.
         release: Release,
     },
+    /// A follower saw a server close a connection that it had just used.
+    Lost {
+        /// The epoch that the follower follows.
+        epoch: Epoch,
+        /// The server.
+        server: ServerId,
+    },
     /// The home tells about its servers.
     Sheet {
         /// The home's epoch.
@@ -254,6 +263,7 @@
                 | Self::Stale { .. }
                 | Self::Acquire { .. }
                 | Self::Release { .. }
+                | Self::Lost { .. }
         )
     }
 }
--- a/crates/route/src/seat.rs
+++ b/crates/route/src/seat.rs
@@ -166,7 +166,7 @@
         self.rest = (self.rest * 2).min(REST_MAX);
         Some(Legacy {
             epoch: ledger.epoch(),
-            lines: ledger.lines(),
+            lines: ledger.lines(now),
         })
     }
 
--- a/crates/route/tests/homes.rs
+++ b/crates/route/tests/homes.rs
@@ -174,3 +174,92 @@
     }
     assert!(world.vms.iter().all(|vm| vm.follower.alone() == 0));
 }
+
+/// Makes a world whose servers are warm, with three slots each.
+fn warm_world() -> World {
+    let mut world = World::new(spec(3, 2));
+    for _ in 0..60 {
+        for at in 0..VMS {
+            world.acquire(at, Duration::from_secs(2));
+        }
+        world.settle(Duration::from_millis(30));
+    }
+    assert_eq!(burst(&mut world), [3, 3], "the servers are not warm");
+    world.settle(Duration::from_millis(100));
+    world
+}
+
+/// Lets all VMs ask at once; returns the calls at each server, of which as many
+/// as wait in it beyond its slots are not counted.
+fn burst(world: &mut World) -> Vec<usize> {
+    for at in 0..VMS {
+        for _ in 0..4 {
+            world.acquire(at, Duration::from_secs(2));
+        }
+    }
+    for _ in 0..10 {
+        world.step(15, 0);
+    }
+    let servers = world.spec.servers.iter();
+    servers.map(|s| world.in_flight(s.id).min(3)).collect()
+}
+
+#[test]
+fn acquire_after_a_long_silence_servers_are_cold() {
+    let mut world = warm_world();
+    world.settle(Duration::from_secs(5));
+    assert_eq!(burst(&mut world), [1, 1]);
+}
+
+#[test]
+fn acquire_after_a_short_silence_servers_are_warm() {
+    let mut world = warm_world();
+    world.settle(Duration::from_secs(2));
+    assert_eq!(burst(&mut world), [3, 3]);
+}
+
+#[test]
+fn set_spec_returning_servers_are_cold() {
+    let mut world = warm_world();
+    world.set_open(false);
+    world.settle(Duration::from_millis(500));
+    world.set_open(true);
+    assert_eq!(burst(&mut world), [1, 1]);
+}
+
+#[test]
+fn lost_connection_makes_the_server_cold_although_messages_are_lost() {
+    let mut world = warm_world();
+    let server = world.spec.servers[0].id;
+    world.lost(1, server);
+    world.lose_all();
+    world.tick(Duration::from_millis(20));
+    world.step(15, 0);
+    assert_eq!(burst(&mut world), [1, 3]);
+}
+
+#[test]
+fn lost_connection_is_known_to_the_next_home() {
+    let mut world = warm_world();
+    let server = world.spec.servers[0].id;
+    let home = world.vms[0].follower.home().unwrap();
+    let at = world.vms.iter().position(|vm| vm.id == home).unwrap();
+    let other = (at + 1) % VMS;
+    world.pause(at);
+    world.lost(other, server);
+    world.lose_all();
+    // The paused home is silent until all have turned to another one.
+    let alive: Vec<_> = (0..VMS).filter(|vm| *vm != at).collect();
+    for vm in &alive {
+        world.lead_without(*vm, at);
+    }
+    for vm in alive {
+        for _ in 0..4 {
+            world.acquire(vm, Duration::from_secs(20));
+        }
+    }
+    for _ in 0..30 {
+        world.step(15, 0);
+        assert!(world.in_flight(server) <= 1, "{}", world.story());
+    }
+}
--- a/crates/route/tests/parts.rs
+++ b/crates/route/tests/parts.rs
@@ -273,6 +273,7 @@
         limit,
         warmth,
         usual: Duration::from_millis(10),
+        age: Duration::from_millis(20),
     };
     let sheet = |count, age, line| Sheet {
         source: Epoch { count, home: 1 },
@@ -280,12 +281,37 @@
         lines: vec![line],
     };
     let mut heritage = Heritage::default();
-    heritage.merge(&sheet(1, 0, line(Warmth::Cold, 1)));
-    heritage.merge(&sheet(2, 60, line(Warmth::Cold, 1)));
-    heritage.merge(&sheet(2, 0, line(Warmth::Warm, 3)));
-    assert_eq!(heritage.lines()[0].limit, 3);
-    heritage.merge(&sheet(2, 1, line(Warmth::Down, 1)));
-    heritage.merge(&sheet(2, 0, line(Warmth::Warm, 3)));
-    heritage.merge(&sheet(2, 60, line(Warmth::Warm, 3)));
-    assert_eq!(heritage.lines()[0].warmth, Warmth::Down);
+    let now = Duration::from_secs(100);
+    heritage.merge(&sheet(1, 0, line(Warmth::Cold, 1)), now);
+    heritage.merge(&sheet(2, 60, line(Warmth::Cold, 1)), now);
+    heritage.merge(&sheet(2, 0, line(Warmth::Warm, 3)), now);
+    assert_eq!(heritage.lines(now).next().unwrap().limit, 3);
+    heritage.merge(&sheet(2, 1, line(Warmth::Down, 1)), now);
+    heritage.merge(&sheet(2, 0, line(Warmth::Warm, 3)), now);
+    heritage.merge(&sheet(2, 60, line(Warmth::Warm, 3)), now);
+    let later = now + Duration::from_secs(3);
+    let merged = heritage.lines(later).next().unwrap();
+    assert_eq!(merged.warmth, Warmth::Down);
+    assert_eq!(merged.age, Duration::from_millis(3020));
+}
+
+#[test]
+fn adopt_what_is_long_ago_does_not_count() {
+    let spec = Spec::new(1, vec![server(3, 220)]);
+    let now = Duration::from_secs(100);
+    let line = |age| Line {
+        server: 7,
+        limit: 3,
+        warmth: Warmth::Warm,
+        usual: Duration::from_millis(10),
+        age,
+    };
+    let mut limit = Limit::new(&spec.servers[0], &spec);
+    assert!(!limit.is_stale(&spec, now), "a cold server is not stale");
+    limit.adopt(&line(Duration::from_secs(1)), now);
+    assert!(!limit.is_stale(&spec, now));
+    limit.adopt(&line(route::limit::FRESH), now);
+    assert!(limit.is_stale(&spec, now));
+    limit.note(Outcome::Done, 0.01, 0.01, &spec, now);
+    assert!(!limit.is_stale(&spec, now));
 }
--- a/crates/route/tests/world/mod.rs
+++ b/crates/route/tests/world/mod.rs
@@ -227,6 +227,37 @@
         self.collect(at);
     }
 
+    /// Lets a VM see that `server` closed an idle connection.
+    pub(crate) fn lost(&mut self, at: usize, server: ServerId) {
+        self.vms[at].follower.lost(server, self.now);
+        self.collect(at);
+    }
+
+    /// Lets a VM know that `dead` does not answer any more.
+    pub(crate) fn lead_without(&mut self, at: usize, dead: usize) {
+        let gone = self.vms[dead].id;
+        self.vms[at].alive.retain(|vm| *vm != gone);
+        self.update(at);
+    }
+
+    /// Drops all messages that are on their way.
+    pub(crate) fn lose_all(&mut self) {
+        self.flights.clear();
+    }
+
+    /// Takes all servers out, or lets them get work again.
+    pub(crate) fn set_open(&mut self, open: bool) {
+        let mut spec = (*self.spec).clone();
+        for server in &mut spec.servers {
+            server.open = open;
+        }
+        self.spec = Arc::new(spec);
+        for at in 0..VMS {
+            self.vms[at].seat.set_spec(self.spec.clone(), self.now);
+            self.update(at);
+        }
+    }
+
     /// Ends one life of a VM and begins the next; its calls end with it.
     fn restart(&mut self, at: usize) {
         let vm = &mut self.vms[at];
--- a/crates/standin/src/backend.rs
+++ b/crates/standin/src/backend.rs
@@ -59,6 +59,8 @@
     reported_at: Duration,
     rng: fastrand::Rng,
     record: Record,
+    /// The other ends of its connections that have carried a request, sorted.
+    known: Vec<SocketAddr>,
 }
 
 struct Inner {
@@ -222,22 +224,41 @@
         response
     }
 
-    async fn serve(&self, request: Request<Incoming>) -> Response<Body> {
+    /// Returns the slot time that the connection from `peer` still costs: the
+    /// first request on it pays for it.
+    fn connected(&self, peer: SocketAddr) -> Duration {
+        let mut state = self.lock();
+        match state.known.binary_search(&peer) {
+            Ok(_) => Duration::ZERO,
+            Err(at) => {
+                state.known.insert(at, peer);
+                state.record.connections += 1;
+                self.model.connect
+            }
+        }
+    }
+
+    async fn serve(&self, request: Request<Incoming>, peer: SocketAddr) -> Response<Body> {
+        let connect = self.connected(peer);
+        if !connect.is_zero() {
+            // The handshake goes there and back once.
+            sleep(self.model.latency * 2).await;
+        }
         sleep(self.model.latency).await;
         let answer = if request.uri().path() == "/health" {
-            self.probe().await
+            self.probe(connect).await
         } else {
-            self.call(request).await
+            self.call(request, connect).await
         };
         sleep(self.model.latency).await;
         answer
     }
 
-    async fn probe(&self) -> Response<Body> {
+    async fn probe(&self, connect: Duration) -> Response<Body> {
         let Some(mut place) = self.enter_probe().await else {
             return self.answer(StatusCode::SERVICE_UNAVAILABLE, 0);
         };
-        self.run(&mut place, self.model.probe).await;
+        self.run(&mut place, connect + self.model.probe).await;
         let mut state = self.lock();
         state.record.probes += 1;
         state.record.probe_time += self.model.probe;
@@ -252,7 +273,7 @@
         self.enter().await
     }
 
-    async fn call(&self, request: Request<Incoming>) -> Response<Body> {
+    async fn call(&self, request: Request<Incoming>, connect: Duration) -> Response<Body> {
         let call = request.headers().get(CALL_ID);
         let call = call
             .and_then(|v| v.to_str().ok())
@@ -267,7 +288,7 @@
             return self.answer(StatusCode::BAD_REQUEST, 0);
         };
         self.begin(call);
-        self.run(&mut place, self.draw()).await;
+        self.run(&mut place, connect + self.draw()).await;
         self.finish();
         drop(received);
         self.answer(StatusCode::OK, self.model.answer)
@@ -278,9 +299,9 @@
     fn call(
         self: Arc<Self>,
         request: Request<Incoming>,
-        _peer: SocketAddr,
+        peer: SocketAddr,
     ) -> BoxFuture<'static, Response<Body>> {
-        Box::pin(async move { self.serve(request).await })
+        Box::pin(async move { self.serve(request, peer).await })
     }
 }
 
@@ -317,6 +338,7 @@
             reported_at: Duration::ZERO,
             rng: fastrand::Rng::with_seed(model.seed),
             record: Record::default(),
+            known: Vec::new(),
         };
         let backend = Self {
             address: listener.local_addr()?,
@@ -369,6 +391,9 @@
         state.cold = true;
         state.sudden = sudden;
         state.finished = 0;
+        if !sudden {
+            state.known.clear();
+        }
     }
 
     /// Makes it refuse new calls, or take them again.
