Keep no slots for VMs that do not answer, and count a slow server as slow only

Cause: a failure domain that vanishes, servers and entry VMs together, was in no measurement.

Ruled out: detection (homes move in 120 ms), the VMs' processor time, retries.

Change: nothing is kept for VMs that do not answer; calls may wait in a server unless some of its slots are kept; a limit that was lowered for slowness or age (new state: lowered) is no sign of a restart, so such servers are used within it. Only servers that have just started wait for a complete epoch. VMs count as gone after 10 s, 150 ms for each VM or the service's longest deadline, whichever is longest, instead of 30 s. A home that does not hear most VMs has no complete epoch any more; before, the lesser part of a divided fleet kept one for good, and after 30 s both parts used the same cold server.

Also: a call that was given up early counts as what it took, not as 20 usual times; three in a row without an answer for 8 usual times mean that the server is down. A restart of an epoch kept dead VMs as alive; it does not any more.

Failing before: set_fleet_home_that_most_left_behind_uses_no_cold_server, acquire_after_the_home_vanished_warm_servers_bear_all_they_did. targets has two new rows for it.

--- a/crates/admin/src/api.rs
+++ b/crates/admin/src/api.rs
@@ -212,6 +212,7 @@
         };
         let who = Applicant {
             name: caller.name.clone(),
+            region: self.shared.settings.region.clone(),
             at: seconds(),
             force: asked.force(),
         };
--- a/crates/conf/src/accept.rs
+++ b/crates/conf/src/accept.rs
@@ -96,6 +96,10 @@
 pub struct Applicant {
     /// The name of the access token.
     pub name: String,
+    /// The region of the VM that takes the ticket, which is that of new failure
+    /// domains that name none: servers of a domain without a region would be
+    /// looked after by every region.
+    pub region: String,
     /// Seconds since 1970.
     pub at: u64,
     /// Whether warnings are overridden.
@@ -320,6 +324,10 @@
     for domain in &ticket.domains {
         let mut domain = domain.clone();
         domain.ticket = ticket.number;
+        if domain.region.is_empty() {
+            let old = head.domain(&domain.name).map(|old| &old.region);
+            domain.region = old.unwrap_or(&who.region).clone();
+        }
         head.set_domain(domain);
     }
     let mut parts = Vec::new();
--- a/crates/conf/src/service.rs
+++ b/crates/conf/src/service.rs
@@ -196,6 +196,12 @@
         self
     }
 
+    /// Returns the longest deadline that a call may have.
+    pub fn longest(&self) -> Duration {
+        let routes = self.routes.iter().filter_map(|route| route.deadline);
+        routes.max().unwrap_or_default().max(self.deadline)
+    }
+
     /// Returns the id of the service.
     pub fn id(&self) -> ServiceId {
         base::id::service(&self.name)
--- a/crates/conf/src/state.rs
+++ b/crates/conf/src/state.rs
@@ -95,16 +95,12 @@
         server.mode == Mode::Active && !self.domains.is_out(&server.domain)
     }
 
-    /// Returns whether `server` stands in `region`, or in a domain that names
-    /// no region.
+    /// Returns whether `server` stands in `region`.
     pub fn is_near(&self, server: &Server, region: &str) -> bool {
         let found = self
             .regions
             .binary_search_by(|domain| domain.name.as_str().cmp(&server.domain));
-        found.is_ok_and(|at| {
-            let named = &self.regions[at].region;
-            named.is_empty() || named == region
-        })
+        found.is_ok_and(|at| self.regions[at].region == region)
     }
 
     /// Returns the server with `id` of `service`.
--- a/crates/conf/tests/accept.rs
+++ b/crates/conf/tests/accept.rs
@@ -20,6 +20,7 @@
 fn who() -> Applicant {
     Applicant {
         name: "test".into(),
+        region: "home".into(),
         at: 0,
         force: false,
     }
@@ -372,3 +373,25 @@
             assert_eq!(found, best, "{path}");
         });
 }
+
+#[test]
+fn ticket_domain_without_a_region_belongs_to_one_only() {
+    let store = Objects::new(1);
+    first(&store);
+    let near = |region: &str| {
+        let state = mirror(&store).state();
+        let service = state.service(base::id::service("a")).unwrap();
+        state.is_near(&service.servers[0], region)
+    };
+    assert!(near("home"));
+    assert!(!near("away") && !near(""));
+    // A VM of another region takes a ticket that names the domain again.
+    let mut again = ticket(2, Vec::new());
+    again.domains = ticket(1, Vec::new()).domains;
+    let away = Applicant {
+        region: "away".into(),
+        ..who()
+    };
+    smol::block_on(accept::ticket(&store, &again, &away)).unwrap();
+    assert!(near("home") && !near("away"));
+}
--- a/crates/load/src/fleet.rs
+++ b/crates/load/src/fleet.rs
@@ -258,6 +258,7 @@
     pub async fn apply(&self, ticket: &Ticket) -> anyhow::Result<()> {
         let who = conf::accept::Applicant {
             name: "load".into(),
+            region: String::new(),
             at: 0,
             force: false,
         };
--- a/crates/load/src/targets.rs
+++ b/crates/load/src/targets.rs
@@ -37,6 +37,8 @@
 const LONG: Duration = Duration::from_secs(8);
 /// The share of late wake-ups above which a run is repeated.
 const UNPUNCTUAL_MAX: f64 = 0.003;
+/// The time after a domain has vanished in which calls may be lost.
+const SETTLED: Duration = Duration::from_secs(1);
 /// The longest wait for a ticket to be in force everywhere.
 const IN_FORCE_MAX: Duration = Duration::from_secs(20);
 /// Tickets whose way into force is timed.
@@ -103,6 +105,7 @@
         tails(&plan, &mut note).await?;
         added(&plan, &mut note).await?;
         domain(&plan, &mut note).await?;
+        dark(&plan, &mut note).await?;
         faults(&plan, scope, &mut note).await?;
         tickets(&plan, &mut note).await?;
         if scope.quick {
@@ -254,6 +257,37 @@
     Ok(())
 }
 
+/// Service after the servers and VMs of a domain have vanished together.
+async fn dark(plan: &Plan, note: &mut impl FnMut(Row)) -> anyhow::Result<()> {
+    let mut plan = plan.clone();
+    plan.load = 0.5;
+    let domain = plan.domains[0].clone();
+    let at = plan.time.mul_f64(0.2);
+    plan.events = vec![Event {
+        at,
+        fault: Fault::DomainVanish {
+            domain: domain.clone(),
+        },
+    }];
+    let (outcome, tally) = run_plan(&plan, Policy::Home, plan.vms).await?;
+    let from = plan.warmup + at + SETTLED;
+    let after = tally.between(from, plan.warmup + plan.time);
+    let served = after.count(End::Served) as f64;
+    let lost = 1.0 - served / after.samples.len().max(1) as f64;
+    note(Row::new(
+        &plan,
+        "calls lost from 1 s after a domain has vanished",
+        0.03,
+        lost,
+    ));
+    note(broken(
+        &plan,
+        "promises broken while a domain vanishes",
+        &outcome.broken,
+    ));
+    Ok(())
+}
+
 /// Returns the served calls against what was offered or could be served, of
 /// the worst slice of time.
 fn goodput(plan: &Plan, tally: &Tally, domain: &str, out: Duration, back: Duration) -> f64 {
--- a/crates/load/tests/lab/mod.rs
+++ b/crates/load/tests/lab/mod.rs
@@ -160,6 +160,7 @@
         let node = Node::start(settings, Options::default()).await.unwrap();
         let who = conf::accept::Applicant {
             name: "test".into(),
+            region: String::new(),
             at: 0,
             force: false,
         };
--- a/crates/node/src/specs.rs
+++ b/crates/node/src/specs.rs
@@ -38,6 +38,7 @@
         hedge_percent: service.hedges,
         probe_cost: service.probe.cost,
         probe_share: service.probe.share,
+        longest: service.longest(),
         ..Spec::new(service.id(), servers.collect())
     }
 }
--- a/crates/node/src/status.rs
+++ b/crates/node/src/status.rs
@@ -124,6 +124,7 @@
         Warmth::Down => "down",
         Warmth::Cold => "cold",
         Warmth::Warming => "warming",
+        Warmth::Lowered => "lowered",
         Warmth::Warm => "warm",
     }
 }
--- a/crates/route/src/ledger/mod.rs
+++ b/crates/route/src/ledger/mod.rs
@@ -40,8 +40,14 @@
 use crate::roster::Roster;
 use crate::spec::Spec;
 
-/// The silence after which a VM's permits and promise do not count any more.
-pub const GONE: Duration = Duration::from_secs(30);
+/// The shortest silence after which a VM's permits and promise do not count any
+/// more.
+const GONE_MIN: Duration = Duration::from_secs(10);
+/// The same for each VM of the fleet: the more there are, the longer a home that
+/// is cut off takes to find out that it does not hear most of them.
+const GONE_EACH: Duration = Duration::from_millis(150);
+/// The silence after which a follower is not sent sheets any more.
+const FORGOTTEN: Duration = Duration::from_secs(30);
 /// Time beyond its deadline for which a permit is kept when nothing is heard.
 const GRACE: Duration = Duration::from_secs(1);
 /// The shortest time that a cancelled call is thought to run on.
@@ -163,6 +169,13 @@
         self.epoch
     }
 
+    /// Returns the silence after which a VM's permits and promise do not count
+    /// any more: nothing that it began can still be running.
+    pub fn gone(&self) -> Duration {
+        let fleet = GONE_EACH * self.roster.len() as u32;
+        GONE_MIN.max(fleet).max(self.spec.longest + GRACE)
+    }
+
     /// Returns whether all VMs follow this epoch.
     pub fn is_complete(&self) -> bool {
         self.complete
@@ -437,7 +450,7 @@
             let wait = self.wait_of(self.queue.len()).max(RETRY_MIN);
             self.refuse(waiter.vm, waiter.call, Why::Expired, wait);
         }
-        self.active.retain(|active| now < active.asked + GONE);
+        self.active.retain(|active| now < active.asked + FORGOTTEN);
     }
 
     fn active(&mut self, vm: VmId, now: Time) -> &mut Active {
--- a/crates/route/src/ledger/place.rs
+++ b/crates/route/src/ledger/place.rs
@@ -66,8 +66,8 @@
         if !spec.open || !server.limit.is_up(now) || !admitted {
             return None;
         }
-        let warm = server.limit.warmth(&self.spec) == Warmth::Warm;
-        let limit = self.usable(server, warm);
+        let warmth = server.limit.warmth(&self.spec);
+        let limit = self.usable(server, warmth);
         let free = server.busy < limit;
         if !free && server.busy >= limit + self.depth(server, limit) {
             return None;
@@ -76,7 +76,7 @@
         Some(Candidate {
             at,
             free,
-            warm,
+            warm: warmth == Warmth::Warm,
             busy: server.busy,
             slots: spec.slots,
             expected: server.limit.expected(self.typical, now),
@@ -87,11 +87,15 @@
     }
 
     /// Returns the calls that may be in flight at `server` without waiting.
-    pub(super) fn usable(&self, server: &Server, warm: bool) -> u32 {
+    ///
+    /// While VMs may still follow another home, that one may be using servers
+    /// that have just started, so this one does not. Servers that are only idle
+    /// get the calls of one that has just started.
+    pub(super) fn usable(&self, server: &Server, warmth: Warmth) -> u32 {
         if self.complete {
             return server.limit.current();
         }
-        if !warm || !self.trusted {
+        if warmth < Warmth::Lowered || !self.trusted {
             return 0;
         }
         server.limit.current().saturating_sub(server.reserved)
@@ -103,7 +107,8 @@
     /// So many calls wait in the server as are likely to end in that time: the
     /// mean of a Poisson count and one deviation.
     pub(super) fn depth(&self, server: &Server, limit: u32) -> u32 {
-        if limit == 0 || !self.complete || !server.limit.queues(&self.spec) {
+        let shared = server.reserved > 0;
+        if limit == 0 || shared || !server.limit.queues(&self.spec) {
             return 0;
         }
         let usual = server.limit.usual();
--- a/crates/route/src/ledger/promises.rs
+++ b/crates/route/src/ledger/promises.rs
@@ -8,7 +8,6 @@
 
 use super::Action;
 use super::Ledger;
-use super::GONE;
 use crate::epoch::Epoch;
 use crate::heritage::Heritage;
 use crate::heritage::Sheet;
@@ -32,8 +31,9 @@
         self.prior = seen;
         self.epoch = Epoch::after(seen, self.me);
         let vms = self.roster.vms();
+        let alive = self.roster.alive();
         let strangers = self.roster.strangers();
-        self.roster = Roster::new(&vms, &vms, now).with_strangers(strangers);
+        self.roster = Roster::new(&vms, &alive, now).with_strangers(strangers);
         self.complete = false;
         self.review(now);
         self.ask_promises(now);
@@ -127,7 +127,7 @@
 
     /// Works out again whether the epoch is complete and what is reserved.
     pub(super) fn review(&mut self, now: Time) {
-        self.complete = self.roster.is_complete(GONE, now);
+        self.complete = self.roster.is_complete(self.gone(), now);
         // Before the last home or most VMs have spoken, nobody may have told
         // of a server that has just restarted.
         let heard = self.roster.has(self.prior.home) || self.roster.has_majority();
@@ -141,7 +141,7 @@
         if self.complete {
             return;
         }
-        let silent: Vec<VmId> = self.roster.reserving(GONE, now).collect();
+        let silent: Vec<VmId> = self.roster.reserving().collect();
         for unit in &self.units {
             let found = self.servers.binary_search_by_key(&unit.key, |s| s.id);
             if let (Ok(at), Ok(_)) = (found, silent.binary_search(&unit.owner)) {
--- a/crates/route/src/ledger/servers.rs
+++ b/crates/route/src/ledger/servers.rs
@@ -218,12 +218,12 @@
 }
 
 impl Server {
-    /// Takes the server for cold if nothing has been heard of it for long;
+    /// Sets the server's limit back if nothing has been heard of it for long;
     /// returns whether that is so.
     pub(super) fn forget_stale(&mut self, spec: &Spec, now: Time) -> bool {
         let stale = self.busy == 0 && self.limit.is_stale(spec, now);
         if stale {
-            self.limit.chill(spec);
+            self.limit.lower(spec);
         }
         stale
     }
--- a/crates/route/src/limit.rs
+++ b/crates/route/src/limit.rs
@@ -35,6 +35,9 @@
 /// Usual service times that one answer counts as at the most, also one that
 /// never came in time; a single slow one is not a jump.
 const LATE: f64 = 20.0;
+/// Calls in a row that a server may leave without an answer for long before it
+/// counts as down.
+const SILENT_MAX: u32 = 3;
 /// The first pause of a server that failed.
 const PAUSE_MIN: Duration = Duration::from_millis(250);
 /// The longest pause of a server that keeps failing.
@@ -57,7 +60,9 @@
     need: u32,
     pace: f64,
     failures: u32,
+    silent: u32,
     down: bool,
+    lowered: bool,
     paused: Time,
     usual: f64,
     heard: Time,
@@ -74,7 +79,9 @@
             need: spec.grow_after,
             pace: 1.0,
             failures: 0,
+            silent: 0,
             down: false,
+            lowered: false,
             paused: Time::ZERO,
             usual: 0.0,
             heard: Time::ZERO,
@@ -86,6 +93,7 @@
     pub fn adopt(&mut self, line: &Line, now: Time) {
         self.current = line.limit.clamp(1, self.slots);
         self.down = line.warmth == Warmth::Down;
+        self.lowered = line.warmth == Warmth::Lowered;
         self.usual = line.usual.as_secs_f64();
         self.heard = now.saturating_sub(line.age);
     }
@@ -102,6 +110,14 @@
         self.current > self.coldest(spec) && self.age(now) >= FRESH
     }
 
+    /// Sets the limit back without a sign of a restart; a server that was warm
+    /// is remembered as such.
+    pub fn lower(&mut self, spec: &Spec) {
+        let warm = self.warmth(spec) >= Warmth::Lowered;
+        self.chill(spec);
+        self.lowered = warm;
+    }
+
     fn coldest(&self, spec: &Spec) -> u32 {
         spec.cold_limit.min(self.slots)
     }
@@ -138,6 +154,8 @@
             Warmth::Down
         } else if self.current >= self.slots {
             Warmth::Warm
+        } else if self.lowered {
+            Warmth::Lowered
         } else if self.current <= spec.cold_limit {
             Warmth::Cold
         } else {
@@ -173,13 +191,14 @@
             Outcome::Done => self.done(took, typical, spec, now),
             Outcome::Shed => self.shed(spec, now),
             Outcome::Unreachable | Outcome::Broken => self.fail(spec, now),
-            Outcome::Late => self.late(spec),
+            Outcome::Late => self.late(took, typical, spec, now),
             Outcome::Cancelled | Outcome::Unused => {}
         }
     }
 
     fn done(&mut self, took: f64, typical: f64, spec: &Spec, now: Time) {
         self.failures = 0;
+        self.silent = 0;
         self.heard = now;
         if self.usual == 0.0 {
             self.usual = took;
@@ -188,7 +207,7 @@
         }
         let known = typical > 0.0;
         if known && self.jumps(took / typical) {
-            self.chill(spec);
+            self.lower(spec);
             return;
         }
         if known && took > typical * HEALTHY {
@@ -215,21 +234,34 @@
     /// Sets the limit back to that of a server that has just started.
     pub fn chill(&mut self, spec: &Spec) {
         self.current = self.coldest(spec);
+        self.lowered = false;
         self.healthy = 0;
         self.pace = 1.0;
     }
 
     fn shed(&mut self, spec: &Spec, now: Time) {
         self.sheds = true;
+        self.lowered = false;
         self.healthy = 0;
         self.current = (self.current - 1).max(self.coldest(spec));
         self.paused = self.paused.max(now + SHED_PAUSE);
     }
 
-    fn late(&mut self, spec: &Spec) {
+    /// Notes a call that was given up after `took`.
+    ///
+    /// One that was given up early says little. A server that leaves several in
+    /// a row without an answer for long does not answer at all.
+    fn late(&mut self, took: f64, typical: f64, spec: &Spec, now: Time) {
         self.healthy = 0;
-        if self.jumps(LATE) {
-            self.chill(spec);
+        let times = if typical > 0.0 { took / typical } else { LATE };
+        if times >= JUMP {
+            self.silent += 1;
+        }
+        if self.silent >= SILENT_MAX {
+            self.silent = 0;
+            self.fail(spec, now);
+        } else if self.jumps(times) {
+            self.lower(spec);
         }
     }
 
--- a/crates/route/src/msg.rs
+++ b/crates/route/src/msg.rs
@@ -83,6 +83,9 @@
     Cold,
     /// Its limit grows.
     Warming,
+    /// It was warm, and its limit was lowered because it is slow or has not
+    /// answered for a while; nothing says that it has restarted.
+    Lowered,
     /// It bears its full limit.
     Warm,
 }
--- a/crates/route/src/roster.rs
+++ b/crates/route/src/roster.rs
@@ -111,25 +111,47 @@
         2 * promised > self.voters.len() + self.strangers
     }
 
+    /// Returns whether most of the VMs answer, unknown ones counted.
+    pub fn hears_majority(&self) -> bool {
+        let alive = self.voters.iter().filter(|voter| voter.alive).count();
+        2 * alive > self.voters.len() + self.strangers
+    }
+
     /// Returns whether all have promised, but for those silent or unknown for
-    /// `gone` while a majority is heard.
+    /// `gone` while a majority is heard, and whether a majority still answers.
     ///
     /// The majority keeps two halves of a divided fleet from both giving the
-    /// other half up.
+    /// other half up: a home that most VMs have left behind has no complete
+    /// epoch any more, long before those VMs count it as gone.
     pub fn is_complete(&self, gone: Duration, now: Time) -> bool {
         let majority = self.has_majority();
+        if !self.hears_majority() {
+            return false;
+        }
         let met = self.strangers == 0 || (majority && now >= self.begun + gone);
         let gone = |voter: &Voter| majority && !voter.alive && now >= voter.unseen + gone;
         met && self.voters.iter().all(|v| v.promised || gone(v))
     }
 
-    /// Returns the VMs that have not promised and may still use their part of
-    /// the slots: those not silent for `gone`.
-    pub fn reserving(&self, gone: Duration, now: Time) -> impl Iterator<Item = VmId> + '_ {
-        self.voters
-            .iter()
-            .filter(move |v| !v.promised && (v.alive || now < v.unseen + gone))
-            .map(|v| v.vm)
+    /// Returns the VMs that answer and have not promised, which may be using
+    /// their part of the slots.
+    ///
+    /// Nothing is kept for a VM that does not answer: most often it is gone, and
+    /// its part would be missing when it is needed most. If it is only cut off,
+    /// warm servers get a few calls more than their slots, which wait in them.
+    pub fn reserving(&self) -> impl Iterator<Item = VmId> + '_ {
+        let open = self.voters.iter().filter(|v| !v.promised && v.alive);
+        open.map(|v| v.vm)
+    }
+
+    /// Returns how many VMs may hold permits.
+    pub fn len(&self) -> usize {
+        self.voters.len()
+    }
+
+    /// Returns whether no VM may hold permits.
+    pub fn is_empty(&self) -> bool {
+        self.voters.is_empty()
     }
 
     /// Returns all VMs, sorted.
@@ -137,6 +159,12 @@
         self.voters.iter().map(|voter| voter.vm).collect()
     }
 
+    /// Returns the VMs that answer, sorted.
+    pub fn alive(&self) -> Vec<VmId> {
+        let alive = self.voters.iter().filter(|voter| voter.alive);
+        alive.map(|voter| voter.vm).collect()
+    }
+
     /// Returns the VMs that have to be asked now, and notes that they are.
     pub fn to_ask(&mut self, now: Time) -> Vec<VmId> {
         let mut vms = Vec::new();
--- a/crates/route/src/spec.rs
+++ b/crates/route/src/spec.rs
@@ -53,6 +53,8 @@
     pub probe_cost: Duration,
     /// The most slot time for probes, in hundredths of a percent.
     pub probe_share: u32,
+    /// The longest deadline of a call.
+    pub longest: Duration,
 }
 
 impl Spec {
@@ -70,6 +72,7 @@
             hedge_percent: 0,
             probe_cost: Duration::from_millis(6),
             probe_share: 100,
+            longest: Duration::ZERO,
         }
     }
 
--- a/crates/route/tests/homes.rs
+++ b/crates/route/tests/homes.rs
@@ -263,3 +263,41 @@
         assert!(world.in_flight(server) <= 1, "{}", world.story());
     }
 }
+
+#[test]
+fn acquire_after_the_home_vanished_warm_servers_bear_all_they_did() {
+    let mut world = warm_world();
+    let home = world.vms[0].follower.home().unwrap();
+    let at = world.vms.iter().position(|vm| vm.id == home).unwrap();
+    world.pause(at);
+    for vm in (0..VMS).filter(|vm| *vm != at) {
+        world.lead_without(vm, at);
+    }
+    for _ in 0..4 {
+        world.step(15, 0);
+    }
+    assert_eq!(burst(&mut world), [3, 3]);
+}
+
+#[test]
+fn set_fleet_home_that_most_left_behind_uses_no_cold_server() {
+    let mut world = World::new(spec(3, 1_000_000));
+    world.settle(Duration::from_millis(60));
+    for at in 0..VMS {
+        world.acquire(at, Duration::from_secs(2));
+    }
+    world.settle(Duration::from_millis(60));
+    let home = world.vms[0].follower.home().unwrap();
+    let at = world.vms.iter().position(|vm| vm.id == home).unwrap();
+    for other in (0..VMS).filter(|vm| *vm != at).take(2) {
+        world.lead_without(at, other);
+    }
+    assert!(!world.vms[at].seat.ledger().unwrap().is_complete());
+    world.acquire(at, Duration::from_secs(2));
+    for _ in 0..20 {
+        world.step(15, 0);
+        let servers = world.spec.servers.iter();
+        let busy: usize = servers.map(|s| world.in_flight(s.id)).sum();
+        assert_eq!(busy, 0, "a cold server was used");
+    }
+}
--- a/crates/route/tests/parts.rs
+++ b/crates/route/tests/parts.rs
@@ -315,3 +315,19 @@
     limit.note(Outcome::Done, 0.01, 0.01, &spec, now);
     assert!(!limit.is_stale(&spec, now));
 }
+
+#[test]
+fn note_server_that_never_answers_is_down_and_one_that_is_cut_short_is_not() {
+    let spec = Spec::new(1, vec![server(3, 220)]);
+    let now = Duration::from_secs(100);
+    let late = |took: f64| {
+        let mut limit = Limit::new(&spec.servers[0], &spec);
+        for _ in 0..10 {
+            limit.note(Outcome::Late, took, 0.01, &spec, now);
+        }
+        limit.warmth(&spec)
+    };
+    assert_eq!(late(1.0), Warmth::Down);
+    // Callers that wait for two usual times only say nothing about the server.
+    assert_eq!(late(0.02), Warmth::Cold);
+}
