End the permits of silent VMs with their calls

Cause: a failure domain that falls silent without a word (new fault domain-freeze: servers start no call, VMs are paused, nothing is closed) slowed services whose other servers were idle. The home's ledger showed three calls at every healthy server for 2 s: permits of the silent VMs, 4 of 13, which cannot release them, and which counted until the calls' deadlines and a second more. The servers had ended those calls after 10 ms.

Change: when a VM does not answer, its permits at servers that are not cold count for two usual service times, as those of calls that were given up. At servers that have just started they count as before, because the VM may still be about to send.

--- a/crates/load/src/faults.rs
+++ b/crates/load/src/faults.rs
@@ -69,6 +69,7 @@
             Fault::DomainOut { domain } => self.domain_out(domain).await?,
             Fault::DomainIn { domain } => self.domain_in(domain).await?,
             Fault::DomainVanish { domain } => self.domain_vanish(domain).await,
+            Fault::DomainFreeze { domain, on } => self.domain_freeze(domain, *on),
             Fault::Slow {
                 service,
                 count,
@@ -145,6 +146,20 @@
         }
     }
 
+    fn domain_freeze(&self, domain: &str, on: bool) {
+        let members = self.fleet.members.iter();
+        let there = members.filter(|member| member.domain == domain);
+        there.for_each(|member| member.backend.set_frozen(on));
+        for vm in self.fleet.vms.iter().filter(|vm| vm.domain == domain) {
+            if on {
+                self.door.remove(vm.callers);
+                vm.pause();
+            } else {
+                vm.resume();
+            }
+        }
+    }
+
     async fn kill_home(&mut self, service: &str) -> anyhow::Result<()> {
         let home = self
             .fleet
--- a/crates/load/src/plan.rs
+++ b/crates/load/src/plan.rs
@@ -88,6 +88,14 @@
         /// The domain.
         domain: String,
     },
+    /// All servers of a failure domain and its entry VMs fall silent without a
+    /// word, as behind a switch that fails, or go on.
+    DomainFreeze {
+        /// The domain.
+        domain: String,
+        /// Whether they fall silent.
+        on: bool,
+    },
     /// Servers become slower or faster.
     Slow {
         /// The service.
--- a/crates/load/src/run.rs
+++ b/crates/load/src/run.rs
@@ -141,7 +141,10 @@
 fn breaks_vms(fault: &Fault) -> bool {
     matches!(
         fault,
-        Fault::DomainVanish { .. } | Fault::KillHome { .. } | Fault::PauseHome { .. }
+        Fault::DomainVanish { .. }
+            | Fault::DomainFreeze { .. }
+            | Fault::KillHome { .. }
+            | Fault::PauseHome { .. }
     )
 }
 
--- a/crates/route/src/ledger/mod.rs
+++ b/crates/route/src/ledger/mod.rs
@@ -32,6 +32,7 @@
 use crate::msg::Kind;
 use crate::msg::Msg;
 use crate::msg::Release;
+use crate::msg::Warmth;
 use crate::msg::Why;
 use crate::permits::Permit;
 use crate::permits::Permits;
@@ -218,11 +219,7 @@
         self.roster.update(fleet.vms, fleet.alive, now);
         self.roster.set_strangers(fleet.strangers);
         self.divide();
-        for permit in &self.permits.list().to_vec() {
-            if fleet.vms.binary_search(&permit.vm).is_err() {
-                self.linger(permit.vm, permit.call, now);
-            }
-        }
+        self.linger_silent(fleet, now);
         let waiters = self.queue.take(|w| fleet.vms.binary_search(&w.vm).is_err());
         drop(waiters);
         self.review(now);
@@ -424,6 +421,27 @@
         }
     }
 
+    /// Ends the permits of VMs that cannot release them any more.
+    ///
+    /// The servers end those calls all the same, so their slots are free before
+    /// the calls' deadlines. A VM that is only silent may still be about to send
+    /// a call; a server that has just started would not bear it beside another.
+    fn linger_silent(&mut self, fleet: Fleet<'_>, now: Time) {
+        for permit in &self.permits.list().to_vec() {
+            let gone = fleet.vms.binary_search(&permit.vm).is_err();
+            let silent = fleet.alive.binary_search(&permit.vm).is_err();
+            if gone || (silent && self.bears_more(permit.server)) {
+                self.linger(permit.vm, permit.call, now);
+            }
+        }
+    }
+
+    /// Returns whether a call beyond its limit does `server` no harm.
+    fn bears_more(&self, server: ServerId) -> bool {
+        let found = self.find(server);
+        found.is_some_and(|at| self.servers[at].limit.warmth(&self.spec) >= Warmth::Lowered)
+    }
+
     /// Keeps a permit for as long as the server may still run the call.
     fn linger(&mut self, vm: VmId, call: CallNo, now: Time) {
         let Some(permit) = self.permits.get(vm, call).copied() else {
--- a/crates/route/tests/homes.rs
+++ b/crates/route/tests/homes.rs
@@ -301,3 +301,26 @@
         assert_eq!(busy, 0, "a cold server was used");
     }
 }
+
+#[test]
+fn set_fleet_permits_of_a_silent_vm_end_with_their_calls() {
+    let mut world = warm_world();
+    let home = world.vms[0].follower.home().unwrap();
+    let at = world.vms.iter().position(|vm| vm.id == home).unwrap();
+    let silent = (at + 1) % VMS;
+    for _ in 0..3 {
+        world.acquire(silent, Duration::from_secs(60));
+    }
+    for _ in 0..4 {
+        world.step(15, 0);
+    }
+    let permits = |world: &World| world.vms[at].seat.ledger().unwrap().permits().len();
+    assert_eq!(permits(&world), 3);
+    world.pause(silent);
+    world.lead_without(at, silent);
+    // The servers take 10 ms for a call.
+    for _ in 0..4 {
+        world.step(15, 0);
+    }
+    assert_eq!(permits(&world), 0);
+}
