Send calls elsewhere when a server falls silent, and inherit warmth despite early answers

Calls at servers that close nothing ended at their deadlines only. Now a connection has to be made within 300 ms, a server that has answered nothing for 20 usual times gets no further call, and an idempotent call that has waited that long gets a second attempt out of the retry budget (entry::beside, which hedges use too).

A call that ended after a new home had begun, and before enough followers had told it how warm servers were, kept that server from being taken over. It counted as cold, and was not used in an epoch that was not complete, for up to 10 s.

With hedges, the failure of the second attempt was forgotten. A first attempt that was shed, beside a second one that broke, was told as not run, though the second may have run. The worse of the two is told now.

A lost connection that changes nothing sends no sheet any more.

--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod answer;
 pub mod attempt;
+mod beside;
 pub mod guard;
 pub mod headers;
 pub mod pool;
--- a/crates/entry/src/pool.rs
+++ b/crates/entry/src/pool.rs
@@ -26,6 +26,9 @@
 
 /// Shards of the table of servers, each under its own lock.
 const SHARDS: usize = 16;
+/// The longest time to make a connection. A server behind a failed switch never
+/// answers, and a call that waits for it could still run elsewhere.
+const CONNECT_MAX: Duration = Duration::from_millis(300);
 /// The age at which an idle connection is closed.
 const IDLE_MAX: Duration = Duration::from_secs(20);
 
@@ -174,8 +177,9 @@
         };
         let mut conn = Conn::new(None, pool);
         let address = server.address;
-        let sender = client::connect_watched(&self.handle, address, http2, ended).await?;
-        conn.sender = Some(sender);
+        let connecting = client::connect_watched(&self.handle, address, http2, ended);
+        let connected = net::timeout(CONNECT_MAX, connecting).await;
+        conn.sender = Some(connected.unwrap_or(Err(client::Error::Late(CONNECT_MAX)))?);
         Ok(conn)
     }
 
--- a/crates/entry/src/proxy.rs
+++ b/crates/entry/src/proxy.rs
@@ -1,11 +1,8 @@
 //! Answers callers: finds the service, gets permits, makes attempts, and tells
 //! the caller truthfully what became of its call.
 
-use std::future::Future;
 use std::net::SocketAddr;
-use std::pin::pin;
 use std::sync::Arc;
-use std::task::Poll;
 use std::time::Duration;
 
 use base::DomainId;
@@ -56,10 +53,6 @@
 
 /// Attempts at one call, hedges not counted.
 const ATTEMPTS_MAX: u32 = 3;
-/// Usual service times after which a second attempt is made beside the first.
-const HEDGE_AFTER: f64 = 2.5;
-/// The shortest wait before a second attempt is made beside the first.
-const HEDGE_MIN: Duration = Duration::from_millis(2);
 
 /// Who this VM is.
 #[derive(Clone, Debug)]
@@ -74,7 +67,7 @@
 
 /// Answers the callers of one VM.
 pub struct Proxy {
-    ports: Arc<dyn Ports>,
+    pub(crate) ports: Arc<dyn Ports>,
     pools: Arc<Pools>,
     metrics: Arc<Metrics>,
     spans: Arc<Spans>,
@@ -83,16 +76,16 @@
 }
 
 /// One call while it is being answered.
-struct Call<'a> {
-    service: &'a Service,
-    rule: Rule,
+pub(crate) struct Call<'a> {
+    pub(crate) service: &'a Service,
+    pub(crate) rule: Rule,
     due: Time,
     span: &'a Open,
-    tried: Vec<ServerId>,
+    pub(crate) tried: Vec<ServerId>,
 }
 
 /// A server's answer with where it came from.
-struct Served {
+pub(crate) struct Served {
     head: Head,
     place: Place,
     waited: Duration,
@@ -100,7 +93,7 @@
 }
 
 /// Why an attempt gave no answer.
-enum Missed {
+pub(crate) enum Missed {
     /// There was no permit.
     Refused(Refused),
     /// The attempt failed.
@@ -255,12 +248,9 @@
         let mut attempts = Attempts::new(idempotent, outgoing.is_repeatable(), ATTEMPTS_MAX);
         let mut kind = Kind::First;
         loop {
-            let hedged = kind == Kind::First
-                && idempotent
-                && outgoing.is_repeatable()
-                && call.service.hedges > 0;
-            let result = if hedged {
-                self.attempt_hedged(&mut call, &mut outgoing).await
+            let alone = kind != Kind::First || !idempotent || !outgoing.is_repeatable();
+            let result = if !alone {
+                self.attempt_beside(&mut call, &mut outgoing).await
             } else {
                 self.attempt(&mut call, &mut outgoing, kind).await
             };
@@ -287,50 +277,6 @@
         }
     }
 
-    /// Makes one attempt, and a second one beside it if it is slow.
-    async fn attempt_hedged(
-        &self,
-        call: &mut Call<'_>,
-        outgoing: &mut Outgoing,
-    ) -> Result<Served, Missed> {
-        let first = self.permit(call, Kind::First).await?;
-        // The second attempt has to go elsewhere.
-        call.tried.push(first.permit.server);
-        let usual = self.ports.usual(call.service.id());
-        let wait = usual.unwrap_or(call.rule.deadline).mul_f64(HEDGE_AFTER);
-        let request = outgoing.make(self.left(call));
-        let mut first = pin!(self.send(call, first, request));
-        let slow = net::timeout(wait.max(HEDGE_MIN), first.as_mut()).await;
-        if let Some(result) = slow {
-            return result;
-        }
-        let Some(request) = outgoing.make(self.left(call)) else {
-            return first.await;
-        };
-        let mut second = pin!(async {
-            let permit = self.permit(call, Kind::Hedge).await?;
-            self.send(call, permit, Some(request)).await
-        });
-        let mut lost = false;
-        std::future::poll_fn(|cx| {
-            if let Poll::Ready(result) = first.as_mut().poll(cx) {
-                return Poll::Ready(result);
-            }
-            if lost {
-                return Poll::Pending;
-            }
-            match second.as_mut().poll(cx) {
-                Poll::Ready(Ok(served)) => Poll::Ready(Ok(served)),
-                Poll::Ready(Err(_)) => {
-                    lost = true;
-                    Poll::Pending
-                }
-                Poll::Pending => Poll::Pending,
-            }
-        })
-        .await
-    }
-
     async fn attempt(
         &self,
         call: &mut Call<'_>,
@@ -343,11 +289,11 @@
         self.send(call, granted, request).await
     }
 
-    fn left(&self, call: &Call<'_>) -> Duration {
+    pub(crate) fn left(&self, call: &Call<'_>) -> Duration {
         call.due.saturating_sub(self.ports.now())
     }
 
-    async fn permit(&self, call: &Call<'_>, kind: Kind) -> Result<Granted, Missed> {
+    pub(crate) async fn permit(&self, call: &Call<'_>, kind: Kind) -> Result<Granted, Missed> {
         let began = self.ports.now();
         let ask = Ask {
             class: call.rule.class,
@@ -372,7 +318,7 @@
         }
     }
 
-    async fn send(
+    pub(crate) async fn send(
         &self,
         call: &Call<'_>,
         granted: Granted,
@@ -454,12 +400,20 @@
 }
 
 /// A permit with the time that it took to get it.
-struct Granted {
-    permit: Permit,
+pub(crate) struct Granted {
+    pub(crate) permit: Permit,
     waited: Duration,
 }
 
 impl Missed {
+    /// Returns whether the call certainly did not run in this attempt.
+    pub(crate) fn proves_not_run(&self) -> bool {
+        match self {
+            Self::Refused(_) => true,
+            Self::Failed(failed) => failed.failure.proves_not_run(),
+        }
+    }
+
     fn unsent(text: &str) -> Self {
         Self::Failed(Failed {
             failure: Failure::Unsent,
--- a/crates/load/tests/calls.rs
+++ b/crates/load/tests/calls.rs
@@ -7,6 +7,8 @@
 use std::io::Write;
 use std::net::Shutdown;
 use std::net::TcpStream;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use futures_rustls::rustls;
@@ -463,6 +465,28 @@
     whole(stream, head);
 }
 
+/// Does not answer the first call that asks for it for seconds.
+fn hang_once(stream: &mut TcpStream, head: &str) {
+    static HUNG: AtomicBool = AtomicBool::new(false);
+    if head.contains("/hang") && !HUNG.swap(true, Ordering::SeqCst) {
+        std::thread::sleep(Duration::from_secs(4));
+    }
+    whole(stream, head);
+}
+
+#[test]
+fn call_idempotent_goes_elsewhere_when_a_server_falls_silent() {
+    let servers = [Scripted::new(hang_once), Scripted::new(hang_once)];
+    let addresses = [servers[0].address, servers[1].address];
+    let lab = Lab::with_service(&addresses, |service| service.cold.grow = 1);
+    warm_up(&lab);
+    let before = [servers[0].count(), servers[1].count()];
+    let answer = lab.call("GET", "/hang", "", "");
+    assert!(answer.ends_with("whole"), "{answer}");
+    let after = [servers[0].count(), servers[1].count()];
+    assert_eq!([after[0] - before[0], after[1] - before[1]], [1, 1]);
+}
+
 /// A VM that may hedge every call, before servers that stall on demand.
 fn hedging_lab(servers: &[Scripted]) -> Lab {
     let addresses: Vec<_> = servers.iter().map(|server| server.address).collect();
--- a/crates/route/src/ledger/place.rs
+++ b/crates/route/src/ledger/place.rs
@@ -16,6 +16,12 @@
 use crate::msg::Warmth;
 use crate::queue::Waiter;
 
+/// Usual service times for which a server may run a call without answering any
+/// before it gets no more calls.
+const STUCK: f64 = 20.0;
+/// The shortest time for which it may do so.
+const STUCK_MIN: Duration = Duration::from_millis(100);
+
 impl Ledger {
     /// Returns how long a request waits that has `ahead` others before it.
     pub(super) fn wait_of(&self, ahead: usize) -> Duration {
@@ -73,6 +79,9 @@
             return None;
         }
         let oldest = self.oldest(server, now);
+        if self.is_stuck(server, oldest, now) {
+            return None;
+        }
         Some(Candidate {
             at,
             free,
@@ -122,6 +131,14 @@
         (likely.ceil() as u32).clamp(1, limit)
     }
 
+    /// Returns whether `server` has run a call for so long, and answered nothing
+    /// since it got it, that it most likely does not answer at all.
+    fn is_stuck(&self, server: &Server, oldest: f64, now: Time) -> bool {
+        let bound = (self.typical * STUCK).max(STUCK_MIN.as_secs_f64());
+        let answered = server.limit.age(now).as_secs_f64() < oldest;
+        self.typical > 0.0 && oldest >= bound && !answered
+    }
+
     pub(super) fn oldest(&self, server: &Server, now: Time) -> f64 {
         if server.busy == 0 {
             return 0.0;
--- a/crates/route/src/ledger/promises.rs
+++ b/crates/route/src/ledger/promises.rs
@@ -6,6 +6,7 @@
 use base::Time;
 use base::VmId;
 
+use super::servers::Source;
 use super::Action;
 use super::Ledger;
 use crate::epoch::Epoch;
@@ -74,7 +75,8 @@
                 continue;
             };
             let server = &mut self.servers[at];
-            if !server.touched {
+            if server.source != Source::Seen {
+                server.source = Source::Told;
                 server.limit.adopt(&line, now);
                 self.changed = true;
             }
--- a/crates/route/src/ledger/servers.rs
+++ b/crates/route/src/ledger/servers.rs
@@ -27,6 +27,17 @@
 /// The time between two sheets to a follower when nothing changes.
 const SHEET_PERIOD: Duration = Duration::from_secs(1);
 
+/// Where the ledger has what it knows about a server from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Source {
+    /// Nothing but good answers, which say nothing about what it bore before.
+    None,
+    /// The last home, by way of its followers.
+    Told,
+    /// What this home has seen itself since, which counts for more.
+    Seen,
+}
+
 /// What the ledger knows about one server.
 #[derive(Clone, Debug)]
 pub(crate) struct Server {
@@ -37,7 +48,7 @@
     pub(super) open: bool,
     pub(super) admitted: Vec<VmId>,
     pub(super) used: Time,
-    pub(super) touched: bool,
+    pub(super) source: Source,
     pub(super) probed: Time,
     pub(super) probing: bool,
     pub(super) load: Option<Load>,
@@ -96,7 +107,9 @@
             return;
         };
         let server = &mut self.servers[at];
-        server.touched = true;
+        if release.outcome != Outcome::Done || server.source == Source::Told {
+            server.source = Source::Seen;
+        }
         if release.load.is_some() {
             server.load = release.load;
         }
@@ -118,10 +131,13 @@
             return;
         };
         let server = &mut self.servers[at];
-        server.touched = true;
+        server.source = Source::Seen;
+        let before = server.limit.warmth(&spec);
         server.limit.chill(&spec);
-        self.changed = true;
-        self.send_sheets(now);
+        if server.limit.warmth(&spec) != before {
+            self.changed = true;
+            self.send_sheets(now);
+        }
     }
 
     /// Forgets how warm servers were that have not answered for long.
@@ -237,7 +253,7 @@
             open: known.open,
             admitted: Vec::new(),
             used: Time::ZERO,
-            touched: false,
+            source: Source::None,
             probed: Time::ZERO,
             probing: false,
             load: None,
--- a/crates/route/src/limit.rs
+++ b/crates/route/src/limit.rs
@@ -95,7 +95,7 @@
         self.down = line.warmth == Warmth::Down;
         self.lowered = line.warmth == Warmth::Lowered;
         self.usual = line.usual.as_secs_f64();
-        self.heard = now.saturating_sub(line.age);
+        self.heard = self.heard.max(now.saturating_sub(line.age));
     }
 
     /// Returns how long ago the server last answered.
--- a/crates/route/tests/homes.rs
+++ b/crates/route/tests/homes.rs
@@ -279,6 +279,34 @@
     assert_eq!(burst(&mut world), [3, 3]);
 }
 
+#[test]
+fn release_before_the_last_home_is_heard_leaves_the_server_warm() {
+    let mut world = warm_world();
+    let home = world.vms[0].follower.home().unwrap();
+    let at = world.vms.iter().position(|vm| vm.id == home).unwrap();
+    let others: Vec<_> = (0..VMS).filter(|vm| *vm != at).collect();
+    let ids: Vec<_> = others.iter().map(|vm| world.vms[*vm].id).collect();
+    let next = base::rendezvous::first(world.spec.shard, &ids).unwrap();
+    let early = *others.iter().find(|vm| world.vms[**vm].id != next).unwrap();
+    world.acquire(early, Duration::from_secs(2));
+    for _ in 0..4 {
+        world.step(15, 0);
+    }
+    world.pause(at);
+    for vm in &others {
+        world.lead_without(*vm, at);
+    }
+    // One VM follows the new home and ends its call before the others do.
+    world.acquire(early, Duration::from_secs(2));
+    world.deliver_between(early);
+    world.release(early, Outcome::Done);
+    world.deliver_between(early);
+    for _ in 0..4 {
+        world.step(15, 0);
+    }
+    assert_eq!(burst(&mut world), [3, 3]);
+}
+
 #[test]
 fn set_fleet_home_that_most_left_behind_uses_no_cold_server() {
     let mut world = World::new(spec(3, 1_000_000));
--- a/crates/route/tests/world/mod.rs
+++ b/crates/route/tests/world/mod.rs
@@ -240,6 +240,17 @@
         self.update(at);
     }
 
+    /// Delivers what VM `at` sends, and what is sent to it, until there is
+    /// nothing left; other messages stay on their way.
+    pub(crate) fn deliver_between(&mut self, at: usize) {
+        let id = self.vms[at].id;
+        let concerns = |flight: &Flight| flight.from == id || flight.envelope.to == id;
+        while let Some(next) = self.flights.iter().position(concerns) {
+            let flight = self.flights.remove(next);
+            self.deliver(flight);
+        }
+    }
+
     /// Drops all messages that are on their way.
     pub(crate) fn lose_all(&mut self) {
         self.flights.clear();
