--- a/crates/route/tests/parts.rs
+++ b/crates/route/tests/parts.rs
@@ -308,10 +308,12 @@
     };
     let mut limit = Limit::new(&spec.servers[0], &spec);
     assert!(!limit.is_stale(&spec, now), "a cold server is not stale");
+    limit.adopt(&line(route::limit::FRESH), now);
+    assert!(limit.is_stale(&spec, now));
     limit.adopt(&line(Duration::from_secs(1)), now);
     assert!(!limit.is_stale(&spec, now));
     limit.adopt(&line(route::limit::FRESH), now);
-    assert!(limit.is_stale(&spec, now));
+    assert!(!limit.is_stale(&spec, now), "the later answer counts");
     limit.note(Outcome::Done, 0.01, 0.01, &spec, now);
     assert!(!limit.is_stale(&spec, now));
 }
