Let most of five owners decide about an idempotency key

Cause: two owners among the VMs that answer, of which one that has run for 60 s was enough, do not keep a key from running twice. Known was that both may be replaced by old VMs.

Change: five owners among all VMs that may exist, whether they answer or not; a call needs most of them; an owner counts after 70 s without a break in which it knew of all others. The first one is asked alone, the others side by side, so a claim takes two round trips as before.

Two of a key's owners may now be down or young without any refusal; before, that refused all calls with the key. call_key_is_taken_at_every_vm repeats calls at every VM of a fleet over sockets.

--- a/crates/entry/src/ports.rs
+++ b/crates/entry/src/ports.rs
@@ -10,6 +10,7 @@
 use base::Time;
 use conf::State;
 use net::BoxFuture;
+use route::keys::Claimed;
 use route::keys::KeyHash;
 use route::keys::Ruling;
 use route::msg::Ask;
@@ -37,15 +38,6 @@
     pub after: Duration,
 }
 
-/// A claimed idempotency key.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Claimed {
-    /// The key.
-    pub key: KeyHash,
-    /// The number under which it was claimed.
-    pub call: CallNo,
-}
-
 /// The rest of the VM as the path of a call sees it.
 pub trait Ports: Send + Sync {
     /// Returns the configuration in force.
--- a/crates/load/tests/fleet.rs
+++ b/crates/load/tests/fleet.rs
@@ -1,7 +1,13 @@
 //! A small fleet under faults keeps its promises; no figure is checked.
 
+use std::io::Read;
+use std::io::Write;
+use std::net::TcpStream;
+
 use conf::settings::Policy;
+use load::fleet::Fleet;
 use load::fleet::Start;
+use load::fleet::Vm;
 use load::plan::Plan;
 use load::run;
 
@@ -37,6 +43,54 @@
     assert_eq!(broken.short, 0, "short answers passed as whole");
 }
 
+/// Sends a call that must not run twice to an entry VM; returns its answer.
+fn post(vm: &Vm, key: &str) -> String {
+    let mut stream = TcpStream::connect(vm.callers).unwrap();
+    let request = format!(
+        "POST /posts HTTP/1.1\r\nhost: s\r\nconnection: close\r\n\
+         idempotency-key: {key}\r\ncontent-length: 4\r\n\r\nbook"
+    );
+    stream.write_all(request.as_bytes()).unwrap();
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).unwrap();
+    answer
+}
+
+#[test]
+fn call_key_is_taken_at_every_vm() {
+    let plan = Plan::parse(PLAN).unwrap();
+    let start = Start {
+        policy: Policy::Home,
+        vms: plan.vms,
+        scattered: false,
+    };
+    let fleet = smol::block_on(Fleet::start(&plan, &start)).unwrap();
+    let refused = post(&fleet.vms[0], "before");
+    assert!(refused.starts_with("HTTP/1.1 503"), "{refused}");
+    assert!(refused.contains("not-run"), "{refused}");
+    for vm in &fleet.vms {
+        vm.shared.trust_memory();
+    }
+    for (n, first) in fleet.vms.iter().enumerate() {
+        let key = format!("booking-{n}");
+        let answer = post(first, &key);
+        assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+        for vm in &fleet.vms {
+            let answer = post(vm, &key);
+            assert!(answer.starts_with("HTTP/1.1 409"), "{answer}");
+        }
+    }
+    // One owner may be missing.
+    smol::block_on(fleet.vms[3].kill());
+    for vm in &fleet.vms[..3] {
+        let answer = post(vm, "booking-0");
+        assert!(answer.starts_with("HTTP/1.1 409"), "{answer}");
+    }
+    let begun = fleet.servers("posts").map(|m| m.backend.record().begun);
+    assert_eq!(begun.sum::<u64>(), fleet.vms.len() as u64);
+    smol::block_on(fleet.stop());
+}
+
 #[test]
 fn run_without_faults() {
     keeps_promises(Policy::Home, "");
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -30,3 +30,27 @@
     })
     .await
 }
+
+/// Waits for all of `futures`, side by side; the results are in their order.
+pub async fn join<T, F: std::future::Future<Output = T>>(futures: Vec<F>) -> Vec<T> {
+    let mut futures: Vec<_> = futures.into_iter().map(Box::pin).collect();
+    let mut results: Vec<Option<T>> = futures.iter().map(|_| None).collect();
+    std::future::poll_fn(|cx| {
+        let mut waits = false;
+        for (future, result) in futures.iter_mut().zip(&mut results) {
+            if result.is_none() {
+                match future.as_mut().poll(cx) {
+                    std::task::Poll::Ready(value) => *result = Some(value),
+                    std::task::Poll::Pending => waits = true,
+                }
+            }
+        }
+        if waits {
+            std::task::Poll::Pending
+        } else {
+            std::task::Poll::Ready(())
+        }
+    })
+    .await;
+    results.into_iter().flatten().collect()
+}
--- a/crates/node/src/claims.rs
+++ b/crates/node/src/claims.rs
@@ -5,8 +5,8 @@
 use std::time::Duration;
 
 use base::VmId;
-use entry::ports::Claimed;
 use route::keys::Claim;
+use route::keys::Claimed;
 use route::keys::Keys;
 use route::CallNo;
 use wire::KeyMsg;
@@ -35,7 +35,7 @@
     pub fn wait(&self, owner: VmId, call: CallNo) -> async_channel::Receiver<Claim> {
         let (answer, receiver) = async_channel::bounded(1);
         let mut waiting = self.0.lock().unwrap_or_else(PoisonError::into_inner);
-        waiting.retain(|other| other.call != call);
+        waiting.retain(|other| other.call != call || other.owner != owner);
         waiting.push(Waiting {
             owner,
             call,
@@ -55,10 +55,10 @@
         }
     }
 
-    /// Stops waiting.
-    pub fn stop(&self, call: CallNo) {
+    /// Stops waiting for the answer of `owner` to `call`.
+    pub fn stop(&self, owner: VmId, call: CallNo) {
         let mut waiting = self.0.lock().unwrap_or_else(PoisonError::into_inner);
-        waiting.retain(|other| other.call != call);
+        waiting.retain(|other| other.call != call || other.owner != owner);
     }
 }
 
@@ -66,41 +66,66 @@
     /// Takes this VM's memory of idempotency keys for whole although it is
     /// young; for tests, which cannot wait for it to grow old.
     pub fn trust_memory(&self) {
-        *lock(&self.memory) = Keys::aged();
+        *lock(&self.memory) = Keys::aged(self.me);
     }
 
-    /// Asks one owner of `key`; none if it does not answer.
-    pub(crate) async fn ask_owner(&self, owner: VmId, claimed: Claimed) -> Option<Claim> {
-        let Claimed { key, call } = claimed;
+    /// Asks the owners of a key; none stands for one that does not answer.
+    ///
+    /// The first one that answers is asked alone: of two calls that come at the
+    /// same moment, it lets one have the key before they divide the others.
+    pub(crate) async fn ask_owners(&self, owners: &[VmId], claimed: Claimed) -> Vec<Option<Claim>> {
+        let view = self.view();
+        let mut answers = Vec::new();
+        let mut rest = Vec::new();
+        for &owner in owners {
+            let answers_now = view.alive.binary_search(&owner).is_ok();
+            let begun = answers.iter().any(Option::is_some);
+            if !answers_now {
+                answers.push(None);
+            } else if begun {
+                rest.push(self.ask_owner(owner, claimed));
+            } else {
+                answers.push(self.ask_owner(owner, claimed).await);
+            }
+            if answers.contains(&Some(Claim::Taken)) {
+                return answers;
+            }
+        }
+        answers.extend(net::join(rest).await);
+        answers
+    }
+
+    /// Asks one owner of a key; none if it does not answer.
+    async fn ask_owner(&self, owner: VmId, claimed: Claimed) -> Option<Claim> {
         if owner == self.me {
             let now = self.clock.now();
-            return Some(lock(&self.memory).claim(key, self.me, call, now));
+            return Some(lock(&self.memory).claim(claimed, self.me, now));
         }
         for _ in 0..CLAIM_TRIES {
-            let receiver = self.claims.wait(owner, call);
+            let receiver = self.claims.wait(owner, claimed.call);
             let to = self.view().address(owner)?;
-            self.outbox.put(to, Msg::Key(KeyMsg::Claim { key, call }));
+            self.outbox.put(to, Msg::Key(KeyMsg::Claim(claimed)));
             let answer = net::timeout(CLAIM_WAIT, receiver.recv()).await;
             if let Some(Ok(claim)) = answer {
                 return Some(claim);
             }
         }
-        self.claims.stop(call);
+        self.claims.stop(owner, claimed.call);
         None
     }
 
     pub(crate) fn receive_key(&self, from: VmId, msg: KeyMsg) {
         let now = self.clock.now();
         match msg {
-            KeyMsg::Claim { key, call } => {
-                let claim = lock(&self.memory).claim(key, from, call, now);
+            KeyMsg::Claim(claimed) => {
+                let claim = lock(&self.memory).claim(claimed, from, now);
                 if let Some(to) = self.view().address(from) {
-                    let answer = KeyMsg::Answer { key, call, claim };
+                    let answer = KeyMsg::Answer { claimed, claim };
                     self.outbox.put(to, Msg::Key(answer));
                 }
             }
-            KeyMsg::Answer { call, claim, .. } => self.claims.answer(from, call, claim),
-            KeyMsg::Forget { key, call } => lock(&self.memory).forget(key, from, call),
+            KeyMsg::Answer { claimed, claim } => self.claims.answer(from, claimed.call, claim),
+            KeyMsg::Forget(claimed) => lock(&self.memory).forget(claimed, from),
         }
     }
 }
--- a/crates/node/src/ports.rs
+++ b/crates/node/src/ports.rs
@@ -9,13 +9,12 @@
 use base::Time;
 use conf::settings::Policy;
 use conf::State;
-use entry::ports::Claimed;
 use entry::Permit;
 use entry::Ports;
 use entry::Refused;
 use net::BoxFuture;
 use route::keys;
-use route::keys::Claim;
+use route::keys::Claimed;
 use route::keys::KeyHash;
 use route::keys::Ruling;
 use route::msg::Ask;
@@ -180,26 +179,19 @@
             let count = self.next_claim.fetch_add(1, Ordering::Relaxed);
             let call = (u64::from(self.life) << 32) | (count & u64::from(u32::MAX));
             let claimed = Claimed { key, call };
-            let mut answers = Vec::new();
-            for owner in keys::owners(key, &self.view().alive) {
-                let answer = self.ask_owner(owner, claimed).await;
-                answers.push(answer);
-                if answer == Some(Claim::Taken) {
-                    break;
-                }
-            }
-            (keys::rule(&answers), claimed)
+            let owners = keys::owners(key, &self.view().vms);
+            let answers = self.ask_owners(&owners, claimed).await;
+            (keys::rule(owners.len(), &answers), claimed)
         })
     }
 
     fn forget(&self, claimed: Claimed) {
-        let Claimed { key, call } = claimed;
         let view = self.view();
-        for owner in keys::owners(key, &view.alive) {
+        for owner in keys::owners(claimed.key, &view.vms) {
             if owner == self.me {
-                lock(&self.memory).forget(key, self.me, call);
+                lock(&self.memory).forget(claimed, self.me);
             } else if let Some(to) = view.address(owner) {
-                self.outbox.put(to, Msg::Key(KeyMsg::Forget { key, call }));
+                self.outbox.put(to, Msg::Key(KeyMsg::Forget(claimed)));
             }
         }
     }
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -152,8 +152,12 @@
     /// Puts the parts together.
     pub fn new(parts: Parts) -> Self {
         let now = parts.clock.now();
+        let me = parts.settings.vm_id();
+        let view = View::new(&parts.members);
+        let mut memory = Keys::new(me, now);
+        memory.set_view(&view.vms, view.strangers == 0, now);
         Self {
-            me: parts.settings.vm_id(),
+            me,
             pools: Arc::new(Pools::new(parts.handle.clone(), parts.clock, parts.lost)),
             settings: parts.settings,
             clock: parts.clock,
@@ -167,7 +171,7 @@
             calls: Arc::default(),
             stop: Stop::new(),
             budget: Mutex::new(Budget::new()),
-            view: RwLock::new(Arc::new(View::new(&parts.members))),
+            view: RwLock::new(Arc::new(view)),
             members: Mutex::new(parts.members),
             mirror: Mutex::new(Mirror::new()),
             pulling: AtomicBool::new(false),
@@ -179,7 +183,7 @@
             state: RwLock::default(),
             table: RwLock::default(),
             refreshing: Mutex::new(()),
-            memory: Mutex::new(Keys::new(now)),
+            memory: Mutex::new(memory),
             pulse: AtomicU64::new(now.as_millis() as u64),
             next_claim: AtomicU64::new(1),
             waiting: AtomicUsize::new(0),
@@ -243,6 +247,8 @@
             view.vms.len(),
             view.everywhere
         );
+        let whole = view.strangers == 0;
+        lock(&self.memory).set_view(&view.vms, whole, self.clock.now());
         write(&self.view, view);
         self.refresh();
     }
--- a/crates/route/src/keys.rs
+++ b/crates/route/src/keys.rs
@@ -1,9 +1,10 @@
-//! Idempotency keys that one VM remembers for the whole fleet.
+//! Idempotency keys that a few VMs remember for the whole fleet.
 //!
-//! A key belongs to the two VMs that rank first for it. The first call with a
-//! key claims it at both; a second one, at whichever entry VM, finds the claim
-//! and is not run. A VM that started less than [`MEMORY`] ago may have lost
-//! claims and says so. See `docs/design/at-most-once.md`.
+//! A key belongs to the few VMs that rank first for it among all that may exist,
+//! whether they answer or not. A call may run if most of them let it have the
+//! key, and each lets one call only; so a second call, at whichever entry VM, may
+//! not. An owner that has just started, or has just become one, may lack a claim
+//! and does not count. See `docs/design/at-most-once.md`.
 
 use std::time::Duration;
 
@@ -17,20 +18,36 @@
 
 /// How long a claim is remembered; callers have to repeat within it.
 pub const MEMORY: Duration = Duration::from_secs(60);
+/// How long a VM has to have been an owner of a key to count: as long as claims
+/// are remembered, and until all VMs have surely heard of it as an owner.
+pub const SURE: Duration = Duration::from_secs(70);
 /// VMs that remember each key.
-pub const OWNERS: usize = 2;
+pub const OWNERS: usize = 5;
 /// The most claims that one VM remembers.
 const CLAIMS_MAX: usize = 200_000;
+/// The most views that one VM remembers; with more, it is sure of less.
+const VIEWS_MAX: usize = 64;
+/// When a call should be sent again whose key's owners mostly do not answer.
+const SILENT_WAIT: Duration = Duration::from_secs(1);
 
 /// A key, hashed together with its service.
 pub type KeyHash = u64;
 
+/// A claim of a key by a call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Claimed {
+    /// The key.
+    pub key: KeyHash,
+    /// The number under which the asking VM claims it.
+    pub call: CallNo,
+}
+
 /// The answer to a claim.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Claim {
     /// Nobody has claimed the key as far as this VM remembers; it is claimed now.
     First {
-        /// For how long this VM has remembered claims.
+        /// For how long this VM has been an owner of the key.
         age: Duration,
     },
     /// Another call has claimed it.
@@ -41,37 +58,47 @@
 
 #[derive(Clone, Copy, Debug)]
 struct Entry {
-    key: KeyHash,
+    claimed: Claimed,
     vm: VmId,
-    call: CallNo,
     at: Time,
 }
 
+/// Which VMs might exist, from when on.
+#[derive(Clone, Debug)]
+struct Seen {
+    since: Time,
+    vms: Vec<VmId>,
+    whole: bool,
+}
+
 /// The claims that one VM remembers, sorted by key.
 #[derive(Clone, Debug)]
 pub struct Keys {
-    since: Time,
+    me: VmId,
+    views: Vec<Seen>,
     aged: bool,
     entries: Vec<Entry>,
     swept: Time,
 }
 
 impl Keys {
-    /// Makes an empty memory that begins `now`.
-    pub fn new(now: Time) -> Self {
+    /// Makes the empty memory of the VM `me`, which is sure of nothing until it
+    /// is told which VMs there are.
+    pub fn new(me: VmId, now: Time) -> Self {
         Self {
-            since: now,
+            me,
+            views: Vec::new(),
             aged: false,
             entries: Vec::new(),
             swept: now,
         }
     }
 
-    /// Makes an empty memory that counts as having remembered for long.
-    pub fn aged() -> Self {
+    /// Makes an empty memory that is sure of every key.
+    pub fn aged(me: VmId) -> Self {
         Self {
             aged: true,
-            ..Self::new(Time::ZERO)
+            ..Self::new(me, Time::ZERO)
         }
     }
 
@@ -85,47 +112,71 @@
         self.entries.is_empty()
     }
 
-    /// Claims `key` for an attempt; repeating a claim changes nothing.
-    pub fn claim(&mut self, key: KeyHash, vm: VmId, call: CallNo, now: Time) -> Claim {
+    /// Follows a change of the VMs that may exist, whether they answer or not.
+    ///
+    /// They are not `whole` if there are others of which nothing is known: a VM
+    /// that started while it was cut off would take itself for the only owner.
+    pub fn set_view(&mut self, vms: &[VmId], whole: bool, now: Time) {
+        let same = |seen: &Seen| seen.vms == vms && seen.whole == whole;
+        if self.views.last().is_some_and(same) {
+            return;
+        }
+        // The last view that is older than that still says what held then.
+        let old = self
+            .views
+            .partition_point(|seen| seen.since + SURE <= now)
+            .saturating_sub(1);
+        let excess = (self.views.len() + 1).saturating_sub(VIEWS_MAX);
+        self.views.drain(..old.max(excess));
+        self.views.push(Seen {
+            since: now,
+            vms: vms.to_vec(),
+            whole,
+        });
+    }
+
+    /// Returns for how long this VM has been an owner of `key`.
+    fn age(&self, key: KeyHash, now: Time) -> Duration {
+        if self.aged {
+            return SURE;
+        }
+        let owned = |seen: &&Seen| seen.whole && owners(key, &seen.vms).contains(&self.me);
+        let first = self.views.iter().rev().take_while(owned).last();
+        first.map_or(Duration::ZERO, |seen| now.saturating_sub(seen.since))
+    }
+
+    /// Claims a key for a call of `vm`; repeating a claim changes nothing.
+    pub fn claim(&mut self, claimed: Claimed, vm: VmId, now: Time) -> Claim {
         self.sweep(now);
-        let age = now.saturating_sub(self.since);
-        let age = if self.aged { MEMORY } else { age };
-        match self.find(key) {
+        let age = self.age(claimed.key, now);
+        let entry = Entry {
+            claimed,
+            vm,
+            at: now,
+        };
+        match self.find(claimed.key) {
             Ok(at) => {
-                let entry = &mut self.entries[at];
-                let same = (entry.vm, entry.call) == (vm, call);
-                if !same && now < entry.at + MEMORY {
+                let kept = &mut self.entries[at];
+                let same = (kept.vm, kept.claimed) == (vm, claimed);
+                if !same && now < kept.at + MEMORY {
                     return Claim::Taken;
                 }
-                *entry = Entry {
-                    key,
-                    vm,
-                    call,
-                    at: now,
-                };
+                *kept = entry;
                 Claim::First { age }
             }
             Err(_) if self.entries.len() >= CLAIMS_MAX => Claim::Full,
             Err(at) => {
-                self.entries.insert(
-                    at,
-                    Entry {
-                        key,
-                        vm,
-                        call,
-                        at: now,
-                    },
-                );
+                self.entries.insert(at, entry);
                 Claim::First { age }
             }
         }
     }
 
     /// Forgets a claim whose call certainly did not run.
-    pub fn forget(&mut self, key: KeyHash, vm: VmId, call: CallNo) {
-        if let Ok(at) = self.find(key) {
-            let entry = self.entries[at];
-            if (entry.vm, entry.call) == (vm, call) {
+    pub fn forget(&mut self, claimed: Claimed, vm: VmId) {
+        if let Ok(at) = self.find(claimed.key) {
+            let kept = self.entries[at];
+            if (kept.vm, kept.claimed) == (vm, claimed) {
                 self.entries.remove(at);
             }
         }
@@ -139,13 +190,15 @@
     }
 
     fn find(&self, key: KeyHash) -> Result<usize, usize> {
-        self.entries.binary_search_by_key(&key, |entry| entry.key)
+        self.entries
+            .binary_search_by_key(&key, |entry| entry.claimed.key)
     }
 }
 
-/// Returns the VMs that remember `key`, the first to be asked first.
-pub fn owners(key: KeyHash, alive: &[VmId]) -> Vec<VmId> {
-    rendezvous::top(key, alive, OWNERS)
+/// Returns the VMs that remember `key`, the first to be asked first, out of all
+/// that may exist.
+pub fn owners(key: KeyHash, vms: &[VmId]) -> Vec<VmId> {
+    rendezvous::top(key, vms, OWNERS)
 }
 
 /// What the owners' answers allow.
@@ -162,25 +215,24 @@
     },
 }
 
-/// Rules on the answers of all `asked` owners; none stands for silence.
+/// Rules on the answers of a key's `owners`; none stands for silence, and those
+/// that were not asked any more are left out.
 ///
-/// One owner that has remembered for long enough is sure. Where all are young
-/// nobody is, but for a fleet so young that no call can be older.
-pub fn rule(answers: &[Option<Claim>]) -> Ruling {
-    if answers.contains(&Some(Claim::Taken)) {
-        return Ruling::Duplicate;
-    }
-    let ages = answers.iter().filter_map(|answer| match answer {
-        Some(Claim::First { age }) => Some(*age),
-        _ => None,
-    });
-    match ages.max() {
-        Some(age) if age >= MEMORY => Ruling::Run,
-        Some(age) => Ruling::Unsure {
-            after: MEMORY - age,
-        },
-        None => Ruling::Unsure {
-            after: Duration::from_secs(1),
-        },
+/// An owner lets only one call have the key, so no two calls have most of them.
+pub fn rule(owners: usize, answers: &[Option<Claim>]) -> Ruling {
+    let quorum = owners / 2 + 1;
+    let mut ages: Vec<Duration> = answers
+        .iter()
+        .filter_map(|answer| match answer {
+            Some(Claim::First { age }) => Some(*age),
+            _ => None,
+        })
+        .collect();
+    ages.sort_unstable_by(|a, b| b.cmp(a));
+    match ages.get(quorum - 1) {
+        Some(age) if *age >= SURE => Ruling::Run,
+        _ if answers.contains(&Some(Claim::Taken)) => Ruling::Duplicate,
+        Some(age) => Ruling::Unsure { after: SURE - *age },
+        None => Ruling::Unsure { after: SILENT_WAIT },
     }
 }
--- a/crates/route/tests/parts.rs
+++ b/crates/route/tests/parts.rs
@@ -14,6 +14,7 @@
 use route::heritage::Sheet;
 use route::keys;
 use route::keys::Claim;
+use route::keys::Claimed;
 use route::keys::Keys;
 use route::keys::Ruling;
 use route::limit::Limit;
@@ -80,26 +81,39 @@
 
 #[test]
 fn claim_second_call_with_the_key_is_taken() {
-    let mut memory = Keys::new(Time::ZERO);
+    let mut memory = Keys::new(1, Time::ZERO);
     let now = Duration::from_secs(100);
-    assert!(matches!(memory.claim(5, 1, 1, now), Claim::First { .. }));
-    assert!(matches!(memory.claim(5, 1, 1, now), Claim::First { .. }));
-    assert_eq!(memory.claim(5, 2, 1, now), Claim::Taken);
-    memory.forget(5, 2, 1);
-    assert_eq!(memory.claim(5, 2, 1, now), Claim::Taken);
-    memory.forget(5, 1, 1);
-    assert!(matches!(memory.claim(5, 2, 1, now), Claim::First { .. }));
+    let claimed = Claimed { key: 5, call: 1 };
+    assert!(matches!(memory.claim(claimed, 1, now), Claim::First { .. }));
+    assert!(matches!(memory.claim(claimed, 1, now), Claim::First { .. }));
+    assert_eq!(memory.claim(claimed, 2, now), Claim::Taken);
+    memory.forget(claimed, 2);
+    assert_eq!(memory.claim(claimed, 2, now), Claim::Taken);
+    memory.forget(claimed, 1);
+    assert!(matches!(memory.claim(claimed, 2, now), Claim::First { .. }));
 }
 
 #[test]
 fn rule_young_memory_is_not_sure() {
     let first = |age| Some(Claim::First { age });
-    let young = first(keys::MEMORY / 2);
-    let old = first(keys::MEMORY);
-    assert_eq!(keys::rule(&[young, old]), Ruling::Run);
-    assert_eq!(keys::rule(&[old, Some(Claim::Taken)]), Ruling::Duplicate);
-    assert!(matches!(keys::rule(&[young, None]), Ruling::Unsure { .. }));
-    assert!(matches!(keys::rule(&[None, None]), Ruling::Unsure { .. }));
+    let young = first(keys::SURE / 2);
+    let old = first(keys::SURE);
+    let taken = Some(Claim::Taken);
+    assert_eq!(keys::rule(1, &[old]), Ruling::Run);
+    assert_eq!(keys::rule(3, &[old, old, young]), Ruling::Run);
+    assert_eq!(keys::rule(3, &[old, None, old]), Ruling::Run);
+    assert_eq!(keys::rule(3, &[old, old, taken]), Ruling::Run);
+    assert_eq!(keys::rule(3, &[old, taken, taken]), Ruling::Duplicate);
+    assert_eq!(keys::rule(3, &[old, taken, None]), Ruling::Duplicate);
+    assert_eq!(keys::rule(5, &[old, old, taken]), Ruling::Duplicate);
+    for answers in [
+        [old, young, young],
+        [old, None, None],
+        [young, young, young],
+        [None, None, None],
+    ] {
+        assert!(matches!(keys::rule(3, &answers), Ruling::Unsure { .. }));
+    }
 }
 
 #[test]
--- a/crates/wire/src/msg.rs
+++ b/crates/wire/src/msg.rs
@@ -1,37 +1,24 @@
 //! The messages that travel in datagrams.
 
 use route::keys::Claim;
-use route::keys::KeyHash;
-use route::CallNo;
+use route::keys::Claimed;
 use serde::Deserialize;
 use serde::Serialize;
 
 /// A message about an idempotency key.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum KeyMsg {
-    /// Claims a key for an attempt.
-    Claim {
-        /// The key.
-        key: KeyHash,
-        /// The attempt.
-        call: CallNo,
-    },
+    /// Claims a key for a call.
+    Claim(Claimed),
     /// Answers a claim.
     Answer {
-        /// The key.
-        key: KeyHash,
-        /// The attempt that claimed it.
-        call: CallNo,
+        /// The claim that is answered.
+        claimed: Claimed,
         /// The answer.
         claim: Claim,
     },
     /// Gives a claim up because its call certainly did not run.
-    Forget {
-        /// The key.
-        key: KeyHash,
-        /// The attempt that claimed it.
-        call: CallNo,
-    },
+    Forget(Claimed),
 }
 
 /// A message from one VM to another.
--- a/crates/wire/tests/datagrams.rs
+++ b/crates/wire/tests/datagrams.rs
@@ -2,6 +2,7 @@
 
 use base::Class;
 use route::epoch::Epoch;
+use route::keys::Claimed;
 use route::msg::Ask;
 use route::msg::Body;
 use route::msg::Kind;
@@ -90,7 +91,7 @@
 #[test]
 fn add_message_larger_than_a_datagram_goes_alone() {
     let mut datagram = Datagram::new(7);
-    let msg = Msg::Key(KeyMsg::Forget { key: 1, call: 2 });
+    let msg = Msg::Key(KeyMsg::Forget(Claimed { key: 1, call: 2 }));
     assert!(datagram.add(&msg));
     let mut big = acquire(1);
     if let Msg::Route(route::Msg {
