Have cells before a service is in force, and until after it is not

Cause: call_body_cut_by_the_server_is_not_whole_for_the_caller, which starts 16 VMs, failed in 1 of 24 runs side by side: 503 no-server for the first call. The state was published before the cells of its services, and a second task that offered the same revision returned at once while the first was still at work. A call that came in between found its service and no cell. The same holds for callers of a service that a ticket has just added.

Change: cells are published first, together with those of services that go; then the state; then the cells that are left. One lock covers it, so that whoever puts a revision in force returns when it is. What follows (messages, news) is done without the lock.

Ports of peers begin at a place that follows from the process, as test programs side by side took each other's.

--- a/crates/load/src/fleet.rs
+++ b/crates/load/src/fleet.rs
@@ -42,8 +42,11 @@
 use crate::plan::Plan;
 use crate::plan::ServicePlan;
 
-/// Ports for peers; two processes at once begin at different ones by chance.
+/// Ports for peers.
 const PORTS: Range<u16> = 10_000..30_000;
+/// Ports between the first ones of two processes whose numbers follow each
+/// other, so that tests of two processes at once do not try the same ones.
+const STRIDE: u32 = 613;
 /// The next port to try.
 static NEXT_PORT: AtomicU32 = AtomicU32::new(0);
 /// The longest time for the whole fleet to be ready.
@@ -140,7 +143,6 @@
 impl Fleet {
     /// Starts the deployment of `plan` and waits until it is ready.
     pub async fn start(plan: &Plan, start: &Start) -> anyhow::Result<Self> {
-        NEXT_PORT.fetch_add(fastrand::u32(..u32::from(PORTS.end)), Ordering::Relaxed);
         let pool = Pool::new("standin", STANDIN_THREADS);
         let clock = Clock::new();
         let local = IpAddr::V4(Ipv4Addr::LOCALHOST);
@@ -342,8 +344,10 @@
 /// Finds a port that is free for UDP and TCP, below those that the system
 /// gives to outgoing connections.
 pub fn free_port() -> anyhow::Result<SocketAddr> {
+    let first = std::process::id().wrapping_mul(STRIDE);
     for _ in PORTS {
-        let next = NEXT_PORT.fetch_add(1, Ordering::Relaxed) % PORTS.len() as u32;
+        let next = NEXT_PORT.fetch_add(1, Ordering::Relaxed);
+        let next = first.wrapping_add(next) % PORTS.len() as u32;
         let address = SocketAddr::from((Ipv4Addr::LOCALHOST, PORTS.start + next as u16));
         if TcpListener::bind(address).is_ok() && UdpSocket::bind(address).is_ok() {
             return Ok(address);
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -250,11 +250,16 @@
         let whole = view.strangers == 0;
         lock(&self.memory).set_view(&view.vms, whole, self.clock.now());
         write(&self.view, view);
-        self.refresh();
+        let one_at_a_time = lock(&self.refreshing);
+        let todos = self.refresh(read(&self.state));
+        drop(one_at_a_time);
+        self.run_all(todos);
     }
 
-    /// Puts the mirror's configuration in force on this VM.
+    /// Puts the mirror's configuration in force on this VM; when it returns, it
+    /// is, whichever task did it.
     pub(crate) fn put_in_force(&self) {
+        let one_at_a_time = lock(&self.refreshing);
         let mirror = lock(&self.mirror);
         let state = mirror.state();
         let marks = member::Marks {
@@ -263,10 +268,6 @@
         };
         let old = read(&self.state);
         let same = old.revision == state.revision && old.domains.revision == state.domains.revision;
-        if !same {
-            write(&self.state, state.clone());
-            write(&self.in_force, self.clock.now());
-        }
         drop(mirror);
         if same {
             return;
@@ -277,18 +278,23 @@
             state.services.len(),
             state.domains.revision
         );
-        self.refresh();
+        let todos = self.refresh(state);
+        drop(one_at_a_time);
+        self.run_all(todos);
         self.with_members(|members| {
             members.set_marks(marks);
             members.announce();
         });
     }
 
-    /// Brings all cells in line with the configuration and the membership.
-    fn refresh(&self) {
-        let _one_at_a_time = lock(&self.refreshing);
+    /// Brings all cells in line with `state`, which is in force from then on, and
+    /// with the membership; for the holder of `refreshing` only. What has to be
+    /// done then is returned, to be done without it.
+    ///
+    /// Calls find their service in the state and then its cells, so these are
+    /// there before a new state is, and until after an old one.
+    fn refresh(&self, state: Arc<State>) -> Vec<(Arc<Cell>, Todo)> {
         let now = self.clock.now();
-        let state = read(&self.state);
         let view = self.view();
         let table = self.table();
         let mut cells = Vec::new();
@@ -303,7 +309,23 @@
             todos.push((cell.clone(), todo));
             cells.push(cell);
         }
-        write(&self.table, Arc::new(Table::new(cells)));
+        let next = Arc::new(Table::new(cells));
+        let gone = table
+            .cells()
+            .iter()
+            .filter(|c| next.shard(c.shard).is_none());
+        let both = next.cells().iter().chain(gone).cloned().collect();
+        write(&self.table, Arc::new(Table::new(both)));
+        let fresh = !Arc::ptr_eq(&read(&self.state), &state);
+        if fresh {
+            write(&self.state, state);
+            write(&self.in_force, now);
+        }
+        write(&self.table, next);
+        todos
+    }
+
+    fn run_all(&self, todos: Vec<(Arc<Cell>, Todo)>) {
         for (cell, todo) in todos {
             self.run(&cell, todo);
         }
