Try slower servers again, and rescue calls at another server only

Cause 1: call_hedge_goes_to_another_server failed with servers that did not get warm. One of two servers had been slow at its first answer and never got another call. Of an even number of servers the upper median was what is usual, so the slower of two was its own measure; and what was learned fades, but a difference that never quite ends kept the faster one in front.

Cause 2: an idempotent call at a silent server was sent to the same server again if the service has only one (call_hedge_does_not_go_to_the_same_server). Change 2: such an attempt is a kind of its own, rescue, that goes elsewhere or nowhere.

--- a/crates/entry/src/beside.rs
+++ b/crates/entry/src/beside.rs
@@ -61,7 +61,7 @@
         let mut first = pin!(self.send(call, first, request));
         let mut lost = None;
         let hedges = call.service.hedges > 0;
-        for kind in [Kind::Hedge, Kind::Retry] {
+        for kind in [Kind::Hedge, Kind::Rescue] {
             if kind == Kind::Hedge && !hedges {
                 continue;
             }
@@ -95,7 +95,7 @@
     ) -> Option<Ended> {
         let (times, least) = match kind {
             Kind::Hedge => (HEDGE_AFTER, HEDGE_MIN),
-            Kind::First | Kind::Retry => (SILENT_AFTER, SILENT_MIN),
+            Kind::First | Kind::Retry | Kind::Rescue => (SILENT_AFTER, SILENT_MIN),
         };
         // Most calls end before it matters what is usual.
         let early = least.saturating_sub(so_far());
--- a/crates/load/tests/calls.rs
+++ b/crates/load/tests/calls.rs
@@ -462,6 +462,9 @@
     if head.contains("/stall") {
         std::thread::sleep(Duration::from_millis(500));
     }
+    if head.contains("/warm") {
+        std::thread::sleep(Duration::from_millis(2));
+    }
     whole(stream, head);
 }
 
@@ -471,7 +474,7 @@
     if head.contains("/hang") && !HUNG.swap(true, Ordering::SeqCst) {
         std::thread::sleep(Duration::from_secs(4));
     }
-    whole(stream, head);
+    stall(stream, head);
 }
 
 #[test]
@@ -496,16 +499,23 @@
     })
 }
 
-/// Sends calls that are never hedged until all servers are warm.
+/// Sends calls that are never hedged until all servers are warm, two at a time,
+/// so that the slower server gets some too.
 fn warm_up(lab: &Lab) {
-    for _ in 0..5_000 {
-        if lab.is_warm() {
-            return;
+    let calls = || {
+        for _ in 0..5_000 {
+            if lab.is_warm() {
+                return;
+            }
+            let answer = lab.call("POST", "/warm", "", "");
+            assert!(answer.ends_with("whole"), "{answer}");
         }
-        let answer = lab.call("POST", "/", "", "");
-        assert!(answer.ends_with("whole"), "{answer}");
-    }
-    panic!("the servers did not get warm");
+    };
+    std::thread::scope(|scope| {
+        scope.spawn(calls);
+        scope.spawn(calls);
+    });
+    assert!(lab.is_warm(), "the servers did not get warm");
 }
 
 #[test]
--- a/crates/route/src/choose.rs
+++ b/crates/route/src/choose.rs
@@ -3,8 +3,9 @@
 //! A server with a free slot goes before one where the call would wait. Among
 //! those, the one with the least expected time wins: its usual service time,
 //! stretched by what it already runs and by a call that has been in it
-//! suspiciously long, plus the way to another failure domain. The least
-//! recently used one wins a tie. See `docs/design/homes.md`.
+//! suspiciously long, plus the way to another failure domain. Of those that are
+//! about as good the least recently used one wins, so that a server which was
+//! slow once is tried again. See `docs/design/homes.md`.
 
 use base::Time;
 
@@ -15,6 +16,9 @@
 /// What a call to another failure domain costs in seconds, both ways.
 const DISTANCE: f64 = 0.001;
 
+/// The share by which expected times differ that count as the same.
+const ALIKE: f64 = 0.02;
+
 /// A server with room for a call.
 #[derive(Clone, Copy, Debug)]
 pub struct Candidate {
@@ -39,6 +43,12 @@
 }
 
 impl Candidate {
+    /// Returns the expected time of a call at this server, as a grade that times
+    /// which are alike share: what was learned fades, but never quite ends.
+    fn grade(&self) -> f64 {
+        (self.cost().ln() / ALIKE).floor()
+    }
+
     /// Returns the expected time of a call at this server, in seconds.
     fn cost(&self) -> f64 {
         let crowd = f64::from(self.busy) / f64::from(self.slots.max(1));
@@ -57,7 +67,7 @@
 /// Returns the place of the best candidate; `wary` calls go to a server that
 /// is not warm only if there is no other.
 pub fn best(candidates: impl Iterator<Item = Candidate>, wary: bool) -> Option<usize> {
-    let rank = |c: &Candidate| (!c.free, wary && !c.warm, c.cost(), c.used);
+    let rank = |c: &Candidate| (!c.free, wary && !c.warm, c.grade(), c.used);
     let better = |a: &Candidate, b: &Candidate| {
         let (a, b) = (rank(a), rank(b));
         (a.0, a.1)
--- a/crates/route/src/follower.rs
+++ b/crates/route/src/follower/mod.rs
@@ -6,6 +6,10 @@
 //! it uses the slots of warm servers that the rendezvous hash gives this VM,
 //! for which nobody has to be asked. See `docs/design/homes.md`.
 
+mod home;
+mod own;
+mod told;
+
 use std::time::Duration;
 
 use base::rendezvous;
@@ -17,15 +21,10 @@
 
 use crate::epoch::Epoch;
 use crate::heritage::Known;
-use crate::heritage::Sheet;
-use crate::limit::FRESH;
 use crate::msg::Ask;
 use crate::msg::Body;
 use crate::msg::CallNo;
 use crate::msg::Envelope;
-use crate::msg::Held;
-use crate::msg::Holding;
-use crate::msg::Line;
 use crate::msg::Msg;
 use crate::msg::Release;
 use crate::msg::Warmth;
@@ -38,20 +37,12 @@
 const RESEND_MAX: Duration = Duration::from_millis(120);
 /// The wait for a grant after the home said that the request waits.
 const RESEND_QUEUED: Duration = Duration::from_millis(150);
-/// The wait between two tries to join a home.
-const JOIN_PERIOD: Duration = Duration::from_millis(20);
-/// The silence after which the membership is asked to look at the home.
-const HINT_AFTER: Duration = Duration::from_millis(40);
 /// The silence after which this VM's own slots are used.
 const FALL_BACK_AFTER: Duration = Duration::from_millis(100);
 /// The time between two reports of what this VM holds.
 const REFRESH_PERIOD: Duration = Duration::from_millis(250);
 /// When a caller should try again if its call could not be placed in time.
 const EXPIRED_WAIT: Duration = Duration::from_millis(100);
-/// The shortest time that a call that was given up is thought to run on.
-const LINGER_MIN: Duration = Duration::from_millis(20);
-/// How often the home is told of a lost connection, as messages may be lost.
-const LOST_TRIES: u32 = 3;
 
 /// Where an attempt is.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -195,12 +186,6 @@
         self.following.then_some(self.seen.home)
     }
 
-    /// Returns what is known of the servers `now`, sorted by id: what the home
-    /// last told, and what this VM has seen since.
-    pub fn lines(&self, now: Time) -> impl Iterator<Item = Line> + '_ {
-        self.lines.iter().map(move |known| known.at(now))
-    }
-
     /// Returns how many attempts were placed without a home.
     pub fn alone(&self) -> u64 {
         self.alone
@@ -252,18 +237,6 @@
         }
     }
 
-    /// Forgets that a home is followed, after this VM was paused.
-    ///
-    /// What waits in its sockets may be old by now, so nothing counts until a
-    /// home answers a question that is asked from now on.
-    pub fn wake(&mut self, now: Time) {
-        self.following = false;
-        self.unsure = true;
-        if !self.calls.is_empty() {
-            self.join(now);
-        }
-    }
-
     /// Asks for a permit; the answer comes as an event.
     pub fn acquire(&mut self, ask: Ask, now: Time) -> CallNo {
         self.last += 1;
@@ -308,84 +281,13 @@
         }
     }
 
-    /// Notes that `server` closed a connection that it had just been used on.
-    ///
-    /// It has restarted, or is about to, so nobody may take it for warm.
-    pub fn lost(&mut self, server: ServerId, now: Time) {
-        self.distrust(server, Warmth::Cold);
-        let listed = self.lost.iter().any(|lost| lost.server == server);
-        if self.following && !listed {
-            self.lost.push(Lost {
-                server,
-                tries: LOST_TRIES,
-                next: now,
-            });
-            self.tell_lost(now);
-        }
-    }
-
-    /// Tells the home of lost connections as often as is due.
-    fn tell_lost(&mut self, now: Time) {
-        let epoch = self.seen;
-        let mut due = Vec::new();
-        for lost in self.lost.iter_mut().filter(|lost| now >= lost.next) {
-            lost.tries -= 1;
-            lost.next = now + RESEND_MIN;
-            due.push(lost.server);
-        }
-        self.lost.retain(|lost| lost.tries > 0);
-        if !self.following {
-            // The next home reads it in the sheet that it is sent.
-            self.lost.clear();
-            return;
-        }
-        for server in due {
-            self.send_home(Body::Lost { epoch, server });
-        }
-    }
-
-    /// Keeps this VM from using a server that just failed without a home, and
-    /// the next home from thinking it warm.
-    fn distrust(&mut self, server: ServerId, warmth: Warmth) {
-        if let Some(known) = self.known(server) {
-            known.line.warmth = known.line.warmth.min(warmth);
-            known.line.limit = 1;
-        }
-    }
-
-    fn known(&mut self, server: ServerId) -> Option<&mut Known> {
-        let found = self
-            .lines
-            .binary_search_by_key(&server, |known| known.line.server);
-        found.ok().map(|at| &mut self.lines[at])
-    }
-
-    /// Remembers an attempt that the server may still run, for the next home.
-    fn linger(&mut self, release: &Release, now: Time) {
-        let known = self.known(release.server);
-        let usual = known.map_or(Duration::ZERO, |known| known.line.usual);
-        self.lingering.retain(|lingering| now < lingering.until);
-        self.lingering.push(Lingering {
-            number: release.call,
-            server: release.server,
-            until: now + (usual * 2).max(LINGER_MIN),
-        });
-    }
-
     /// Gives up an attempt that has no permit yet.
     pub fn abandon(&mut self, call: CallNo, now: Time) {
         let server = match self.find(call).map(|at| self.calls[at].stage) {
             Some(Stage::Held(server)) => server,
             _ => 0,
         };
-        let release = Release {
-            call,
-            server,
-            outcome: Outcome::Unused,
-            took: Duration::ZERO,
-            load: None,
-        };
-        self.release(release, now);
+        self.release(Release::unused(call, server), now);
     }
 
     /// Takes a message that came from `from`.
@@ -432,14 +334,6 @@
         }
     }
 
-    fn take_lines(&mut self, source: Epoch, lines: Vec<Line>, now: Time) {
-        self.lines.clear();
-        self.lines
-            .extend(lines.into_iter().map(|line| Known::new(line, now)));
-        self.source = source;
-        self.told = now;
-    }
-
     /// Does what is due; to be called every few milliseconds unless idle.
     pub fn tick(&mut self, now: Time) {
         self.tell_lost(now);
@@ -460,96 +354,10 @@
         }
     }
 
-    fn wants_home(&self) -> bool {
-        !self.following || self.candidate != Some(self.seen.home)
-    }
-
-    fn join(&mut self, now: Time) {
-        let Some(to) = self.candidate else {
-            return;
-        };
-        self.nonce = self.nonce.wrapping_add(1).max(1);
-        self.join_at = now + JOIN_PERIOD;
-        let seen = self.seen;
-        let nonce = self.nonce;
-        self.send(to, Body::Join { seen, nonce });
-    }
-
-    fn lead(&mut self, from: VmId, epoch: Epoch, nonce: u32, now: Time) {
-        if from != epoch.home {
-            return;
-        }
-        if epoch < self.seen {
-            let seen = self.seen;
-            self.send(from, Body::Stale { seen });
-            return;
-        }
-        if self.unsure && nonce != self.nonce {
-            return;
-        }
-        let moved = epoch > self.seen || !self.following;
-        self.seen = epoch;
-        self.following = true;
-        self.unsure = false;
-        self.heard = now;
-        let body = Body::Attach {
-            epoch,
-            holding: self.holding(now),
-            sheet: Sheet {
-                source: self.source,
-                age: now.saturating_sub(self.told),
-                lines: self.lines(now).collect(),
-            },
-        };
-        self.send_home(body);
-        if moved {
-            for at in 0..self.calls.len() {
-                if let Stage::Waiting { .. } = self.calls[at].stage {
-                    self.calls[at].stage = Stage::first(now);
-                    self.send_acquire(at, now);
-                }
-            }
-        }
-    }
-
-    /// Takes the word of a VM that it is not home; nonce 0 comes from one that
-    /// was followed and has lost its ledger.
-    fn declined(&mut self, from: VmId, nonce: u32, now: Time) {
-        if nonce == self.nonce {
-            self.join_at = now + JOIN_PERIOD;
-        }
-        if nonce == 0 && self.following && from == self.seen.home {
-            self.following = false;
-            self.join(now);
-        }
-    }
-
-    /// Takes over what this VM knew as home of `epoch`, which has ended.
-    pub fn inherit(&mut self, epoch: Epoch, lines: Vec<Line>, now: Time) {
-        if epoch >= self.source {
-            self.take_lines(epoch, lines, now);
-        }
-    }
-
-    /// Returns whether a message is of the epoch that is followed.
-    fn is_current(&mut self, epoch: Epoch, now: Time) -> bool {
-        let current = self.following && epoch == self.seen;
-        if current {
-            self.heard = now;
-        }
-        current
-    }
-
     fn granted(&mut self, call: CallNo, server: ServerId) {
         let Some(at) = self.find(call) else {
             let epoch = self.seen;
-            let release = Release {
-                call,
-                server,
-                outcome: Outcome::Unused,
-                took: Duration::ZERO,
-                load: None,
-            };
+            let release = Release::unused(call, server);
             self.send_home(Body::Release { epoch, release });
             return;
         };
@@ -621,94 +429,6 @@
         }
     }
 
-    /// Looks for a home that has not answered, and does without it.
-    fn check_silence(&mut self, now: Time) {
-        let waiting = |call: &&Call| matches!(call.stage, Stage::Waiting { .. });
-        let oldest = self.calls.iter().filter(waiting).map(|call| call.since);
-        let Some(oldest) = oldest.min() else {
-            return;
-        };
-        let silent = now.saturating_sub(oldest.max(self.heard));
-        if silent >= HINT_AFTER && now >= self.hinted + HINT_AFTER {
-            self.hinted = now;
-            let home = self.home().or(self.candidate);
-            self.events.extend(home.map(Event::Silent));
-        }
-        if silent >= FALL_BACK_AFTER && !self.unsure {
-            self.use_own_slots(now);
-        }
-    }
-
-    /// Places waiting attempts on this VM's own part of the warm servers.
-    fn use_own_slots(&mut self, now: Time) {
-        for at in 0..self.calls.len() {
-            let Stage::Waiting { .. } = self.calls[at].stage else {
-                continue;
-            };
-            let Some(server) = self.own_server(&self.calls[at].ask.avoid, now) else {
-                continue;
-            };
-            if now.saturating_sub(self.calls[at].since) < FALL_BACK_AFTER {
-                continue;
-            }
-            let call = self.calls[at].number;
-            self.calls[at].stage = Stage::Held(server);
-            self.alone += 1;
-            self.events.push(Event::Granted { call, server });
-        }
-    }
-
-    /// Returns a server that is known to be warm and on which this VM has a
-    /// slot of its own that is free.
-    fn own_server(&self, avoid: &[ServerId], now: Time) -> Option<ServerId> {
-        let busy = |server: ServerId| {
-            let held = self.held().filter(|(_, at)| *at == server);
-            held.count() as u32
-        };
-        let warm = |server: ServerId| {
-            let known = self
-                .lines
-                .binary_search_by_key(&server, |known| known.line.server);
-            known.is_ok_and(|at| {
-                let line = self.lines[at].at(now);
-                line.warmth == Warmth::Warm && (line.age < FRESH || busy(server) > 0)
-            })
-        };
-        self.owned
-            .iter()
-            .filter(|(server, units)| warm(*server) && busy(*server) < *units)
-            .map(|(server, _)| *server)
-            .find(|server| !avoid.contains(server))
-    }
-
-    fn holding(&mut self, now: Time) -> Holding {
-        self.reports += 1;
-        let held = self.calls.iter().filter_map(|call| match call.stage {
-            Stage::Held(server) => Some(Held {
-                call: call.number,
-                server,
-                left: call.due.saturating_sub(now),
-            }),
-            Stage::Waiting { .. } => None,
-        });
-        let lingering = self.lingering.iter().filter(|l| now < l.until);
-        let lingering = lingering.map(|lingering| Held {
-            call: lingering.number,
-            server: lingering.server,
-            left: lingering.until.saturating_sub(now),
-        });
-        let waiting = self.calls.iter().filter_map(|call| match call.stage {
-            Stage::Waiting { .. } => Some(call.number),
-            Stage::Held(_) => None,
-        });
-        Holding {
-            number: self.reports,
-            upto: self.last,
-            held: held.chain(lingering).collect(),
-            waiting: waiting.collect(),
-        }
-    }
-
     fn send_acquire(&mut self, at: usize, now: Time) {
         let call = &self.calls[at];
         let mut ask = call.ask.clone();
--- a/crates/route/src/ledger/mod.rs
+++ b/crates/route/src/ledger/mod.rs
@@ -300,7 +300,8 @@
             self.retries.earn();
             self.hedges.earn();
         }
-        if ask.kind == Kind::Retry && !self.retries.spend() {
+        let again = matches!(ask.kind, Kind::Retry | Kind::Rescue);
+        if again && !self.retries.spend() {
             self.refuse(from, call, Why::Budget, BUDGET_WAIT);
             return;
         }
@@ -336,7 +337,9 @@
                 return;
             }
         }
-        if self.spec.open_slots() == 0 {
+        let elsewhere = waiter.ask.kind == Kind::Rescue;
+        let hopeless = elsewhere && !self.has_other(&waiter.ask.avoid);
+        if hopeless || self.spec.open_slots() == 0 {
             self.refuse(waiter.vm, waiter.call, Why::NoServer, NO_SERVER_WAIT);
             return;
         }
--- a/crates/route/src/ledger/place.rs
+++ b/crates/route/src/ledger/place.rs
@@ -13,6 +13,7 @@
 use super::Ledger;
 use crate::choose;
 use crate::choose::Candidate;
+use crate::msg::Kind;
 use crate::msg::Warmth;
 use crate::queue::Waiter;
 
@@ -48,7 +49,8 @@
         let wary = waiter.ask.class == Class::Critical;
         let fresh = all().filter(|c| !avoid.contains(&self.servers[c.at].id));
         let best = choose::best(fresh, wary);
-        if best.is_some() || spare || self.has_other(avoid) {
+        let elsewhere = spare || waiter.ask.kind == Kind::Rescue;
+        if best.is_some() || elsewhere || self.has_other(avoid) {
             return best;
         }
         choose::best(all(), wary)
--- a/crates/route/src/ledger/servers.rs
+++ b/crates/route/src/ledger/servers.rs
@@ -156,7 +156,9 @@
             .filter(|usual| *usual > 0.0)
             .collect();
         times.sort_unstable_by(f64::total_cmp);
-        if let Some(median) = times.get(times.len() / 2) {
+        // Of two servers the faster one says what is usual; the slower one would
+        // be its own measure, and never be tried again.
+        if let Some(median) = times.get(times.len().saturating_sub(1) / 2) {
             self.typical = *median;
         }
     }
--- a/crates/route/src/msg.rs
+++ b/crates/route/src/msg.rs
@@ -32,6 +32,9 @@
     Retry,
     /// One beside a slow one; it costs the hedge budget and never waits.
     Hedge,
+    /// One beside one whose server does not answer; it costs the retry budget
+    /// and goes to another server or to none.
+    Rescue,
 }
 
 /// What a permit is asked for.
@@ -140,6 +143,19 @@
     pub load: Option<Load>,
 }
 
+impl Release {
+    /// Makes the end of an attempt that was never sent to `server`.
+    pub fn unused(call: CallNo, server: ServerId) -> Self {
+        Self {
+            call,
+            server,
+            outcome: Outcome::Unused,
+            took: Duration::ZERO,
+            load: None,
+        }
+    }
+}
+
 /// All that a follower has at the home it follows.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Holding {
--- a/crates/route/tests/homes.rs
+++ b/crates/route/tests/homes.rs
@@ -138,8 +138,7 @@
         }
         world.settle(Duration::from_millis(30));
     }
-    let home = world.vms[0].follower.home().unwrap();
-    let at = world.vms.iter().position(|vm| vm.id == home).unwrap();
+    let at = world.home();
     world.pause(at);
     for vm in (0..VMS).filter(|vm| *vm != at) {
         for _ in 0..10 {
@@ -163,8 +162,7 @@
         world.acquire(at, Duration::from_secs(2));
     }
     world.settle(Duration::from_millis(60));
-    let home = world.vms[0].follower.home().unwrap();
-    let at = world.vms.iter().position(|vm| vm.id == home).unwrap();
+    let at = world.home();
     world.pause(at);
     for vm in (0..VMS).filter(|vm| *vm != at) {
         world.acquire(vm, Duration::from_secs(2));
@@ -242,8 +240,7 @@
 fn lost_connection_is_known_to_the_next_home() {
     let mut world = warm_world();
     let server = world.spec.servers[0].id;
-    let home = world.vms[0].follower.home().unwrap();
-    let at = world.vms.iter().position(|vm| vm.id == home).unwrap();
+    let at = world.home();
     let other = (at + 1) % VMS;
     world.pause(at);
     world.lost(other, server);
@@ -267,8 +264,7 @@
 #[test]
 fn acquire_after_the_home_vanished_warm_servers_bear_all_they_did() {
     let mut world = warm_world();
-    let home = world.vms[0].follower.home().unwrap();
-    let at = world.vms.iter().position(|vm| vm.id == home).unwrap();
+    let at = world.home();
     world.pause(at);
     for vm in (0..VMS).filter(|vm| *vm != at) {
         world.lead_without(vm, at);
@@ -282,8 +278,7 @@
 #[test]
 fn release_before_the_last_home_is_heard_leaves_the_server_warm() {
     let mut world = warm_world();
-    let home = world.vms[0].follower.home().unwrap();
-    let at = world.vms.iter().position(|vm| vm.id == home).unwrap();
+    let at = world.home();
     let others: Vec<_> = (0..VMS).filter(|vm| *vm != at).collect();
     let ids: Vec<_> = others.iter().map(|vm| world.vms[*vm].id).collect();
     let next = base::rendezvous::first(world.spec.shard, &ids).unwrap();
@@ -315,8 +310,7 @@
         world.acquire(at, Duration::from_secs(2));
     }
     world.settle(Duration::from_millis(60));
-    let home = world.vms[0].follower.home().unwrap();
-    let at = world.vms.iter().position(|vm| vm.id == home).unwrap();
+    let at = world.home();
     for other in (0..VMS).filter(|vm| *vm != at).take(2) {
         world.lead_without(at, other);
     }
@@ -333,8 +327,7 @@
 #[test]
 fn set_fleet_permits_of_a_silent_vm_end_with_their_calls() {
     let mut world = warm_world();
-    let home = world.vms[0].follower.home().unwrap();
-    let at = world.vms.iter().position(|vm| vm.id == home).unwrap();
+    let at = world.home();
     let silent = (at + 1) % VMS;
     for _ in 0..3 {
         world.acquire(silent, Duration::from_secs(60));
--- a/crates/route/tests/parts.rs
+++ b/crates/route/tests/parts.rs
@@ -17,15 +17,21 @@
 use route::keys::Claimed;
 use route::keys::Keys;
 use route::keys::Ruling;
+use route::ledger::Action;
+use route::ledger::Fleet;
 use route::limit::Limit;
 use route::msg::Ask;
+use route::msg::Body;
+use route::msg::Holding;
 use route::msg::Kind;
 use route::msg::Line;
+use route::msg::Release;
 use route::msg::Warmth;
 use route::queue::Queue;
 use route::queue::Waiter;
 use route::spec::share;
 use route::spec::ServerSpec;
+use route::Ledger;
 use route::Spec;
 
 const ALL: [Failure; 5] = [
@@ -347,3 +353,74 @@
     // Callers that wait for two usual times only say nothing about the server.
     assert_eq!(late(0.02), Warmth::Cold);
 }
+
+/// Lets the only VM make one call; returns its server.
+fn call_once(ledger: &mut Ledger, number: u64, took: impl Fn(u64) -> u64, now: Time) -> u64 {
+    let epoch = ledger.epoch();
+    let ask = Ask {
+        class: Class::Interactive,
+        left: Duration::from_secs(1),
+        kind: Kind::First,
+        avoid: Vec::new(),
+        domain: 0,
+    };
+    let call = number;
+    ledger.receive(1, Body::Acquire { epoch, call, ask }, now);
+    let granted = ledger.take_actions().into_iter().find_map(|action| {
+        let Action::Send(envelope) = action else {
+            return None;
+        };
+        match envelope.msg.body {
+            Body::Grant { server, .. } => Some(server),
+            _ => None,
+        }
+    });
+    let server = granted.unwrap();
+    let took = Duration::from_millis(took(server));
+    let release = Release {
+        call,
+        server,
+        outcome: Outcome::Done,
+        took,
+        load: None,
+    };
+    ledger.receive(1, Body::Release { epoch, release }, now + took);
+    server
+}
+
+#[test]
+fn acquire_slower_one_of_two_servers_is_tried_again() {
+    let two = [1, 2].map(|id| ServerSpec {
+        id,
+        ..server(2, 220)
+    });
+    let fleet = Fleet {
+        vms: &[1],
+        alive: &[1],
+        strangers: 0,
+    };
+    let mut now = Duration::from_secs(10);
+    let spec = std::sync::Arc::new(Spec::new(1, two.to_vec()));
+    let mut ledger = Ledger::new(1, Epoch::default(), spec, fleet, now);
+    let attach = Body::Attach {
+        epoch: ledger.epoch(),
+        holding: Holding::default(),
+        sheet: Sheet::default(),
+    };
+    ledger.receive(1, attach, now);
+    // Each server is slow once, and one of them is tried first.
+    let mut served = [0, 0];
+    for number in 1..1500 {
+        let count = served;
+        let took = |server: u64| match count[server as usize - 1] {
+            0 => 10 * server,
+            n => 9 + n % 3,
+        };
+        let server = call_once(&mut ledger, number, took, now);
+        served[server as usize - 1] += 1;
+        now += Duration::from_millis(25);
+        ledger.tick(now);
+    }
+    // What was learned is halved every second, so in 37 s there are some tries.
+    assert!(served.iter().all(|count| *count >= 5), "{served:?}");
+}
--- a/crates/route/tests/world/mod.rs
+++ b/crates/route/tests/world/mod.rs
@@ -121,6 +121,12 @@
         world
     }
 
+    /// Returns the place of the VM that the first one follows as home.
+    pub(crate) fn home(&self) -> usize {
+        let home = self.vms[0].follower.home().unwrap();
+        self.vms.iter().position(|vm| vm.id == home).unwrap()
+    }
+
     fn ids(&self) -> Vec<VmId> {
         self.vms.iter().map(|vm| vm.id).collect()
     }
