--- a/crates/conf/src/state.rs
+++ b/crates/conf/src/state.rs
@@ -24,9 +24,17 @@
     pub domains: Domains,
     regions: Vec<Domain>,
     ids: Vec<ServiceId>,
+    places: Vec<Vec<Place>>,
     rules: Vec<Rule>,
 }
 
+/// Where the server with an id is among those of its service.
+#[derive(Clone, Copy, Debug)]
+struct Place {
+    id: ServerId,
+    at: usize,
+}
+
 /// One rule of a service, and where the service is among the services.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 struct Rule {
@@ -43,6 +51,7 @@
         Self {
             revision: head.revision,
             rules: rules(&services),
+            places: services.iter().map(|service| places(service)).collect(),
             services,
             domains,
             regions: head.domains.clone(),
@@ -105,11 +114,10 @@
 
     /// Returns the server with `id` of `service`.
     pub fn server(&self, service: ServiceId, id: ServerId) -> Option<&Server> {
-        let service = self.service(service)?;
-        service
-            .servers
-            .iter()
-            .find(|server| server.id(&service.name) == id)
+        let at = self.ids.binary_search(&service).ok()?;
+        let places = &self.places[at];
+        let place = places.binary_search_by_key(&id, |place| place.id).ok()?;
+        self.services[at].servers.get(places[place].at)
     }
 
     /// Returns the services that would have no server left if `domain` was out.
@@ -126,6 +134,19 @@
     }
 }
 
+/// Returns where the servers of `service` are, sorted by id.
+fn places(service: &Service) -> Vec<Place> {
+    let servers = service.servers.iter().enumerate();
+    let mut places: Vec<Place> = servers
+        .map(|(at, server)| Place {
+            id: server.id(&service.name),
+            at,
+        })
+        .collect();
+    places.sort_unstable_by_key(|place| place.id);
+    places
+}
+
 fn rules(services: &[Arc<Service>]) -> Vec<Rule> {
     let mut rules: Vec<Rule> = services
         .iter()
--- a/crates/net/src/server.rs
+++ b/crates/net/src/server.rs
@@ -41,6 +41,9 @@
 /// The first bytes of an HTTP/2 connection without TLS.
 const PREFACE: &[u8] = b"PRI * HTTP/2.0";
 
+/// An answer as hyper takes it.
+type Answered = Result<Response<Deferred>, std::convert::Infallible>;
+
 /// Answers requests.
 pub trait Handler: Send + Sync + 'static {
     /// Answers one request that came from `peer`.
@@ -200,15 +203,23 @@
         looked > 0 && PREFACE.starts_with(&bytes[..looked])
     }
 
+    /// Returns what answers the requests of one connection.
+    fn answers(
+        &self,
+        peer: SocketAddr,
+    ) -> impl Fn(Request<Incoming>) -> BoxFuture<'static, Answered> + 'static {
+        let handler = self.handler.clone();
+        move |request| {
+            let answer = handler.clone().call(request, peer);
+            Box::pin(async move { Ok(answer.await.map(Deferred::new)) })
+        }
+    }
+
     async fn http1<S>(&self, stream: S, peer: SocketAddr)
     where
         S: AsyncRead + AsyncWrite + Unpin + Send + 'static,
     {
-        let handler = self.handler.clone();
-        let service = service_fn(move |request| {
-            let answer = handler.clone().call(request, peer);
-            async move { Ok::<_, std::convert::Infallible>(answer.await.map(Deferred::new)) }
-        });
+        let service = service_fn(self.answers(peer));
         let connection = conn::http1::Builder::new()
             .timer(SmolTimer::new())
             .header_read_timeout(self.limits.patience)
@@ -226,11 +237,7 @@
     where
         S: AsyncRead + AsyncWrite + Unpin + Send + 'static,
     {
-        let handler = self.handler.clone();
-        let service = service_fn(move |request| {
-            let answer = handler.clone().call(request, peer);
-            async move { Ok::<_, std::convert::Infallible>(answer.await.map(Deferred::new)) }
-        });
+        let service = service_fn(self.answers(peer));
         let connection = conn::http2::Builder::new(self.handle.clone())
             .timer(SmolTimer::new())
             .max_header_list_size(u32::try_from(self.limits.head).unwrap_or(u32::MAX))
