--- a/crates/route/benches/cost.rs
+++ b/crates/route/benches/cost.rs
@@ -9,6 +9,8 @@
 use base::VmId;
 use divan::AllocProfiler;
 use divan::Bencher;
+use route::keys::Claimed;
+use route::keys::Keys;
 use route::ledger::Fleet;
 use route::msg::Ask;
 use route::msg::Body;
@@ -146,3 +148,29 @@
         divan::black_box(base::rendezvous::partition(&keys, &vms));
     }
 }
+
+/// One claim of an idempotency key and giving it up, by the VMs of the region.
+#[divan::bench(args = FLEETS)]
+fn claim_by_vms(bencher: Bencher<'_, '_>, fleet: usize) {
+    let vms = vms(fleet);
+    let mut memory = Keys::new(vms[0], Time::ZERO);
+    memory.set_view(&vms, true, Time::ZERO);
+    let mut key = 0;
+    bencher.bench_local(|| {
+        key += 1;
+        let claimed = Claimed { key, call: key };
+        divan::black_box(memory.claim(claimed, vms[0], NOW));
+        memory.forget(claimed, vms[0]);
+    });
+}
+
+/// The memory of as many claims, one after the other.
+#[divan::bench(args = [1_000, 10_000])]
+fn claims_kept(count: u64) -> Keys {
+    let mut memory = Keys::new(1, Time::ZERO);
+    memory.set_view(&[1, 2, 3], true, Time::ZERO);
+    for key in 0..count {
+        memory.claim(Claimed { key, call: key }, 2, NOW);
+    }
+    memory
+}
--- a/crates/route/src/ledger/place.rs
+++ b/crates/route/src/ledger/place.rs
@@ -135,10 +135,14 @@
 
     /// Returns whether `server` has run a call for so long, and answered nothing
     /// since it got it, that it most likely does not answer at all.
+    ///
+    /// It may only be running long calls, so it gets one call to try it in each
+    /// such time; if that is answered, it is not stuck.
     fn is_stuck(&self, server: &Server, oldest: f64, now: Time) -> bool {
         let bound = (self.typical * STUCK).max(STUCK_MIN.as_secs_f64());
         let answered = server.limit.age(now).as_secs_f64() < oldest;
-        self.typical > 0.0 && oldest >= bound && !answered
+        let tried = now.saturating_sub(server.used).as_secs_f64() < bound;
+        self.typical > 0.0 && oldest >= bound && !answered && tried
     }
 
     pub(super) fn oldest(&self, server: &Server, now: Time) -> f64 {
--- a/crates/route/tests/parts.rs
+++ b/crates/route/tests/parts.rs
@@ -424,3 +424,65 @@
     // What was learned is halved every second, so in 37 s there are some tries.
     assert!(served.iter().all(|count| *count >= 5), "{served:?}");
 }
+
+#[test]
+fn acquire_server_with_long_calls_is_used_once_it_answers_short_ones() {
+    let fleet = Fleet {
+        vms: &[1],
+        alive: &[1],
+        strangers: 0,
+    };
+    let mut now = Duration::from_secs(10);
+    let mut spec = Spec::new(1, vec![server(4, 220)]);
+    spec.cold_limit = 4;
+    let mut ledger = Ledger::new(1, Epoch::default(), std::sync::Arc::new(spec), fleet, now);
+    let epoch = ledger.epoch();
+    let attach = Body::Attach {
+        epoch,
+        holding: Holding::default(),
+        sheet: Sheet::default(),
+    };
+    ledger.receive(1, attach, now);
+    call_once(&mut ledger, 1, |_| 10, now);
+    now += Duration::from_millis(20);
+    ledger.tick(now);
+    let ask = Ask {
+        class: Class::Interactive,
+        left: Duration::from_secs(60),
+        kind: Kind::First,
+        avoid: Vec::new(),
+        domain: 0,
+    };
+    let grants = |ledger: &mut Ledger| {
+        let grant = |action: &Action| match action {
+            Action::Send(envelope) => matches!(envelope.msg.body, Body::Grant { .. }),
+            _ => false,
+        };
+        ledger.take_actions().iter().filter(|a| grant(a)).count()
+    };
+    let mut acquire = |ledger: &mut Ledger, call, now| {
+        let ask = ask.clone();
+        ledger.receive(1, Body::Acquire { epoch, call, ask }, now);
+        grants(ledger)
+    };
+    // Two long calls begin, and nothing is answered for 20 usual times.
+    assert_eq!(acquire(&mut ledger, 2, now), 1);
+    now += Duration::from_millis(150);
+    assert_eq!(acquire(&mut ledger, 3, now), 1);
+    now += Duration::from_millis(150);
+    assert_eq!(acquire(&mut ledger, 4, now), 0, "it may not answer at all");
+    now += Duration::from_millis(60);
+    ledger.tick(now);
+    assert_eq!(grants(&mut ledger), 1, "one call tries it");
+    let release = Release {
+        call: 4,
+        server: 7,
+        outcome: Outcome::Done,
+        took: Duration::from_millis(10),
+        load: None,
+    };
+    now += Duration::from_millis(10);
+    ledger.receive(1, Body::Release { epoch, release }, now);
+    assert_eq!(acquire(&mut ledger, 5, now), 1);
+    assert_eq!(acquire(&mut ledger, 6, now), 1);
+}
