--- a/crates/route/tests/parts.rs
+++ b/crates/route/tests/parts.rs
@@ -460,7 +460,7 @@
         };
         ledger.take_actions().iter().filter(|a| grant(a)).count()
     };
-    let mut acquire = |ledger: &mut Ledger, call, now| {
+    let acquire = |ledger: &mut Ledger, call, now| {
         let ask = ask.clone();
         ledger.receive(1, Body::Acquire { epoch, call, ask }, now);
         grants(ledger)
