Let stand-ins report that they are idle, and smoke-test a silent and a returning domain

The stand-in's load report could lag, but not mislead. It may say now that the server is idle, whatever it does; a service of the smoke run does so. The limits do not use the report, so nothing changes for the calls.

--- a/crates/load/src/fleet.rs
+++ b/crates/load/src/fleet.rs
@@ -172,6 +172,7 @@
                 mean: service.mean,
                 latency: plan.latency.servers,
                 warm_after: WARM_AFTER,
+                misleads: service.misleads,
                 excess: if service.sheds {
                     Excess::Shed
                 } else {
--- a/crates/load/src/plan.rs
+++ b/crates/load/src/plan.rs
@@ -54,6 +54,9 @@
     /// Whether servers refuse what is beyond their slots.
     #[serde(default)]
     pub sheds: bool,
+    /// Whether servers report that they are idle, whatever they do.
+    #[serde(default)]
+    pub misleads: bool,
 }
 
 /// Neighbours that slow servers down for a moment.
--- a/crates/load/tests/fleet.rs
+++ b/crates/load/tests/fleet.rs
@@ -19,7 +19,7 @@
   "services": [
     { "name": "reads", "servers": 4, "slots": 2, "mean": "5ms", "deadline": "1s", "class": "critical", "hedges": 5 },
     { "name": "posts", "servers": 4, "slots": 2, "mean": "5ms", "deadline": "1s", "posts": 1.0 },
-    { "name": "sheds", "servers": 3, "slots": 2, "mean": "5ms", "deadline": "1s", "posts": 0.5, "sheds": true }
+    { "name": "sheds", "servers": 3, "slots": 2, "mean": "5ms", "deadline": "1s", "posts": 0.5, "sheds": true, "misleads": true }
   ],
   "noise": { "share": 0.1, "factor": 4.0, "period": "50ms" },
   "load": 0.5, "warmup": "300ms", "time": "1700ms"
@@ -128,6 +128,20 @@
     );
 }
 
+#[test]
+fn run_domain_falls_silent_and_another_returns_restarted() {
+    keeps_promises(
+        Policy::Home,
+        r#"{ "at": "100ms", "kind": "domain-out", "domain": "a" },
+           { "at": "200ms", "kind": "domain-restart", "domain": "a" },
+           { "at": "400ms", "kind": "domain-freeze", "domain": "c", "on": true },
+           { "at": "600ms", "kind": "load", "factor": 0.1 },
+           { "at": "900ms", "kind": "load", "factor": 1.0 },
+           { "at": "1s", "kind": "domain-in", "domain": "a" },
+           { "at": "1500ms", "kind": "domain-freeze", "domain": "c", "on": false }"#,
+    );
+}
+
 #[test]
 fn run_baselines() {
     for policy in [
--- a/crates/standin/src/backend.rs
+++ b/crates/standin/src/backend.rs
@@ -202,8 +202,11 @@
         }
     }
 
-    /// Returns the load as it is reported: as it was a while ago.
+    /// Returns the load as it is reported: as it was a while ago, or none.
     fn load(&self) -> (usize, usize) {
+        if self.model.misleads {
+            return (0, 0);
+        }
         let now = self.clock.now();
         let mut state = self.lock();
         if now >= state.reported_at + self.model.lag {
--- a/crates/standin/src/model.rs
+++ b/crates/standin/src/model.rs
@@ -39,6 +39,8 @@
     pub latency: Duration,
     /// By how much its load report lags.
     pub lag: Duration,
+    /// Whether its load report says that it is idle, whatever it does.
+    pub misleads: bool,
     /// The size of its answers in bytes.
     pub answer: usize,
     /// The seed of its service times.
@@ -60,6 +62,7 @@
             fall: Duration::from_secs(1),
             latency: Duration::ZERO,
             lag: Duration::from_millis(10),
+            misleads: false,
             answer: 64,
             seed: 1,
         }
