--- a/crates/route/tests/homes.rs
+++ b/crates/route/tests/homes.rs
@@ -246,11 +246,8 @@
     world.lost(other, server);
     world.lose_all();
     // The paused home is silent until all have turned to another one.
-    let alive: Vec<_> = (0..VMS).filter(|vm| *vm != at).collect();
-    for vm in &alive {
-        world.lead_without(*vm, at);
-    }
-    for vm in alive {
+    world.all_lead_without(at);
+    for vm in (0..VMS).filter(|vm| *vm != at) {
         for _ in 0..4 {
             world.acquire(vm, Duration::from_secs(20));
         }
@@ -266,9 +263,7 @@
     let mut world = warm_world();
     let at = world.home();
     world.pause(at);
-    for vm in (0..VMS).filter(|vm| *vm != at) {
-        world.lead_without(vm, at);
-    }
+    world.all_lead_without(at);
     for _ in 0..4 {
         world.step(15, 0);
     }
@@ -288,9 +283,7 @@
         world.step(15, 0);
     }
     world.pause(at);
-    for vm in &others {
-        world.lead_without(*vm, at);
-    }
+    world.all_lead_without(at);
     // One VM follows the new home and ends its call before the others do.
     world.acquire(early, Duration::from_secs(2));
     world.deliver_between(early);
--- a/crates/route/tests/world/mod.rs
+++ b/crates/route/tests/world/mod.rs
@@ -239,6 +239,13 @@
         self.collect(at);
     }
 
+    /// Lets all others know that `dead` does not answer any more.
+    pub(crate) fn all_lead_without(&mut self, dead: usize) {
+        for at in (0..VMS).filter(|at| *at != dead) {
+            self.lead_without(at, dead);
+        }
+    }
+
     /// Lets a VM know that `dead` does not answer any more.
     pub(crate) fn lead_without(&mut self, at: usize, dead: usize) {
         let gone = self.vms[dead].id;
