--- a/crates/load/src/targets.rs
+++ b/crates/load/src/targets.rs
@@ -121,7 +121,7 @@
     plan.events.clear();
     if scope.quick {
         plan.warmup = Duration::from_millis(1500);
-        plan.time = Duration::from_secs(4);
+        plan.time = Duration::from_millis(3200);
     } else {
         plan.warmup = Duration::from_secs(2);
         plan.time = Duration::from_secs(10);
