Keep in one place what stood twice

When a server is thought not to answer (20 usual times, at least 100 ms) is one policy that the home and the path of a call follow; it stood in both, and stands in route::limit now. A follower finds what it knows of a server in one function. The table of connections kept each server's id beside a pool that knows it. Losses are not gathered when no home is followed that could be told. Behaviour stays as it is; no check is changed.

--- a/crates/entry/src/beside.rs
+++ b/crates/entry/src/beside.rs
@@ -12,6 +12,8 @@
 use std::task::Poll;
 use std::time::Duration;
 
+use route::limit::SILENT;
+use route::limit::SILENT_MIN;
 use route::msg::Kind;
 
 use crate::proxy::Call;
@@ -24,10 +26,6 @@
 const HEDGE_AFTER: f64 = 2.5;
 /// The shortest wait before a call is hedged.
 const HEDGE_MIN: Duration = Duration::from_millis(2);
-/// Usual service times after which a server is thought not to answer.
-const SILENT_AFTER: f64 = 20.0;
-/// The shortest wait before a server is thought not to answer.
-const SILENT_MIN: Duration = Duration::from_millis(100);
 
 /// The end of one attempt.
 type Ended = Result<Served, Missed>;
@@ -95,7 +93,7 @@
     ) -> Option<Ended> {
         let (times, least) = match kind {
             Kind::Hedge => (HEDGE_AFTER, HEDGE_MIN),
-            Kind::First | Kind::Retry | Kind::Rescue => (SILENT_AFTER, SILENT_MIN),
+            Kind::First | Kind::Retry | Kind::Rescue => (SILENT, SILENT_MIN),
         };
         // Most calls end before it matters what is usual.
         let early = least.saturating_sub(so_far());
--- a/crates/entry/src/pool.rs
+++ b/crates/entry/src/pool.rs
@@ -50,16 +50,9 @@
 /// Where servers are told that closed an idle connection.
 type Lost = async_channel::Sender<ServerId>;
 
-/// The connections to one server, with the server.
-#[derive(Clone)]
-struct Named {
-    id: ServerId,
-    pool: Arc<Pool>,
-}
-
 /// The connections to all servers, in shards sorted by server.
 pub struct Pools {
-    shards: Vec<Mutex<Vec<Named>>>,
+    shards: Vec<Mutex<Vec<Arc<Pool>>>>,
     handle: Handle,
     clock: Clock,
     lost: Lost,
@@ -200,7 +193,7 @@
     pub fn sweep(&self, now: Time) {
         for shard in &self.shards {
             let pools = lock(shard).clone();
-            for Named { pool, .. } in pools {
+            for pool in pools {
                 pool.remove_idle(now, |idle| now >= idle.since + IDLE_MAX);
             }
         }
@@ -213,15 +206,11 @@
 
     fn pool(&self, id: ServerId) -> Arc<Pool> {
         let mut shard = lock(&self.shards[(id % SHARDS as u64) as usize]);
-        match shard.binary_search_by_key(&id, |named| named.id) {
-            Ok(at) => shard[at].pool.clone(),
+        match shard.binary_search_by_key(&id, |pool| pool.id) {
+            Ok(at) => shard[at].clone(),
             Err(at) => {
                 let pool = Arc::new(Pool::new(id, self.lost.clone()));
-                let named = Named {
-                    id,
-                    pool: pool.clone(),
-                };
-                shard.insert(at, named);
+                shard.insert(at, pool.clone());
                 pool
             }
         }
--- a/crates/route/src/follower/home.rs
+++ b/crates/route/src/follower/home.rs
@@ -149,6 +149,11 @@
 
     /// Tells the home of lost connections as often as is due.
     pub(super) fn tell_lost(&mut self, now: Time) {
+        if !self.following {
+            // The next home reads it in the sheet that it is sent.
+            self.lost.clear();
+            return;
+        }
         let epoch = self.seen;
         let mut due = Vec::new();
         for lost in self.lost.iter_mut().filter(|lost| now >= lost.next) {
@@ -157,11 +162,6 @@
             due.push(lost.server);
         }
         self.lost.retain(|lost| lost.tries > 0);
-        if !self.following {
-            // The next home reads it in the sheet that it is sent.
-            self.lost.clear();
-            return;
-        }
         for server in due {
             self.send_home(Body::Lost { epoch, server });
         }
--- a/crates/route/src/follower/own.rs
+++ b/crates/route/src/follower/own.rs
@@ -41,10 +41,7 @@
             held.count() as u32
         };
         let warm = |server: ServerId| {
-            let known = self
-                .lines
-                .binary_search_by_key(&server, |known| known.line.server);
-            known.is_ok_and(|at| {
+            self.place(server).is_some_and(|at| {
                 let line = self.lines[at].at(now);
                 line.warmth == Warmth::Warm && (line.age < FRESH || busy(server) > 0)
             })
--- a/crates/route/src/follower/told.rs
+++ b/crates/route/src/follower/told.rs
@@ -44,11 +44,16 @@
         }
     }
 
-    pub(super) fn known(&mut self, server: ServerId) -> Option<&mut Known> {
+    /// Returns the place of what is known of `server`.
+    pub(super) fn place(&self, server: ServerId) -> Option<usize> {
         let found = self
             .lines
             .binary_search_by_key(&server, |known| known.line.server);
-        found.ok().map(|at| &mut self.lines[at])
+        found.ok()
+    }
+
+    pub(super) fn known(&mut self, server: ServerId) -> Option<&mut Known> {
+        self.place(server).map(|at| &mut self.lines[at])
     }
 
     /// Keeps this VM from using a server that just failed without a home, and
--- a/crates/route/src/ledger/place.rs
+++ b/crates/route/src/ledger/place.rs
@@ -13,16 +13,12 @@
 use super::Ledger;
 use crate::choose;
 use crate::choose::Candidate;
+use crate::limit::SILENT;
+use crate::limit::SILENT_MIN;
 use crate::msg::Kind;
 use crate::msg::Warmth;
 use crate::queue::Waiter;
 
-/// Usual service times for which a server may run a call without answering any
-/// before it gets no more calls.
-const STUCK: f64 = 20.0;
-/// The shortest time for which it may do so.
-const STUCK_MIN: Duration = Duration::from_millis(100);
-
 impl Ledger {
     /// Returns how long a request waits that has `ahead` others before it.
     pub(super) fn wait_of(&self, ahead: usize) -> Duration {
@@ -139,7 +135,7 @@
     /// It may only be running long calls, so it gets one call to try it in each
     /// such time; if that is answered, it is not stuck.
     fn is_stuck(&self, server: &Server, oldest: f64, now: Time) -> bool {
-        let bound = (self.typical * STUCK).max(STUCK_MIN.as_secs_f64());
+        let bound = (self.typical * SILENT).max(SILENT_MIN.as_secs_f64());
         let answered = server.limit.age(now).as_secs_f64() < oldest;
         let tried = now.saturating_sub(server.used).as_secs_f64() < bound;
         self.typical > 0.0 && oldest >= bound && !answered && tried
--- a/crates/route/src/limit.rs
+++ b/crates/route/src/limit.rs
@@ -48,6 +48,11 @@
 /// it was. A connection that a server closes sooner after its last use tells of
 /// a restart; one that was idle for longer may just have been idle too long.
 pub const FRESH: Duration = Duration::from_secs(4);
+/// Usual service times for which a server may leave a call without an answer
+/// until it is thought not to answer at all.
+pub const SILENT: f64 = 20.0;
+/// The shortest time for which it may do so.
+pub const SILENT_MIN: Duration = Duration::from_millis(100);
 /// The age at which half of what was learned about a server's speed counts.
 const HALF_LIFE: f64 = 1.0;
 
