--- a/crates/admin/src/api.rs
+++ b/crates/admin/src/api.rs
@@ -2,7 +2,6 @@
 
 use std::net::SocketAddr;
 use std::sync::atomic::AtomicBool;
-use std::sync::atomic::Ordering;
 use std::sync::Arc;
 use std::time::SystemTime;
 use std::time::UNIX_EPOCH;
@@ -32,6 +31,7 @@
 use crate::access::Access;
 use crate::access::Caller;
 use crate::reply;
+use crate::watch;
 
 /// The largest ticket, in bytes.
 const TICKET_MAX: usize = 8 << 20;
@@ -101,7 +101,7 @@
         let path = parts.uri.path().trim_matches('/').to_owned();
         match path.as_str() {
             "healthz" => return reply::text(StatusCode::OK, "ok\n"),
-            "readyz" => return self.readiness(),
+            "readyz" => return watch::readiness(&self.ready, &self.shared),
             _ => {}
         }
         let Some(caller) = self.access.caller(&parts.headers) else {
@@ -128,19 +128,6 @@
         }
     }
 
-    fn readiness(&self) -> Response<Body> {
-        let ready = self.ready.load(Ordering::SeqCst);
-        if ready && self.shared.state().revision > 0 {
-            return reply::text(StatusCode::OK, "ready\n");
-        }
-        let text = if ready {
-            "no configuration is in force yet\n"
-        } else {
-            "stopping\n"
-        };
-        reply::text(StatusCode::SERVICE_UNAVAILABLE, text)
-    }
-
     async fn look(&self, asked: &Asked<'_>) -> Response<Body> {
         let shared = &self.shared;
         match asked.parts.as_slice() {
--- a/crates/admin/src/lib.rs
+++ b/crates/admin/src/lib.rs
@@ -19,5 +19,6 @@
 pub mod access;
 pub mod api;
 pub mod reply;
+pub mod watch;
 
 pub use api::serve;
--- a/crates/base/src/call.rs
+++ b/crates/base/src/call.rs
@@ -42,6 +42,8 @@
 pub enum Outcome {
     /// A whole answer came back.
     Done,
+    /// A whole answer came back that says that the server failed.
+    Failed,
     /// The server refused the call and said that it did not run it.
     Shed,
     /// The connection could not be made, so nothing was sent.
--- a/crates/base/src/lib.rs
+++ b/crates/base/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod clock;
 pub mod hash;
 pub mod id;
+pub mod marks;
 pub mod rendezvous;
 pub mod units;
 
--- a/crates/conf/src/lib.rs
+++ b/crates/conf/src/lib.rs
@@ -6,22 +6,29 @@
 //! See `docs/design/configuration.md`.
 
 pub mod accept;
+pub mod catalog;
 pub mod domains;
 pub mod fault;
 pub mod head;
+pub mod layout;
 pub mod mirror;
 pub mod read;
+pub mod registry;
 pub mod server;
 pub mod service;
 pub mod settings;
 pub mod state;
 pub mod ticket;
 
+pub use catalog::Catalog;
 pub use domains::Domains;
 pub use fault::Fault;
 pub use fault::Faults;
 pub use head::Head;
+pub use layout::Layout;
+pub use layout::Mapping;
 pub use mirror::Mirror;
+pub use registry::Registry;
 pub use server::Server;
 pub use service::Service;
 pub use settings::Settings;
--- a/crates/conf/src/server.rs
+++ b/crates/conf/src/server.rs
@@ -43,6 +43,16 @@
     /// Whether it takes new work.
     #[serde(default)]
     pub mode: Mode,
+    /// The name that the server itself goes by; its [`Server::name`] if empty.
+    #[serde(skip)]
+    pub instance: String,
+    /// A number that changes whenever the server says that it is cold; 0 if it
+    /// is not.
+    #[serde(skip)]
+    pub cold: u64,
+    /// Whether the server announces itself, and so would say if it was cold.
+    #[serde(skip)]
+    pub watched: bool,
     /// The ticket that wrote this server; operators leave it out.
     #[serde(default, skip_serializing_if = "is_zero")]
     pub ticket: TicketNo,
@@ -66,10 +76,22 @@
             slots,
             connections: CONNECTIONS,
             mode: Mode::Active,
+            instance: String::new(),
+            cold: 0,
+            watched: false,
             ticket: 0,
         }
     }
 
+    /// Returns the name that the server itself goes by.
+    pub fn instance(&self) -> &str {
+        if self.instance.is_empty() {
+            &self.name
+        } else {
+            &self.instance
+        }
+    }
+
     /// Returns the id of this server of `service`.
     pub fn id(&self, service: &str) -> ServerId {
         base::id::server(service, &self.name)
--- a/crates/conf/src/service.rs
+++ b/crates/conf/src/service.rs
@@ -16,6 +16,8 @@
 use crate::server::is_zero;
 use crate::server::Server;
 
+/// Servers that a call may be sent to where no route says otherwise.
+const ATTEMPTS_MAX: u32 = 3;
 /// The longest deadline that a service may have.
 const DEADLINE_MAX: Duration = Duration::from_secs(600);
 
@@ -118,7 +120,7 @@
 
 /// One service and all its backend servers.
 #[serde_as]
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Service {
     /// The name, unique in the deployment.
     pub name: String,
@@ -152,6 +154,13 @@
     /// How servers are asked for their health.
     #[serde(default)]
     pub probe: Probe,
+    /// Calls a second that a cold server bears; 0 for no such bound.
+    #[serde(default, skip_serializing_if = "is_none")]
+    pub cold_rate: f64,
+    /// Connections that each server bears from the whole fleet, where servers
+    /// announce themselves; 0 if tickets name it for each server.
+    #[serde(default, skip_serializing_if = "is_unset")]
+    pub connections: u32,
     /// The backend servers.
     pub servers: Vec<Server>,
     /// The ticket that wrote this service; operators leave it out.
@@ -163,6 +172,14 @@
     true
 }
 
+fn is_none(rate: &f64) -> bool {
+    *rate == 0.0
+}
+
+fn is_unset(connections: &u32) -> bool {
+    *connections == 0
+}
+
 fn retry_percent() -> u32 {
     10
 }
@@ -185,6 +202,8 @@
             hedges: 0,
             cold: Cold::default(),
             probe: Probe::default(),
+            cold_rate: 0.0,
+            connections: 0,
             servers: Vec::new(),
             ticket: 0,
         }
@@ -281,9 +300,12 @@
             method,
             "GET" | "HEAD" | "OPTIONS" | "PUT" | "DELETE" | "TRACE"
         );
+        let deadline = route.and_then(|r| r.deadline).unwrap_or(self.deadline);
         Rule {
             class: route.and_then(|r| r.class).unwrap_or(self.class),
-            deadline: route.and_then(|r| r.deadline).unwrap_or(self.deadline),
+            deadline,
+            target: deadline,
+            attempts: ATTEMPTS_MAX,
             idempotent: route.and_then(|r| r.idempotent).unwrap_or(by_method),
         }
     }
@@ -306,4 +328,9 @@
     pub deadline: Duration,
     /// Whether it may run twice.
     pub idempotent: bool,
+    /// The time within which an answer is worth most to the caller; the
+    /// deadline where nobody said less.
+    pub target: Duration,
+    /// The most servers that it may be sent to.
+    pub attempts: u32,
 }
--- a/crates/conf/src/settings.rs
+++ b/crates/conf/src/settings.rs
@@ -148,11 +148,42 @@
     pub file: Option<PathBuf>,
 }
 
+/// Which interface the platform has.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Interface {
+    /// The object API of this product's own tickets.
+    #[default]
+    Tickets,
+    /// The users' platform: operators and servers write to it themselves.
+    Registry,
+}
+
 /// The platform's object API.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Platform {
     /// Its address.
     pub address: SocketAddr,
+    /// Which interface it has.
+    #[serde(default)]
+    pub interface: Interface,
+}
+
+/// Where the balancer in front and the collector of metrics ask, without a
+/// token.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Watch {
+    /// The address for the question whether callers should be sent here.
+    pub ready: SocketAddr,
+    /// The path of that question.
+    #[serde(default = "ready_path")]
+    pub path: String,
+    /// The address that serves `/metrics`, also without a token.
+    pub metrics: SocketAddr,
+}
+
+fn ready_path() -> String {
+    "/readyz".into()
 }
 
 /// How logs are written to the standard error.
@@ -222,12 +253,25 @@
     pub admin: Admin,
     /// The platform's object API.
     pub platform: Platform,
+    /// Where readiness and metrics are asked for without a token.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub watch: Option<Watch>,
+    /// How long the VM goes on serving after it has said that it is not ready,
+    /// so that the balancer in front has seen it.
+    #[serde_as(as = "Span")]
+    #[serde(default = "notice")]
+    pub notice: Duration,
     /// How servers are chosen.
     #[serde(default)]
     pub policy: Policy,
     /// Threads that carry calls; as many as there are cores if left out.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub threads: Option<usize>,
+    /// The time after which a VM that fell silent is forgotten, if no list of
+    /// the platform says so before.
+    #[serde_as(as = "Span")]
+    #[serde(default = "forget_time")]
+    pub forget: Duration,
     /// The longest time that a planned stop waits for calls in flight.
     #[serde_as(as = "Span")]
     #[serde(default = "drain_time")]
@@ -240,6 +284,14 @@
     pub traces: Traces,
 }
 
+fn notice() -> Duration {
+    Duration::from_millis(500)
+}
+
+fn forget_time() -> Duration {
+    Duration::from_secs(3600)
+}
+
 fn drain_time() -> Duration {
     Duration::from_secs(30)
 }
--- a/crates/conf/src/state.rs
+++ b/crates/conf/src/state.rs
@@ -5,11 +5,16 @@
 use base::Revision;
 use base::ServerId;
 use base::ServiceId;
+use base::TicketNo;
 
 use crate::domains::Domains;
 use crate::head::Head;
+use crate::layout::CallerLimits;
+use crate::layout::Layout;
+use crate::layout::Mapping;
 use crate::server::Mode;
 use crate::server::Server;
+use crate::service::Rule;
 use crate::service::Service;
 use crate::ticket::Domain;
 
@@ -25,7 +30,19 @@
     regions: Vec<Domain>,
     ids: Vec<ServiceId>,
     places: Vec<Vec<Place>>,
-    rules: Vec<Rule>,
+    rules: Vec<Prefix>,
+    layout: Option<Arc<Layout>>,
+}
+
+/// Where a call goes and how it is treated there.
+#[derive(Clone, Copy, Debug)]
+pub struct Found<'a> {
+    /// The service.
+    pub service: &'a Service,
+    /// The route, where a layout is in force.
+    pub mapping: Option<&'a Mapping>,
+    /// How the call is treated.
+    pub rule: Rule,
 }
 
 /// Where the server with an id is among those of its service.
@@ -35,9 +52,9 @@
     at: usize,
 }
 
-/// One rule of a service, and where the service is among the services.
+/// One prefix, and where the service or the route that it belongs to is.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
-struct Rule {
+struct Prefix {
     host: Option<String>,
     prefix: String,
     at: usize,
@@ -56,24 +73,106 @@
             domains,
             regions: head.domains.clone(),
             ids,
+            layout: None,
+        }
+    }
+
+    /// Makes the state of `layout`, whose servers all stand in `region`.
+    pub fn of_layout(
+        revision: Revision,
+        layout: &Arc<Layout>,
+        services: Vec<Arc<Service>>,
+        domains: Domains,
+        region: &str,
+    ) -> Self {
+        let servers = services.iter().flat_map(|service| &service.servers);
+        let mut names: Vec<&str> = servers.map(|server| server.domain.as_str()).collect();
+        names.sort_unstable();
+        names.dedup();
+        let regions = names.into_iter().map(|name| Domain {
+            name: name.into(),
+            region: region.into(),
+            ticket: 0,
+        });
+        let head = Head {
+            revision,
+            domains: regions.collect(),
+            ..Head::default()
+        };
+        let mut rules: Vec<Prefix> = layout
+            .mappings
+            .iter()
+            .enumerate()
+            .map(|(at, mapping)| Prefix {
+                host: Some(mapping.host.clone()),
+                prefix: mapping.prefix.clone(),
+                at,
+            })
+            .collect();
+        rules.sort_unstable();
+        Self {
+            rules,
+            layout: Some(layout.clone()),
+            ..Self::new(&head, services, domains)
         }
     }
 
+    /// Returns whether any configuration is in force.
+    pub fn is_known(&self) -> bool {
+        self.revision > 0
+    }
+
+    /// Returns the ticket of the layout in force, 0 where there is none.
+    pub fn ticket(&self) -> TicketNo {
+        self.layout.as_ref().map_or(0, |layout| layout.ticket)
+    }
+
+    /// Returns what callers may send, where a layout says so.
+    pub fn limits(&self) -> Option<CallerLimits> {
+        self.layout.as_ref()?.limits
+    }
+
+    /// Returns where a call goes; `draw` from 0 to 1 chooses among the services
+    /// of a route.
+    pub fn route(&self, host: &str, path: &str, method: &str, draw: f64) -> Option<Found<'_>> {
+        let at = self.locate(host, path)?;
+        let Some(layout) = &self.layout else {
+            let service = self.services[at].as_ref();
+            return Some(Found {
+                service,
+                mapping: None,
+                rule: service.rule(method, path),
+            });
+        };
+        let mapping = &layout.mappings[at];
+        let service = self.service(base::id::service(mapping.pick(draw)?))?;
+        Some(Found {
+            service,
+            mapping: Some(mapping),
+            rule: mapping.rule(),
+        })
+    }
+
     /// Returns the service with `id`.
     pub fn service(&self, id: ServiceId) -> Option<&Service> {
         let at = self.ids.binary_search(&id).ok()?;
         Some(&self.services[at])
     }
 
-    /// Returns the service that a call to `host` and `path` is for: the one
-    /// with the longest prefix, a rule with a host before one without.
+    /// Returns the service that a call to `host` and `path` is for, where no
+    /// layout is in force.
     pub fn find(&self, host: &str, path: &str) -> Option<&Service> {
+        self.services.get(self.locate(host, path)?).map(Arc::as_ref)
+    }
+
+    /// Returns the place of the service or route that a call to `host` and
+    /// `path` is for: the one with the longest prefix, one with a host before
+    /// one without.
+    fn locate(&self, host: &str, path: &str) -> Option<usize> {
         let bare = host.rsplit_once(':').map_or(host, |(name, _)| name);
-        let at = self
-            .longest(Some(bare), path)
+        self.longest(Some(bare), path)
             .or_else(|| self.longest(Some(host), path))
-            .or_else(|| self.longest(None, path))?;
-        Some(&self.services[at])
+            .or_else(|| self.longest(None, path))
     }
 
     /// Returns the service whose rule for `host` has the longest prefix of
@@ -147,12 +246,12 @@
     places
 }
 
-fn rules(services: &[Arc<Service>]) -> Vec<Rule> {
-    let mut rules: Vec<Rule> = services
+fn rules(services: &[Arc<Service>]) -> Vec<Prefix> {
+    let mut rules: Vec<Prefix> = services
         .iter()
         .enumerate()
         .flat_map(|(at, service)| {
-            service.matches.iter().map(move |known| Rule {
+            service.matches.iter().map(move |known| Prefix {
                 host: known.host.clone(),
                 prefix: known.prefix.clone(),
                 at,
--- a/crates/conf/src/ticket.rs
+++ b/crates/conf/src/ticket.rs
@@ -34,7 +34,7 @@
 }
 
 /// A ticket: the whole new state of everything it touches.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Ticket {
     /// The number; a ticket never changes once it has one.
     #[serde(rename = "ticket")]
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -5,12 +5,15 @@
 
 use std::path::PathBuf;
 use std::process::ExitCode;
+use std::sync::Arc;
 
 use anyhow::Context;
 use async_signal::Signal;
 use async_signal::Signals;
+use conf::settings::Interface;
 use conf::Settings;
 use futures_lite::StreamExt;
+use net::Pool;
 use net::Stop;
 use node::Node;
 use node::Options;
@@ -99,11 +102,29 @@
     let _logs = obs::logs::start(&settings.logs.level, settings.logs.json)
         .context("logs.level is not a level or filter; write \"info\"")?;
     let mut signals = Signals::new([Signal::Term, Signal::Int])?;
-    let node = Node::start(settings, Options::default()).await?;
+    let pool = Node::pool_of(&settings);
+    let options = options(&settings, &pool);
+    let node = Node::start_on(pool, settings, options).await?;
     let stop = Stop::new();
     admin::serve(&node, stop.clone()).await?;
+    admin::watch::serve(&node, stop.clone()).await?;
     let _ = signals.next().await;
     let ended = node.stop().await;
     stop.give();
     Ok(ended)
 }
+
+/// Chooses the adapter of the platform that the settings name.
+fn options(settings: &Settings, pool: &Pool) -> Options {
+    match settings.platform.interface {
+        Interface::Tickets => Options::default(),
+        Interface::Registry => {
+            let client = platform::Client::new(settings.platform.address, pool.handle());
+            Options {
+                registry: Some(Arc::new(client)),
+                dialect: Some(Arc::new(platform::Fields)),
+                ..Options::default()
+            }
+        }
+    }
+}
--- a/crates/entry/src/answer.rs
+++ b/crates/entry/src/answer.rs
@@ -3,13 +3,13 @@
 use std::time::Duration;
 
 use http::header;
-use http::HeaderMap;
 use http::HeaderValue;
 use http::Response;
 use http::StatusCode;
 use net::body;
 use net::Body;
 
+use crate::dialect::Dialect;
 use crate::headers;
 
 /// What a caller is told about its call.
@@ -88,7 +88,7 @@
     }
 
     /// Makes the response.
-    pub fn into_response(self, vm: &HeaderValue) -> Response<Body> {
+    pub fn into_response(self, vm: &HeaderValue, dialect: &dyn Dialect) -> Response<Body> {
         let problem = Problem {
             status: self.status.as_u16(),
             outcome: self.told.name(),
@@ -107,17 +107,8 @@
         fields.insert(headers::OUTCOME, HeaderValue::from_static(self.told.name()));
         fields.insert(headers::REASON, HeaderValue::from_static(self.reason));
         if let Some(after) = self.after {
-            set_after(fields, after);
+            dialect.set_retry(fields, after);
         }
         response
     }
 }
-
-fn set_after(fields: &mut HeaderMap, after: Duration) {
-    let millis = u64::try_from(after.as_millis()).unwrap_or(u64::MAX);
-    fields.insert(headers::RETRY_AFTER_MS, HeaderValue::from(millis));
-    fields.insert(
-        header::RETRY_AFTER,
-        HeaderValue::from(millis.div_ceil(1000).max(1)),
-    );
-}
--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -4,24 +4,37 @@
 use std::time::Duration;
 
 use base::Outcome;
+use bytes::Bytes;
+use bytes::BytesMut;
 use conf::Server;
-use http::HeaderMap;
+use http::response::Parts;
+use http::HeaderValue;
 use http::Request;
 use http::Response;
 use http::StatusCode;
+use http_body_util::BodyExt;
+use hyper::body::Body as _;
 use hyper::body::Incoming;
+use net::body;
 use net::timeout;
 use net::Body;
 use route::attempts::Failure;
-use route::msg::Load;
 use route::spec;
 
+use crate::dialect::Dialect;
+use crate::dialect::Reply;
 use crate::guard::Guard;
-use crate::headers;
 use crate::pool::Conn;
 use crate::pool::Pools;
 use crate::ports::Permit;
 use crate::ports::Ports;
+use crate::request::KEPT_MAX;
+use crate::tracked::Settle;
+
+/// The largest answer that is read whole before its head is passed on, in
+/// bytes, so that one that breaks can be asked for again. It is the size up to
+/// which requests are kept, see [`crate::request`].
+const GATHERED_MAX: usize = KEPT_MAX;
 
 /// What an attempt needs.
 pub struct Attempt {
@@ -29,6 +42,10 @@
     pub ports: Arc<dyn Ports>,
     /// The connections.
     pub pools: Arc<Pools>,
+    /// The fields by which servers are spoken to.
+    pub dialect: Arc<dyn Dialect>,
+    /// The id of the call, which the answer has to bear.
+    pub id: Option<HeaderValue>,
     /// The server.
     pub server: Server,
     /// Whether it is called as HTTP/2.
@@ -39,14 +56,27 @@
     pub left: Duration,
 }
 
-/// The head of a server's answer, with all that its body still holds.
+/// The body of a server's answer.
+pub enum Content {
+    /// It has come whole.
+    Whole(Bytes),
+    /// It is still coming, after `prefix`.
+    Stream {
+        /// What has come already.
+        prefix: Bytes,
+        /// The rest.
+        rest: Incoming,
+        /// What has to be settled when it ends.
+        settle: Box<Settle>,
+    },
+}
+
+/// The head of a server's answer, with its body.
 pub struct Head {
-    /// The answer.
-    pub response: Response<Incoming>,
-    /// The permit.
-    pub guard: Guard,
-    /// The connection that the body comes on.
-    pub conn: Conn,
+    /// The head.
+    pub parts: Parts,
+    /// The body.
+    pub content: Content,
     /// The time from sending the request to the head.
     pub took: Duration,
 }
@@ -114,44 +144,125 @@
                 guard.end(outcome);
                 Err(Failed::new(failure, failed.unsent, text))
             }
-            Some(Ok(response)) => self.check(response, guard, conn),
+            Some(Ok(response)) => self.check(response, guard, conn).await,
         }
     }
 
-    /// Tells an answer from a refusal that means the call was not run.
-    fn check(
+    /// Tells the answer to the call from what else may come, and reads it.
+    async fn check(
         &self,
         response: Response<Incoming>,
         mut guard: Guard,
         conn: Conn,
     ) -> Result<Head, Failed> {
-        guard.set_load(load(response.headers()));
-        let refused = response.status() == StatusCode::SERVICE_UNAVAILABLE;
-        if refused && response.headers().contains_key(headers::NOT_RUN) {
-            guard.end(Outcome::Shed);
-            return Err(Failed::new(Failure::Shed, None, "the server refused it"));
+        let (parts, incoming) = response.into_parts();
+        guard.set_load(self.dialect.load(&parts.headers));
+        match self.dialect.judge(self.id.as_ref(), &parts) {
+            Reply::Answer => {}
+            Reply::Refused => {
+                guard.end(Outcome::Shed);
+                self.reuse(incoming, conn).await;
+                return Err(Failed::new(Failure::Shed, None, "the server refused it"));
+            }
+            Reply::Misdirected => {
+                guard.end(Outcome::Unreachable);
+                let text = "another server has the address";
+                return Err(Failed::new(Failure::Misdirected, None, text));
+            }
+            Reply::Foreign(text) => {
+                guard.end(Outcome::Broken);
+                return Err(Failed::new(Failure::Broken, None, text));
+            }
         }
         let took = guard.took();
+        let content = self.gather(&parts, incoming, guard, conn).await?;
         Ok(Head {
-            response,
-            guard,
-            conn,
+            parts,
+            content,
             took,
         })
     }
+
+    /// Keeps the connection of a refusal whose body is short.
+    async fn reuse(&self, incoming: Incoming, conn: Conn) {
+        if body::collect(incoming, GATHERED_MAX).await.is_ok() {
+            self.pools.keep(conn, self.ports.now());
+        }
+    }
+
+    /// Reads the body if it is small.
+    async fn gather(
+        &self,
+        parts: &Parts,
+        mut incoming: Incoming,
+        mut guard: Guard,
+        conn: Conn,
+    ) -> Result<Content, Failed> {
+        let large = incoming
+            .size_hint()
+            .upper()
+            .is_some_and(|upper| upper > GATHERED_MAX as u64);
+        let mut gathered = BytesMut::new();
+        let left = self.left.saturating_sub(guard.took());
+        let whole = if large {
+            Some(Ok(false))
+        } else {
+            timeout(left, read_up_to(&mut incoming, &mut gathered)).await
+        };
+        match whole {
+            Some(Ok(true)) => {
+                guard.end(outcome_of(parts.status));
+                self.pools.keep(conn, self.ports.now());
+                Ok(Content::Whole(gathered.freeze()))
+            }
+            Some(Ok(false)) => {
+                let settle = Settle {
+                    guard,
+                    conn,
+                    pools: self.pools.clone(),
+                    ports: self.ports.clone(),
+                };
+                Ok(Content::Stream {
+                    prefix: gathered.freeze(),
+                    rest: incoming,
+                    settle: Box::new(settle),
+                })
+            }
+            Some(Err(error)) => {
+                guard.end(Outcome::Broken);
+                let text = format!("the answer broke off: {error}");
+                Err(Failed::new(Failure::Broken, None, text))
+            }
+            None => {
+                guard.end(Outcome::Late);
+                Err(Failed::new(
+                    Failure::Late,
+                    None,
+                    "the answer came too slowly",
+                ))
+            }
+        }
+    }
 }
 
-/// Reads a server's report of its load.
-pub fn load(fields: &HeaderMap) -> Option<Load> {
-    let text = fields.get(headers::LOAD)?.to_str().ok()?;
-    let number = |name: &str| {
-        text.split(',')
-            .filter_map(|part| part.trim().split_once('='))
-            .find(|(key, _)| *key == name)
-            .and_then(|(_, value)| value.parse().ok())
-    };
-    Some(Load {
-        busy: number("busy")?,
-        waiting: number("waiting").unwrap_or(0),
-    })
+/// Reads `incoming` into `gathered`; false if there is more than may be
+/// gathered.
+async fn read_up_to(incoming: &mut Incoming, gathered: &mut BytesMut) -> hyper::Result<bool> {
+    while let Some(frame) = incoming.frame().await {
+        if let Ok(data) = frame?.into_data() {
+            gathered.extend_from_slice(&data);
+        }
+        if gathered.len() > GATHERED_MAX {
+            return Ok(false);
+        }
+    }
+    Ok(true)
+}
+
+fn outcome_of(status: StatusCode) -> Outcome {
+    if status.is_server_error() {
+        Outcome::Failed
+    } else {
+        Outcome::Done
+    }
 }
--- a/crates/entry/src/beside.rs
+++ b/crates/entry/src/beside.rs
@@ -24,6 +24,8 @@
 
 /// Usual service times after which a call is hedged.
 const HEDGE_AFTER: f64 = 2.5;
+/// The share of its target latency after which a call is hedged.
+const HEDGE_TARGET: f64 = 0.5;
 /// The shortest wait before a call is hedged.
 const HEDGE_MIN: Duration = Duration::from_millis(2);
 
@@ -55,12 +57,12 @@
         // Another attempt has to go elsewhere.
         call.tried.push(first.permit.server);
         let began = self.ports.now();
-        let request = outgoing.make(self.left(call));
+        let request = outgoing.make();
         let mut first = pin!(self.send(call, first, request));
         let mut lost = None;
         let hedges = call.service.hedges > 0;
         for kind in [Kind::Hedge, Kind::Rescue] {
-            if kind == Kind::Hedge && !hedges {
+            if kind == Kind::Hedge && !hedges || !call.may_send() {
                 continue;
             }
             let so_far = || self.ports.now().saturating_sub(began);
@@ -68,7 +70,7 @@
             if let Some(ended) = waited.await {
                 return worse(ended, lost);
             }
-            let Some(request) = outgoing.make(self.left(call)) else {
+            let Some(request) = outgoing.make() else {
                 break;
             };
             let second = pin!(async {
@@ -102,7 +104,10 @@
             return ended;
         }
         let usual = self.ports.usual(call.service.id());
-        let due = usual.map_or(call.rule.deadline, |usual| usual.mul_f64(times));
+        let mut due = usual.map_or(call.rule.deadline, |usual| usual.mul_f64(times));
+        if kind == Kind::Hedge && call.rule.target < call.rule.deadline {
+            due = due.min(call.rule.target.mul_f64(HEDGE_TARGET));
+        }
         net::timeout(due.saturating_sub(so_far()), first).await
     }
 }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod answer;
 pub mod attempt;
 mod beside;
+pub mod dialect;
 pub mod guard;
 pub mod headers;
 pub mod pool;
@@ -17,6 +18,7 @@
 pub mod request;
 pub mod tracked;
 
+pub use dialect::Dialect;
 pub use pool::Pools;
 pub use ports::Permit;
 pub use ports::Ports;
--- a/crates/entry/src/proxy.rs
+++ b/crates/entry/src/proxy.rs
@@ -2,6 +2,8 @@
 //! the caller truthfully what became of its call.
 
 use std::net::SocketAddr;
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::Ordering;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -9,6 +11,7 @@
 use base::ServerId;
 use base::Time;
 use conf::service::Rule;
+use conf::state::Found;
 use conf::Service;
 use http::HeaderMap;
 use http::HeaderValue;
@@ -38,8 +41,11 @@
 use crate::answer::Answer;
 use crate::answer::Told;
 use crate::attempt::Attempt;
+use crate::attempt::Content;
 use crate::attempt::Failed;
 use crate::attempt::Head;
+use crate::dialect::Dialect;
+use crate::dialect::Native;
 use crate::headers;
 use crate::pool::Pools;
 use crate::ports::Permit;
@@ -48,11 +54,14 @@
 use crate::record::Arrival;
 use crate::record::Place;
 use crate::request::Outgoing;
-use crate::tracked::Settle;
 use crate::tracked::Tracked;
 
-/// Attempts at one call, hedges not counted.
-const ATTEMPTS_MAX: u32 = 3;
+/// Attempts at one call whose servers certainly did not run it, at the most;
+/// those that may have run are bounded by the route.
+const UNRUN_MAX: u32 = 3;
+/// When a caller should come back to a VM that has no configuration yet; VMs
+/// have it within a fraction of a second of their start.
+const UNCONFIGURED_WAIT: Duration = Duration::from_millis(300);
 
 /// Who this VM is.
 #[derive(Clone, Debug)]
@@ -72,6 +81,7 @@
     metrics: Arc<Metrics>,
     spans: Arc<Spans>,
     calls: Arc<Calls>,
+    dialect: Arc<dyn Dialect>,
     me: Identity,
 }
 
@@ -81,7 +91,9 @@
     pub(crate) rule: Rule,
     due: Time,
     span: &'a Open,
+    id: Option<HeaderValue>,
     pub(crate) tried: Vec<ServerId>,
+    pub(crate) sends: AtomicU32,
 }
 
 /// A server's answer with where it came from.
@@ -126,19 +138,35 @@
             metrics,
             spans,
             calls,
+            dialect: Arc::new(Native),
             me,
         }
     }
 
+    /// Returns the same proxy, which speaks `dialect` to callers and servers.
+    pub fn with_dialect(mut self, dialect: Arc<dyn Dialect>) -> Self {
+        self.dialect = dialect;
+        self
+    }
+
     async fn answer(&self, request: Request<Incoming>, peer: SocketAddr) -> Response<Body> {
         let began = self.ports.now();
         let parent = self.spans.extract(request.headers());
         let span = self.spans.start("call", SpanKind::Server, &parent);
         let arrival = Arrival::new(&request, &span);
         let state = self.ports.state();
-        let service = state.find(&arrival.host, &arrival.path);
-        let result = match service {
-            Some(service) => self.serve(service, request, peer, began, &span).await,
+        let draw = fastrand::f64();
+        let method = request.method().as_str();
+        let found = state.route(&arrival.host, &arrival.path, method, draw);
+        let service = found.map(|found| found.service);
+        let result = match found {
+            Some(found) => self.serve(found, request, peer, began, &span).await,
+            None if !state.is_known() => Err(Answer::not_run(
+                StatusCode::SERVICE_UNAVAILABLE,
+                "no-configuration",
+                "this VM has just started and knows no services yet; try again",
+            )
+            .with_after(UNCONFIGURED_WAIT)),
             None => Err(Answer::not_run(
                 StatusCode::NOT_FOUND,
                 "no-service",
@@ -151,7 +179,7 @@
             .as_ref()
             .map_or_else(|answer| answer.told, |_| Told::Served);
         let record = match &result {
-            Ok(served) => arrival.served(name, &served.place, served.head.response.status(), took),
+            Ok(served) => arrival.served(name, &served.place, served.head.parts.status, took),
             Err(answer) => arrival.refused(name, answer, took),
         };
         self.metrics.call(name, told.name(), &record.domain, took);
@@ -167,21 +195,26 @@
                 self.metrics.permit(name, served.waited);
                 self.pass_on(served, added)
             }
-            Err(answer) => answer.into_response(&self.me.vm),
+            Err(answer) => answer.into_response(&self.me.vm, &*self.dialect),
         }
     }
 
     async fn serve(
         &self,
-        service: &Service,
+        found: Found<'_>,
         request: Request<Incoming>,
         peer: SocketAddr,
         began: Time,
         span: &Open,
     ) -> Result<Served, Answer> {
+        let Found { service, rule, .. } = found;
         span.set("service", service.name.clone());
-        let rule = service.rule(request.method().as_str(), request.uri().path());
-        let limit = asked_limit(request.headers()).map_or(rule.deadline, |l| l.min(rule.deadline));
+        let fields = request.headers();
+        let id = self.dialect.call_id(fields);
+        let limit = self
+            .dialect
+            .limit(fields)
+            .map_or(rule.deadline, |l| l.min(rule.deadline));
         let key = idempotency_key(service, &rule, request.headers());
         let (parts, incoming) = request.into_parts();
         let reading = Outgoing::new(parts, incoming, peer, self.me.body);
@@ -201,7 +234,9 @@
             rule,
             due: began + limit,
             span,
+            id,
             tried: Vec::new(),
+            sends: AtomicU32::new(0),
         };
         let result = self.attempt_until_done(call, outgoing).await;
         if let (Some(claimed), Err(answer)) = (claimed, &result) {
@@ -245,8 +280,10 @@
         mut outgoing: Outgoing,
     ) -> Result<Served, Answer> {
         let idempotent = call.rule.idempotent;
-        let mut attempts = Attempts::new(idempotent, outgoing.is_repeatable(), ATTEMPTS_MAX);
+        let most = call.rule.attempts + UNRUN_MAX;
+        let mut attempts = Attempts::new(idempotent, outgoing.is_repeatable(), most);
         let mut kind = Kind::First;
+        let mut errored = None;
         loop {
             let alone = kind != Kind::First || !idempotent || !outgoing.is_repeatable();
             let result = if !alone {
@@ -255,15 +292,31 @@
                 self.attempt(&mut call, &mut outgoing, kind).await
             };
             let missed = match result {
-                Ok(served) => return Ok(served),
+                Ok(served) => {
+                    let again = idempotent
+                        && served.is_error()
+                        && outgoing.is_repeatable()
+                        && call.may_send()
+                        && self.ports.now() < call.due;
+                    if !again {
+                        return Ok(served);
+                    }
+                    // Its own answer is the caller's unless another does better.
+                    errored = Some(served);
+                    kind = Kind::Retry;
+                    continue;
+                }
                 Err(missed) => missed,
             };
+            if let Some(served) = errored.take() {
+                return Ok(served);
+            }
             let (failure, kept) = match &missed {
                 Missed::Refused(_) => (Failure::Refused, true),
                 Missed::Failed(failed) => (failed.failure, failed.unsent.is_some()),
             };
             let verdict = attempts.fail(failure, kept);
-            if verdict != Verdict::Again || self.ports.now() >= call.due {
+            if verdict != Verdict::Again || !call.may_send() || self.ports.now() >= call.due {
                 return Err(explain(attempts.verdict(), &missed));
             }
             if let Missed::Failed(Failed {
@@ -285,7 +338,7 @@
     ) -> Result<Served, Missed> {
         let granted = self.permit(call, kind).await?;
         call.tried.push(granted.permit.server);
-        let request = outgoing.make(self.left(call));
+        let request = outgoing.make();
         self.send(call, granted, request).await
     }
 
@@ -334,6 +387,15 @@
                 .release(permit, base::Outcome::Unused, none, None);
             return Err(Missed::unsent("the server has been removed"));
         };
+        if !state.takes_work(server) {
+            let none = Duration::ZERO;
+            self.ports
+                .release(permit, base::Outcome::Unused, none, None);
+            return Err(Missed::unsent("the server is leaving or its domain is out"));
+        }
+        let left = self.left(call);
+        self.dialect
+            .direct(request.headers_mut(), left, server.instance());
         let span = self
             .spans
             .start("attempt", SpanKind::Client, call.span.context());
@@ -343,11 +405,14 @@
         let attempt = Attempt {
             ports: self.ports.clone(),
             pools: self.pools.clone(),
+            dialect: self.dialect.clone(),
+            id: call.id.clone(),
             server: server.clone(),
             http2: call.service.http2,
             permit,
-            left: self.left(call),
+            left,
         };
+        call.sends.fetch_add(1, Ordering::Relaxed);
         match attempt.run(request).await {
             Ok(head) => {
                 self.metrics.attempt(&call.service.name, "answered");
@@ -364,6 +429,9 @@
                 })
             }
             Err(failed) => {
+                if failed.failure.proves_not_run() {
+                    call.sends.fetch_sub(1, Ordering::Relaxed);
+                }
                 self.metrics
                     .attempt(&call.service.name, failed.failure.name());
                 span.fail(failed.text.clone());
@@ -377,25 +445,30 @@
         let Served {
             head, place, due, ..
         } = served;
-        let (mut parts, incoming) = head.response.into_parts();
+        let Head {
+            mut parts, content, ..
+        } = head;
         headers::strip_hop(&mut parts.headers);
         headers::strip_own(&mut parts.headers);
-        parts.headers.remove(headers::LOAD);
+        self.dialect.hide(&mut parts.headers);
         mark(&mut parts.headers, &self.me.vm, &place);
         let timing = format!("snipepaddle;dur={:.3}", added.as_secs_f64() * 1e3);
         if let Ok(timing) = HeaderValue::from_str(&timing) {
             parts.headers.append(headers::SERVER_TIMING, timing);
         }
         parts.version = http::Version::default();
-        let left = due.saturating_sub(self.ports.now());
-        let settle = Settle {
-            guard: head.guard,
-            conn: head.conn,
-            pools: self.pools.clone(),
-            ports: self.ports.clone(),
-        };
-        let tracked = Tracked::new(incoming, Timer::after(left), settle);
-        Response::from_parts(parts, body::boxed(tracked))
+        match content {
+            Content::Whole(bytes) => Response::from_parts(parts, body::full(bytes)),
+            Content::Stream {
+                prefix,
+                rest,
+                settle,
+            } => {
+                let left = due.saturating_sub(self.ports.now());
+                let tracked = Tracked::new(prefix, rest, Timer::after(left), *settle);
+                Response::from_parts(parts, body::boxed(tracked))
+            }
+        }
     }
 }
 
@@ -405,6 +478,20 @@
     waited: Duration,
 }
 
+impl Call<'_> {
+    /// Returns whether the call may go to one more server.
+    pub(crate) fn may_send(&self) -> bool {
+        self.sends.load(Ordering::Relaxed) < self.rule.attempts
+    }
+}
+
+impl Served {
+    /// Returns whether the server answered that it failed.
+    pub(crate) fn is_error(&self) -> bool {
+        self.head.parts.status.is_server_error()
+    }
+}
+
 impl Missed {
     /// Returns whether the call certainly did not run in this attempt.
     pub(crate) fn proves_not_run(&self) -> bool {
@@ -436,12 +523,6 @@
     }
 }
 
-/// Reads the time that a caller gives its call.
-fn asked_limit(fields: &HeaderMap) -> Option<Duration> {
-    let text = fields.get(headers::DEADLINE_MS)?.to_str().ok()?;
-    text.parse().ok().map(Duration::from_millis)
-}
-
 /// Returns the key of a call that must not run twice, if its caller gave one.
 fn idempotency_key(service: &Service, rule: &Rule, fields: &HeaderMap) -> Option<KeyHash> {
     if rule.idempotent {
--- a/crates/entry/src/request.rs
+++ b/crates/entry/src/request.rs
@@ -1,7 +1,6 @@
 //! A caller's request, taken apart so that it can be sent more than once.
 
 use std::net::SocketAddr;
-use std::time::Duration;
 
 use bytes::Bytes;
 use http::header;
@@ -82,7 +81,7 @@
     }
 
     /// Makes the request for one attempt; none if the body is spent.
-    pub fn make(&mut self, left: Duration) -> Option<Request<Body>> {
+    pub fn make(&mut self) -> Option<Request<Body>> {
         let content = match &mut self.content {
             Content::Kept(bytes) if bytes.is_empty() => body::empty(),
             Content::Kept(bytes) => body::full(bytes.clone()),
@@ -92,8 +91,6 @@
         *request.method_mut() = self.method.clone();
         *request.uri_mut() = self.uri.clone();
         *request.headers_mut() = self.fields.clone();
-        let left = HeaderValue::from(u64::try_from(left.as_millis()).unwrap_or(u64::MAX));
-        request.headers_mut().insert(headers::DEADLINE_MS, left);
         Some(request)
     }
 
--- a/crates/entry/src/tracked.rs
+++ b/crates/entry/src/tracked.rs
@@ -38,15 +38,18 @@
 
 /// The body of an answer, with what it still holds.
 pub struct Tracked {
+    prefix: Bytes,
     inner: Incoming,
     deadline: Timer,
     settle: Option<Settle>,
 }
 
 impl Tracked {
-    /// Takes charge of `inner`, which has to end before `deadline`.
-    pub fn new(inner: Incoming, deadline: Timer, settle: Settle) -> Self {
+    /// Takes charge of `inner`, which follows `prefix` and has to end before
+    /// `deadline`.
+    pub fn new(prefix: Bytes, inner: Incoming, deadline: Timer, settle: Settle) -> Self {
         let mut tracked = Self {
+            prefix,
             inner,
             deadline,
             settle: Some(settle),
@@ -84,6 +87,10 @@
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BoxError>>> {
+        if !self.prefix.is_empty() {
+            let prefix = std::mem::take(&mut self.prefix);
+            return Poll::Ready(Some(Ok(Frame::data(prefix))));
+        }
         match Pin::new(&mut self.inner).poll_frame(cx) {
             Poll::Ready(None) => {
                 self.finish();
@@ -108,10 +115,17 @@
     }
 
     fn is_end_stream(&self) -> bool {
-        self.inner.is_end_stream()
+        self.prefix.is_empty() && self.inner.is_end_stream()
     }
 
     fn size_hint(&self) -> SizeHint {
-        self.inner.size_hint()
+        let prefix = self.prefix.len() as u64;
+        let rest = self.inner.size_hint();
+        let mut hint = SizeHint::new();
+        hint.set_lower(rest.lower() + prefix);
+        if let Some(upper) = rest.upper() {
+            hint.set_upper(upper + prefix);
+        }
+        hint
     }
 }
--- a/crates/load/src/fleet.rs
+++ b/crates/load/src/fleet.rs
@@ -16,6 +16,7 @@
 use base::Clock;
 use conf::settings::Admin;
 use conf::settings::Callers;
+use conf::settings::Interface;
 use conf::settings::Logs;
 use conf::settings::Peers;
 use conf::settings::Platform as PlatformSettings;
@@ -211,6 +212,7 @@
                 transport: Some(Arc::new(transport)),
                 store: None,
                 scattered: start.scattered,
+                ..Options::default()
             };
             let domain = settings.domain.clone();
             let name = settings.vm.clone();
@@ -389,7 +391,13 @@
             tokens: Vec::new(),
             file: None,
         },
-        platform: PlatformSettings { address: platform },
+        platform: PlatformSettings {
+            address: platform,
+            interface: Interface::Tickets,
+        },
+        watch: None,
+        notice: Duration::from_millis(500),
+        forget: Duration::from_secs(3600),
         policy: start.policy,
         threads: Some(plan.threads),
         drain: Duration::from_secs(5),
--- a/crates/member/src/membership/gossip.rs
+++ b/crates/member/src/membership/gossip.rs
@@ -84,8 +84,14 @@
     }
 
     pub(super) fn compare(&mut self, vm: VmId, marks: Marks) {
-        if marks.head > self.marks.head || marks.domains > self.marks.domains {
+        let own = &self.marks;
+        let newer = marks.head > own.head
+            || marks.domains > own.domains
+            || marks.registry.exceeds(&own.registry);
+        if newer {
             self.actions.push(Action::Newer { vm, marks });
+        } else if !own.registry.exceeds(&marks.registry) {
+            self.actions.push(Action::Same { marks });
         }
     }
 
--- a/crates/member/src/membership/mod.rs
+++ b/crates/member/src/membership/mod.rs
@@ -78,6 +78,11 @@
         /// What it has in force.
         marks: Marks,
     },
+    /// A peer has the same in force.
+    Same {
+        /// What it has in force.
+        marks: Marks,
+    },
 }
 
 /// A probe that has not been answered yet.
@@ -197,6 +202,11 @@
         self.incarnation
     }
 
+    /// Returns what the peers are told that this VM has in force.
+    pub fn marks(&self) -> Marks {
+        self.marks
+    }
+
     /// Tells the peers from now on what this VM has in force.
     pub fn set_marks(&mut self, marks: Marks) {
         self.marks = marks;
@@ -312,6 +322,14 @@
         }
     }
 
+    /// Asks for the roster of a VM that may exist at `address`.
+    pub fn invite(&mut self, address: SocketAddr) {
+        let known = self.peers.iter().any(|p| p.profile.address == address);
+        if address != self.me.address && !known {
+            self.ask_roster(address);
+        }
+    }
+
     /// Takes a message that came from `from` at address `address`.
     pub fn receive(&mut self, now: Time, from: VmId, address: SocketAddr, msg: Msg) {
         match msg {
--- a/crates/member/src/msg.rs
+++ b/crates/member/src/msg.rs
@@ -22,6 +22,11 @@
     pub head: Revision,
     /// The revision of the orders about failure domains.
     pub domains: Revision,
+    /// Up to where the VM knows the registry, if it has one.
+    pub registry: base::marks::Marks,
+    /// How long ago that knowledge was last found to be the newest, in
+    /// milliseconds.
+    pub age: u32,
 }
 
 /// A message between two VMs.
--- a/crates/member/tests/swim.rs
+++ b/crates/member/tests/swim.rs
@@ -79,6 +79,7 @@
                             sent.push((from, to, msg));
                         }
                         Action::Newer { vm, .. } => self.newer.push((from, vm)),
+                        Action::Same { .. } => {}
                     }
                 }
             }
@@ -249,6 +250,7 @@
     let marks = Marks {
         head: 1,
         domains: 0,
+        ..Marks::default()
     };
     net.vms[7].set_marks(marks);
     net.vms[7].announce();
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod node;
 pub mod peers;
 pub mod ports;
+pub mod registry;
 pub mod shared;
 pub mod specs;
 pub mod status;
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -10,9 +10,13 @@
 
 use anyhow::Context;
 use base::Clock;
+use conf::registry::Topic;
 use conf::settings;
+use conf::Registry;
 use conf::Settings;
+use entry::dialect::Native;
 use entry::proxy::Identity;
+use entry::Dialect;
 use entry::Ports;
 use entry::Proxy;
 use http::HeaderValue;
@@ -46,9 +50,6 @@
 /// Lost connections that wait to be told at the most; a service that is not
 /// told of one learns of it from the next call.
 const LOSSES_MAX: usize = 1024;
-/// The time between giving up readiness and closing the listeners, so that
-/// the balancer in front has seen it.
-const NOTICE: Duration = Duration::from_millis(500);
 
 /// What a caller of the library may put in the place of the usual parts.
 #[derive(Default)]
@@ -57,6 +58,10 @@
     pub transport: Option<Arc<dyn Transport>>,
     /// The platform; HTTP to the settings' address by default.
     pub store: Option<Arc<dyn Store>>,
+    /// The users' system of record; none by default, where tickets count.
+    pub registry: Option<Arc<dyn Registry>>,
+    /// The fields towards callers and servers; this product's own by default.
+    pub dialect: Option<Arc<dyn Dialect>>,
     /// Whether each message between VMs has a datagram of its own.
     pub scattered: bool,
 }
@@ -74,8 +79,21 @@
 impl Node {
     /// Starts an entry VM; it serves until it is stopped or dropped.
     pub async fn start(settings: Settings, options: Options) -> anyhow::Result<Self> {
-        let threads = settings.threads.unwrap_or_else(cores);
-        let pool = Pool::new(&settings.vm, threads);
+        let pool = Self::pool_of(&settings);
+        Self::start_on(pool, settings, options).await
+    }
+
+    /// Makes the threads that `settings` ask for.
+    pub fn pool_of(settings: &Settings) -> Pool {
+        Pool::new(&settings.vm, settings.threads.unwrap_or_else(cores))
+    }
+
+    /// Starts an entry VM on `pool`.
+    pub async fn start_on(
+        pool: Pool,
+        settings: Settings,
+        options: Options,
+    ) -> anyhow::Result<Self> {
         let handle = pool.handle();
         let (pulls, wanted) = async_channel::bounded(1);
         let (lost, losses) = async_channel::bounded(LOSSES_MAX);
@@ -106,6 +124,8 @@
             life: life(),
             handle,
             store,
+            registry: options.registry,
+            dialect: options.dialect.unwrap_or_else(|| Arc::new(Native)),
             transport,
             keyring,
             outbox,
@@ -170,14 +190,31 @@
             self.pool.spawn(shared.clone().receive_datagrams()),
             self.pool.spawn(shared.clone().serve_streams(listener)),
             self.pool.spawn(shared.clone().pull_from_peers(wanted)),
-            self.pool.spawn(shared.clone().watch(Watched::Head)),
-            self.pool.spawn(shared.clone().watch(Watched::Domains)),
-            self.pool.spawn(shared.clone().watch_list()),
         ];
         self.tasks.extend(tasks);
+        let tasks = match &shared.registry {
+            Some(registry) => vec![
+                self.follow(registry, Topic::Layout),
+                self.follow(registry, Topic::Servers),
+                self.follow(registry, Topic::Outs),
+                self.pool
+                    .spawn(shared.clone().keep_enlisted(registry.clone())),
+            ],
+            None => vec![
+                self.pool.spawn(shared.clone().watch(Watched::Head)),
+                self.pool.spawn(shared.clone().watch(Watched::Domains)),
+                self.pool.spawn(shared.clone().watch_list()),
+            ],
+        };
+        self.tasks.extend(tasks);
         Ok(())
     }
 
+    fn follow(&self, registry: &Arc<dyn Registry>, topic: Topic) -> Task<()> {
+        let shared = self.shared.clone();
+        self.pool.spawn(shared.follow(registry.clone(), topic))
+    }
+
     fn start_ticks(&mut self) {
         let shared = self.shared.clone();
         self.tasks.push(self.pool.spawn(async move {
@@ -219,7 +256,8 @@
             shared.spans.clone(),
             shared.calls.clone(),
             me,
-        );
+        )
+        .with_dialect(shared.dialect.clone());
         let limits = Limits {
             connections: callers.connections,
             head: callers.head,
@@ -255,7 +293,7 @@
     pub async fn stop(self) -> bool {
         log::info!("node: stopping; readiness is off");
         self.ready.store(false, Ordering::SeqCst);
-        smol::Timer::after(NOTICE).await;
+        smol::Timer::after(self.shared.settings.notice).await;
         self.shared.stop.give();
         let drain = self.shared.settings.drain;
         let ended = net::timeout(drain, self.shared.stop.finished()).await;
@@ -310,7 +348,10 @@
     };
     let since = SystemTime::now().duration_since(UNIX_EPOCH);
     let incarnation = since.unwrap_or_default().as_millis() as u64;
-    let config = member::Config::default();
+    let config = member::Config {
+        forget: settings.forget,
+        ..member::Config::default()
+    };
     Membership::new(profile, incarnation, config, fastrand::u64(..))
         .with_seeds(settings.peers.seeds.clone())
 }
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use base::ServerId;
+use entry::Dialect;
 use http::Request;
 use net::client;
 use net::exec::Handle;
@@ -17,6 +18,7 @@
 use crate::cell::Cell;
 use crate::shared::lock;
 use crate::shared::Shared;
+use crate::sync::encode;
 
 /// The longest wait for the answer to a probe.
 const PROBE_WAIT: Duration = Duration::from_millis(500);
@@ -90,7 +92,12 @@
     fn answer(&self, request: stream::Request) -> stream::Answer {
         let mirror = lock(&self.mirror);
         match request {
-            stream::Request::Newer { head, domains } => stream::Answer::Newer {
+            stream::Request::Newer {
+                head,
+                domains,
+                registry,
+            } => stream::Answer::Newer {
+                registry: self.newer_registry(&registry),
                 head: (mirror.revision() > head).then(|| encode(mirror.head())),
                 domains: (mirror.domains().revision > domains).then(|| encode(mirror.domains())),
             },
@@ -115,6 +122,7 @@
             address: known.address,
             path: service.probe.path.clone(),
             handle: self.handle.clone(),
+            dialect: self.dialect.clone(),
         };
         let cell = cell.clone();
         let clock = self.clock;
@@ -130,15 +138,12 @@
     }
 }
 
-fn encode<T: serde::Serialize>(value: &T) -> Vec<u8> {
-    serde_json::to_vec(value).expect("configuration types have no keys that JSON cannot hold")
-}
-
 /// A request for a server's health.
 struct Probe {
     address: SocketAddr,
     path: String,
     handle: Handle,
+    dialect: Arc<dyn Dialect>,
 }
 
 impl Probe {
@@ -150,10 +155,11 @@
             .ok()?;
         let answer = client::once(&self.handle, self.address, request, PROBE_WAIT, PROBE_SIZE);
         let answer = answer.await.ok()?;
-        let load = entry::attempt::load(answer.headers());
+        let load = self.dialect.load(answer.headers());
         let idle = Load {
             busy: 0,
             waiting: 0,
+            pace: route::msg::PACE,
         };
         answer.status().is_success().then(|| load.unwrap_or(idle))
     }
--- /dev/null
+++ b/crates/node/src/registry.rs
@@ -0,0 +1,379 @@
+//! Keeps this VM's catalog as new as the users' system of record.
+//!
+//! A few VMs read it, chosen by rendezvous hash; the others hear of changes
+//! from their peers' pings and fetch them there. Every ping also tells how long
+//! ago its sender's knowledge was found to be the newest. A VM whose knowledge
+//! gets old reads for itself, whoever should, so that readers which the system
+//! of record turns away, or which are cut off or frozen, are replaced without
+//! anybody noticing that they are gone. See `docs/design/platform.md`.
+
+use std::sync::atomic::Ordering;
+use std::sync::Arc;
+use std::time::Duration;
+
+use base::marks::Marks;
+use base::rendezvous;
+use base::Revision;
+use base::Time;
+use conf::catalog::Update;
+use conf::registry::Item;
+use conf::registry::Page;
+use conf::registry::Topic;
+use conf::registry::Value;
+use conf::Registry;
+
+use crate::shared::lock;
+use crate::shared::Shared;
+use crate::sync;
+
+/// VMs that read while nothing is wrong. Two may fail at the same moment
+/// without anybody having to notice.
+const READERS: usize = 3;
+/// The key by which the readers are chosen.
+const READ_KEY: u64 = 0x7265_6164_6572_7321;
+/// The age at which any VM begins to read: half of the shortest time in which
+/// a change has to be in force.
+const STALE: Duration = Duration::from_millis(1000);
+/// How much later the last VM begins than the first, so that those that begin
+/// late find that others have read meanwhile.
+const STALE_SPREAD: Duration = Duration::from_millis(600);
+/// The wait of a VM that does not read before it looks whether it should.
+const IDLE: Duration = Duration::from_millis(100);
+/// The longest wait of one watch. A connection may fall silent for good, so a
+/// watch ends long before a change would be late.
+const WATCH_WAIT: Duration = Duration::from_millis(1500);
+/// How long an answer may take beyond the wait; many times what is usual.
+const ANSWER_LIMIT: Duration = Duration::from_millis(1200);
+/// The rest after changes of servers, which come with every sign of life.
+const SERVERS_REST: Duration = Duration::from_millis(500);
+/// The rest after other answers.
+const REST: Duration = Duration::from_millis(50);
+/// The first wait after a failure.
+const BACKOFF_MIN: Duration = Duration::from_millis(100);
+/// The longest wait after failures, short of [`STALE`].
+const BACKOFF_MAX: Duration = Duration::from_millis(800);
+/// The time after an outage within which servers that are alive are listed
+/// again; the platform's operators promise two seconds.
+const RETURN: Duration = Duration::from_millis(2200);
+/// The time between two looks for entry VMs that no peer has told of.
+const VMS_PERIOD: Duration = Duration::from_secs(20);
+/// The time after its start at which a VM that knows no other looks for some.
+const LONELY: Duration = Duration::from_millis(1500);
+
+/// The end of a server's entry that counts only once it is certain that it is
+/// not a consequence of an outage.
+struct Ending {
+    name: String,
+    revision: Revision,
+    due: Time,
+}
+
+/// What one task knows while it follows a topic.
+struct Reading {
+    topic: Topic,
+    revision: Option<Revision>,
+    failures: u32,
+    endings: Vec<Ending>,
+}
+
+impl Shared {
+    /// Returns how long ago this VM's knowledge was found to be the newest, in
+    /// milliseconds.
+    pub(crate) fn registry_age(&self) -> u32 {
+        let now = self.clock.now().as_millis() as u64;
+        let confirmed = self.confirmed.load(Ordering::Relaxed);
+        u32::try_from(now.saturating_sub(confirmed)).unwrap_or(u32::MAX)
+    }
+
+    fn confirm(&self, age: Duration) {
+        let at = self.clock.now().saturating_sub(age).as_millis() as u64;
+        self.confirmed.fetch_max(at, Ordering::Relaxed);
+    }
+
+    /// Takes note that a peer knows the same, and how old that is.
+    pub(crate) fn note_same(&self, marks: &member::Marks) {
+        if self.registry.is_some() && marks.registry.layout > 0 {
+            self.confirm(Duration::from_millis(u64::from(marks.age)));
+        }
+    }
+
+    /// Returns what is newer here than `marks`, encoded.
+    pub(crate) fn newer_registry(&self, marks: &Marks) -> Option<Vec<u8>> {
+        let catalog = lock(&self.catalog);
+        let newer = catalog.marks().exceeds(marks);
+        newer.then(|| sync::encode(&catalog.since(marks, self.clock.now())))
+    }
+
+    /// Takes what a peer knows.
+    pub(crate) fn take_update(&self, update: Update) {
+        let now = self.clock.now();
+        let changed = lock(&self.catalog).merge(update, now);
+        if changed {
+            self.put_in_force();
+        }
+    }
+
+    fn should_read(&self) -> bool {
+        let readers = rendezvous::top(READ_KEY, &self.view().alive, READERS);
+        if readers.contains(&self.me) {
+            return true;
+        }
+        let later = STALE_SPREAD.mul_f64((self.me % 1000) as f64 / 1000.0);
+        let unknown = !lock(&self.catalog).has_layout();
+        unknown || u128::from(self.registry_age()) > (STALE + later).as_millis()
+    }
+
+    /// Follows `topic` for as long as it is polled.
+    pub(crate) async fn follow(self: Arc<Self>, registry: Arc<dyn Registry>, topic: Topic) {
+        let mut reading = Reading {
+            topic,
+            revision: None,
+            failures: 0,
+            endings: Vec::new(),
+        };
+        loop {
+            self.end_due(&mut reading);
+            if !self.should_read() {
+                smol::Timer::after(IDLE).await;
+                continue;
+            }
+            let result = self.read(&*registry, &mut reading).await;
+            let rest = match result {
+                Ok(()) => self.note_success(&mut reading),
+                Err(error) => self.note_failure(&mut reading, &error),
+            };
+            smol::Timer::after(rest).await;
+        }
+    }
+
+    fn note_success(&self, reading: &mut Reading) -> Duration {
+        if reading.failures > 0 {
+            log::info!(
+                "registry: {} can be read again after {} failures",
+                reading.topic.name(),
+                reading.failures
+            );
+        }
+        reading.failures = 0;
+        if reading.topic != Topic::Servers {
+            return REST;
+        }
+        self.confirm(Duration::ZERO);
+        self.tell_age();
+        SERVERS_REST
+    }
+
+    fn note_failure(&self, reading: &mut Reading, error: &plat::Error) -> Duration {
+        if let plat::Error::Compacted = error {
+            log::info!(
+                "registry: changes of {} after revision {} are not kept; listing",
+                reading.topic.name(),
+                reading.revision.unwrap_or(0)
+            );
+            reading.revision = None;
+            return REST;
+        }
+        if reading.failures == 0 {
+            log::warn!("registry: cannot read {}: {error}", reading.topic.name());
+        }
+        let now = self.clock.now().as_millis() as u64;
+        self.away.fetch_max(now, Ordering::Relaxed);
+        let doubled = BACKOFF_MIN * 2_u32.saturating_pow(reading.failures.min(8));
+        reading.failures += 1;
+        doubled
+            .min(BACKOFF_MAX)
+            .mul_f64(0.75 + 0.5 * fastrand::f64())
+    }
+
+    /// Tells peers, with the next pings, how old this VM's knowledge is.
+    pub(crate) fn tell_age(&self) {
+        if self.registry.is_none() {
+            return;
+        }
+        let age = self.registry_age();
+        self.with_members(|members| {
+            members.set_marks(member::Marks {
+                age,
+                ..members.marks()
+            });
+        });
+    }
+
+    async fn read(&self, registry: &dyn Registry, reading: &mut Reading) -> plat::Result<()> {
+        match reading.revision {
+            None => {
+                let (items, revision) = list(registry, reading.topic).await?;
+                self.take_list(reading, items, revision);
+            }
+            Some(after) => {
+                let page = registry
+                    .watch(reading.topic, after, WATCH_WAIT, ANSWER_LIMIT)
+                    .await?;
+                self.take_changes(reading, page);
+            }
+        }
+        Ok(())
+    }
+
+    fn take_list(&self, reading: &mut Reading, items: Vec<Item>, revision: Revision) {
+        let mut names: Vec<String> = items.iter().map(|item| item.name.clone()).collect();
+        names.sort_unstable();
+        let catalog = lock(&self.catalog);
+        let gone = match reading.topic {
+            Topic::Servers => catalog.missing_servers(&names, revision),
+            Topic::Outs => catalog.missing_outs(&names, revision),
+            Topic::Layout | Topic::Vms => Vec::new(),
+        };
+        drop(catalog);
+        let gone = gone.into_iter().map(|name| Item {
+            name,
+            revision,
+            value: None,
+        });
+        self.take_items(reading, items.into_iter().chain(gone).collect());
+        reading.revision = Some(revision);
+    }
+
+    fn take_changes(&self, reading: &mut Reading, page: Page) {
+        self.take_items(reading, page.items);
+        reading.revision = reading.revision.max(Some(page.revision));
+    }
+
+    fn take_items(&self, reading: &mut Reading, items: Vec<Item>) {
+        let now = self.clock.now();
+        let away = Duration::from_millis(self.away.load(Ordering::Relaxed));
+        let returned = !away.is_zero() && now < away + RETURN;
+        let mut changed = false;
+        for item in items {
+            let ends = item.value.is_none() && reading.topic == Topic::Servers;
+            if ends && returned {
+                log::info!(
+                    "registry: server {} vanished around an outage; waiting for its return",
+                    item.name
+                );
+                reading.endings.push(Ending {
+                    name: item.name,
+                    revision: item.revision,
+                    due: away + RETURN,
+                });
+                continue;
+            }
+            changed |= self.take_item(reading.topic, item, now);
+        }
+        if changed {
+            self.put_in_force();
+        }
+    }
+
+    /// Takes the ends of entries that did not come back after an outage.
+    fn end_due(&self, reading: &mut Reading) {
+        let now = self.clock.now();
+        let endings = std::mem::take(&mut reading.endings);
+        let (due, kept): (Vec<_>, Vec<_>) = endings.into_iter().partition(|e| now >= e.due);
+        reading.endings = kept;
+        let mut changed = false;
+        for ending in due {
+            let item = Item {
+                name: ending.name,
+                revision: ending.revision,
+                value: None,
+            };
+            changed |= self.take_item(Topic::Servers, item, now);
+        }
+        if changed {
+            self.put_in_force();
+        }
+    }
+
+    fn take_item(&self, topic: Topic, item: Item, now: Time) -> bool {
+        let Item {
+            name,
+            revision,
+            value,
+        } = item;
+        let mut catalog = lock(&self.catalog);
+        let changed = match (topic, value) {
+            (_, Some(Value::Unreadable(reason))) => {
+                log::warn!(
+                    "registry: {} {name} at revision {revision} cannot be read: {reason}",
+                    topic.name()
+                );
+                match topic {
+                    Topic::Servers => catalog.set_server(&name, revision, None, now),
+                    Topic::Layout | Topic::Outs | Topic::Vms => false,
+                }
+            }
+            (Topic::Layout, Some(Value::Layout(layout))) => {
+                catalog.set_layout(revision, Arc::from(layout))
+            }
+            (Topic::Servers, Some(Value::Server(instance))) => {
+                catalog.set_server(&name, revision, Some(instance), now)
+            }
+            (Topic::Servers, None) => catalog.set_server(&name, revision, None, now),
+            (Topic::Outs, value) => catalog.set_out(&name, revision, value.is_some(), now),
+            // The layout is never deleted, and other kinds do not come here.
+            _ => false,
+        };
+        if changed {
+            log::info!(
+                "registry: {} {name} changed at revision {revision}",
+                topic.name()
+            );
+        }
+        changed
+    }
+
+    /// Writes where peers reach this VM, and looks for VMs that no peer has told
+    /// of, for as long as it is polled.
+    pub(crate) async fn keep_enlisted(self: Arc<Self>, registry: Arc<dyn Registry>) {
+        let address = self.settings.peers.listen;
+        let mut failures = 0;
+        while let Err(error) = registry
+            .enlist(&self.settings.vm, address, ANSWER_LIMIT)
+            .await
+        {
+            log::debug!("registry: cannot enlist: {error}");
+            failures += 1;
+            let doubled = BACKOFF_MIN * 2_u32.saturating_pow(failures);
+            smol::Timer::after(doubled.min(BACKOFF_MAX)).await;
+        }
+        smol::Timer::after(LONELY).await;
+        loop {
+            if self.view().alive.len() < 2 || self.should_read() {
+                self.invite_listed(&*registry).await;
+            }
+            let alone = self.view().alive.len() < 2;
+            let rest = if alone { LONELY } else { VMS_PERIOD };
+            smol::Timer::after(rest.mul_f64(0.8 + 0.4 * fastrand::f64())).await;
+        }
+    }
+
+    async fn invite_listed(&self, registry: &dyn Registry) {
+        match list(registry, Topic::Vms).await {
+            Ok((items, _)) => self.with_members(|members| {
+                for item in items {
+                    if let Some(Value::Vm(address)) = item.value {
+                        members.invite(address);
+                    }
+                }
+            }),
+            Err(error) => log::debug!("registry: cannot list VMs: {error}"),
+        }
+    }
+}
+
+/// Reads all pages of a list; the revision is that of the first page, as what
+/// was deleted later may stand on it.
+async fn list(registry: &dyn Registry, topic: Topic) -> plat::Result<(Vec<Item>, Revision)> {
+    let mut page = registry.list(topic, None, ANSWER_LIMIT).await?;
+    let revision = page.revision;
+    let mut items = std::mem::take(&mut page.items);
+    while page.more {
+        let Some(last) = items.last().map(|item| item.name.clone()) else {
+            break;
+        };
+        page = registry.list(topic, Some(&last), ANSWER_LIMIT).await?;
+        items.append(&mut page.items);
+    }
+    Ok((items, revision))
+}
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -19,9 +19,12 @@
 use base::Time;
 use base::VmId;
 use conf::settings::Policy;
+use conf::Catalog;
 use conf::Mirror;
+use conf::Registry;
 use conf::Settings;
 use conf::State;
+use entry::Dialect;
 use entry::Pools;
 use event_listener::Event;
 use member::Membership;
@@ -68,6 +71,10 @@
     pub handle: Handle,
     /// The platform.
     pub store: Arc<dyn Store>,
+    /// The users' system of record, if the platform has one.
+    pub registry: Option<Arc<dyn Registry>>,
+    /// The fields by which callers and servers are spoken to.
+    pub dialect: Arc<dyn Dialect>,
     /// The network.
     pub transport: Arc<dyn Transport>,
     /// The keys that sign messages.
@@ -88,6 +95,10 @@
     pub budget: Mutex<Budget>,
     pub(crate) members: Mutex<Membership>,
     pub(crate) mirror: Mutex<Mirror>,
+    pub(crate) catalog: Mutex<Catalog>,
+    pub(crate) shown: AtomicU64,
+    pub(crate) confirmed: AtomicU64,
+    pub(crate) away: AtomicU64,
     pub(crate) pulling: AtomicBool,
     pub(crate) pulls: async_channel::Sender<SocketAddr>,
     pub(crate) claims: Claims,
@@ -116,6 +127,10 @@
     pub handle: Handle,
     /// The platform.
     pub store: Arc<dyn Store>,
+    /// The users' system of record, if the platform has one.
+    pub registry: Option<Arc<dyn Registry>>,
+    /// The fields by which callers and servers are spoken to.
+    pub dialect: Arc<dyn Dialect>,
     /// The network.
     pub transport: Arc<dyn Transport>,
     /// The keys that sign messages.
@@ -163,6 +178,12 @@
             clock: parts.clock,
             handle: parts.handle,
             store: parts.store,
+            registry: parts.registry,
+            dialect: parts.dialect,
+            catalog: Mutex::default(),
+            shown: AtomicU64::new(0),
+            confirmed: AtomicU64::new(0),
+            away: AtomicU64::new(0),
             transport: parts.transport,
             keyring: parts.keyring,
             outbox: parts.outbox,
@@ -234,6 +255,7 @@
         match action {
             member::Action::Send { to, msg } => self.outbox.put(to, Msg::Member(msg)),
             member::Action::Newer { vm, .. } => self.wants_pull(vm),
+            member::Action::Same { marks } => self.note_same(&marks),
         }
     }
 
@@ -259,12 +281,17 @@
     /// Puts the mirror's configuration in force on this VM; when it returns, it
     /// is, whichever task did it.
     pub(crate) fn put_in_force(&self) {
+        if self.registry.is_some() {
+            self.put_catalog_in_force();
+            return;
+        }
         let one_at_a_time = lock(&self.refreshing);
         let mirror = lock(&self.mirror);
         let state = mirror.state();
         let marks = member::Marks {
             head: mirror.revision(),
             domains: mirror.domains().revision,
+            ..member::Marks::default()
         };
         let old = read(&self.state);
         let same = old.revision == state.revision && old.domains.revision == state.domains.revision;
@@ -287,6 +314,32 @@
         });
     }
 
+    /// Puts the catalog's configuration in force on this VM.
+    fn put_catalog_in_force(&self) {
+        let one_at_a_time = lock(&self.refreshing);
+        let now = self.clock.now();
+        let catalog = lock(&self.catalog);
+        let changes = catalog.changes();
+        if self.shown.swap(changes, Ordering::SeqCst) == changes {
+            return;
+        }
+        let marks = catalog.marks();
+        let state = catalog.state(&self.settings.region, now);
+        drop(catalog);
+        let todos = self.refresh(state);
+        drop(one_at_a_time);
+        self.run_all(todos);
+        let age = self.registry_age();
+        self.with_members(|members| {
+            members.set_marks(member::Marks {
+                registry: marks,
+                age,
+                ..members.marks()
+            });
+            members.announce();
+        });
+    }
+
     /// Brings all cells in line with `state`, which is in force from then on, and
     /// with the membership; for the holder of `refreshing` only. What has to be
     /// done then is returned, to be done without it.
@@ -381,6 +434,7 @@
     /// Does what is due on the followers' side and in the membership.
     pub(crate) fn tick_sides(&self) {
         self.check_pause();
+        self.tell_age();
         let now = self.clock.now();
         self.with_members(|members| members.tick(now));
         for cell in self.table().cells() {
--- a/crates/node/src/specs.rs
+++ b/crates/node/src/specs.rs
@@ -3,6 +3,7 @@
 use conf::Service;
 use conf::State;
 use route::spec::ServerSpec;
+use route::spec::Start;
 use route::Spec;
 
 /// Returns the shards of all services in `region`, sorted by id.
@@ -29,6 +30,11 @@
         slots: server.slots,
         connections: server.connections,
         open: state.takes_work(server),
+        start: match server.cold {
+            _ if !server.watched => Start::Unknown,
+            0 => Start::Warm,
+            said => Start::Cold(said),
+        },
     });
     Spec {
         cold_limit: service.cold.limit,
@@ -38,6 +44,7 @@
         hedge_percent: service.hedges,
         probe_cost: service.probe.cost,
         probe_share: service.probe.share,
+        cold_rate: service.cold_rate,
         longest: service.longest(),
         ..Spec::new(service.id(), servers.collect())
     }
--- a/crates/node/src/sync.rs
+++ b/crates/node/src/sync.rs
@@ -192,12 +192,21 @@
             stream::Request::Newer {
                 head: mirror.revision(),
                 domains: mirror.domains().revision,
+                registry: lock(&self.catalog).marks(),
             }
         };
         let answer = stream::ask(from, &self.keyring, &request).await?;
-        let stream::Answer::Newer { head, domains } = answer else {
+        let stream::Answer::Newer {
+            head,
+            domains,
+            registry,
+        } = answer
+        else {
             return Err(std::io::ErrorKind::InvalidData.into());
         };
+        if let Some(update) = registry.as_deref().and_then(decode) {
+            self.take_update(update);
+        }
         if let Some(domains) = domains.as_deref().and_then(decode) {
             self.take_domains(domains);
         }
@@ -289,10 +298,14 @@
     }
 }
 
-fn decode<T: serde::de::DeserializeOwned>(bytes: &[u8]) -> Option<T> {
+pub(crate) fn decode<T: serde::de::DeserializeOwned>(bytes: &[u8]) -> Option<T> {
     let decoded = serde_json::from_slice(bytes);
     if let Err(error) = &decoded {
         log::error!("conf: an object cannot be read: {error}");
     }
     decoded.ok()
 }
+
+pub(crate) fn encode<T: serde::Serialize>(value: &T) -> Vec<u8> {
+    serde_json::to_vec(value).expect("configuration types have no keys that JSON cannot hold")
+}
--- a/crates/plat/src/lib.rs
+++ b/crates/plat/src/lib.rs
@@ -61,6 +61,9 @@
     /// The platform could not be reached; nothing was done.
     #[error("the platform cannot be reached ({0}); try again when it is back")]
     Down(String),
+    /// The changes asked for are not kept any more; nothing was done.
+    #[error("the platform has forgotten those changes; read everything again")]
+    Compacted,
     /// The value is larger than the platform holds; nothing was written.
     #[error("the value has {0} bytes and the platform holds 1048576; split the service")]
     TooLarge(usize),
--- a/crates/route/benches/cost.rs
+++ b/crates/route/benches/cost.rs
@@ -18,6 +18,7 @@
 use route::msg::Kind;
 use route::msg::Release;
 use route::spec::ServerSpec;
+use route::spec::Start;
 use route::CallNo;
 use route::Ledger;
 use route::Spec;
@@ -40,6 +41,7 @@
         slots: 2,
         connections: 220,
         open: true,
+        start: Start::Unknown,
     };
     Spec::new(base::id::service("s"), (0..servers).map(server).collect())
 }
--- a/crates/route/src/attempts.rs
+++ b/crates/route/src/attempts.rs
@@ -14,6 +14,8 @@
     Unsent,
     /// The server refused the call and said that it did not run it.
     Shed,
+    /// Another server than the one that was meant answered, and did not run it.
+    Misdirected,
     /// The connection broke after something was written.
     Broken,
     /// The deadline passed after something was written.
@@ -27,6 +29,7 @@
             Self::Refused => "refused",
             Self::Unsent => "unsent",
             Self::Shed => "shed",
+            Self::Misdirected => "misdirected",
             Self::Broken => "broken",
             Self::Late => "late",
         }
@@ -34,7 +37,10 @@
 
     /// Returns whether the call certainly did not run in this attempt.
     pub fn proves_not_run(self) -> bool {
-        matches!(self, Self::Refused | Self::Unsent | Self::Shed)
+        matches!(
+            self,
+            Self::Refused | Self::Unsent | Self::Shed | Self::Misdirected
+        )
     }
 }
 
--- a/crates/route/src/follower/mod.rs
+++ b/crates/route/src/follower/mod.rs
@@ -273,7 +273,7 @@
                     known.answered(now);
                 }
             }
-            Outcome::Shed | Outcome::Unused => {}
+            Outcome::Failed | Outcome::Shed | Outcome::Unused => {}
         }
         if self.following {
             let epoch = self.seen;
--- a/crates/route/src/ledger/mod.rs
+++ b/crates/route/src/ledger/mod.rs
@@ -409,6 +409,7 @@
             self.changed |= self.servers[at].forget_stale(&self.spec, now);
             self.servers[at].busy += 1;
             self.servers[at].used = now;
+            self.servers[at].note_grant(now);
         }
     }
 
--- a/crates/route/src/ledger/place.rs
+++ b/crates/route/src/ledger/place.rs
@@ -71,6 +71,9 @@
             return None;
         }
         let warmth = server.limit.warmth(&self.spec);
+        if warmth < Warmth::Lowered && server.has_its_rate(&self.spec, now) {
+            return None;
+        }
         let limit = self.usable(server, warmth);
         let free = server.busy < limit;
         if !free && server.busy >= limit + self.depth(server, limit) {
--- a/crates/route/src/ledger/servers.rs
+++ b/crates/route/src/ledger/servers.rs
@@ -19,9 +19,13 @@
 use crate::permits::Permit;
 use crate::spec::ServerSpec;
 use crate::spec::Spec;
+use crate::spec::Start;
 
 /// Weight of one permit in the average time that a slot stands idle.
 const GAP_WEIGHT: f64 = 0.05;
+/// The span in which the calls of a server that is not warm are counted; longer
+/// than the second that the bound is for, as calls arrive early and late.
+const RATE_SPAN: Duration = Duration::from_millis(1100);
 /// The time after its last request for which a follower is sent sheets.
 const ACTIVE: Duration = Duration::from_secs(5);
 /// The time between two sheets to a follower when nothing changes.
@@ -52,6 +56,9 @@
     pub(super) probed: Time,
     pub(super) probing: bool,
     pub(super) load: Option<Load>,
+    pub(super) start: Start,
+    /// When it was last given calls while it was not warm.
+    pub(super) grants: Vec<Time>,
 }
 
 impl Ledger {
@@ -220,6 +227,14 @@
                 server.limit.chill(&spec);
             }
             server.open = known.open;
+            if known.start != server.start {
+                match known.start {
+                    Start::Cold(_) => server.limit.chill(&spec),
+                    Start::Warm => server.limit.warm(),
+                    Start::Unknown => {}
+                }
+                server.start = known.start;
+            }
             self.servers.push(server);
         }
         for at in 0..self.servers.len() {
@@ -236,10 +251,24 @@
 }
 
 impl Server {
+    /// Notes a call that it is given.
+    pub(super) fn note_grant(&mut self, now: Time) {
+        self.grants.retain(|at| now < *at + RATE_SPAN);
+        self.grants.push(now);
+    }
+
+    /// Returns whether it got as many calls as a cold server bears.
+    pub(super) fn has_its_rate(&self, spec: &Spec, now: Time) -> bool {
+        let recent = self.grants.iter().filter(|at| now < **at + RATE_SPAN);
+        spec.cold_rate > 0.0 && recent.count() as f64 >= spec.cold_rate.floor().max(1.0)
+    }
+
     /// Sets the server's limit back if nothing has been heard of it for long;
     /// returns whether that is so.
     pub(super) fn forget_stale(&mut self, spec: &Spec, now: Time) -> bool {
-        let stale = self.busy == 0 && self.limit.is_stale(spec, now);
+        // One that announces itself would say that it has restarted.
+        let silent = self.start == Start::Unknown;
+        let stale = silent && self.busy == 0 && self.limit.is_stale(spec, now);
         if stale {
             self.limit.lower(spec);
         }
@@ -259,6 +288,8 @@
             probed: Time::ZERO,
             probing: false,
             load: None,
+            start: known.start,
+            grants: Vec::new(),
         }
     }
 }
--- a/crates/route/src/limit.rs
+++ b/crates/route/src/limit.rs
@@ -16,7 +16,12 @@
 use crate::msg::Warmth;
 use crate::spec::ServerSpec;
 use crate::spec::Spec;
+use crate::spec::Start;
 
+/// Weight of one answer in the share of those that say that the server failed.
+const ERROR_WEIGHT: f64 = 0.2;
+/// The age at which half of what is known of a server's failures counts.
+const ERROR_HALF_LIFE: f64 = 2.0;
 /// Weight of one answer in the average service time.
 const WEIGHT: f64 = 0.2;
 /// An answer is healthy if it took at most this many usual service times.
@@ -72,6 +77,8 @@
     usual: f64,
     heard: Time,
     sheds: bool,
+    errors: f64,
+    erred: Time,
 }
 
 impl Limit {
@@ -79,7 +86,10 @@
     pub fn new(server: &ServerSpec, spec: &Spec) -> Self {
         Self {
             slots: server.slots,
-            current: spec.cold_limit.min(server.slots),
+            current: match server.start {
+                Start::Warm => server.slots,
+                Start::Unknown | Start::Cold(_) => spec.cold_limit.min(server.slots),
+            },
             healthy: 0,
             need: spec.grow_after,
             pace: 1.0,
@@ -91,6 +101,8 @@
             usual: 0.0,
             heard: Time::ZERO,
             sheds: false,
+            errors: 0.0,
+            erred: Time::ZERO,
         }
     }
 
@@ -190,10 +202,27 @@
         typical + (self.usual - typical) * (-age / HALF_LIFE).exp2()
     }
 
+    /// Returns the share of its answers that say that it failed, as far as that
+    /// still counts.
+    pub fn errors(&self, now: Time) -> f64 {
+        let age = now.saturating_sub(self.erred).as_secs_f64();
+        self.errors * (-age / ERROR_HALF_LIFE).exp2()
+    }
+
     /// Notes how an attempt ended; `typical` is the service's usual time.
     pub fn note(&mut self, outcome: Outcome, took: f64, typical: f64, spec: &Spec, now: Time) {
         match outcome {
-            Outcome::Done => self.done(took, typical, spec, now),
+            Outcome::Done => {
+                self.errors -= self.errors * ERROR_WEIGHT;
+                self.done(took, typical, spec, now);
+            }
+            Outcome::Failed => {
+                self.failures = 0;
+                self.silent = 0;
+                self.heard = now;
+                self.erred = now;
+                self.errors += (1.0 - self.errors) * ERROR_WEIGHT;
+            }
             Outcome::Shed => self.shed(spec, now),
             Outcome::Unreachable | Outcome::Broken => self.fail(spec, now),
             Outcome::Late => self.late(took, typical, spec, now),
@@ -236,6 +265,13 @@
         self.pace > JUMP
     }
 
+    /// Takes a server's own word that it bears its slots.
+    pub fn warm(&mut self) {
+        self.current = self.slots;
+        self.lowered = false;
+        self.pace = 1.0;
+    }
+
     /// Sets the limit back to that of a server that has just started.
     pub fn chill(&mut self, spec: &Spec) {
         self.current = self.coldest(spec);
--- a/crates/route/src/msg.rs
+++ b/crates/route/src/msg.rs
@@ -115,8 +115,14 @@
     pub busy: u32,
     /// Calls that wait in it.
     pub waiting: u32,
+    /// How long work takes on its host at this moment, in percent of what is
+    /// usual; [`PACE`] where the server does not say.
+    pub pace: u32,
 }
 
+/// The pace of a host on which work takes as long as usual, in percent.
+pub const PACE: u32 = 100;
+
 /// An attempt that a follower has at a server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Held {
--- a/crates/route/src/spec.rs
+++ b/crates/route/src/spec.rs
@@ -28,10 +28,24 @@
     pub connections: u32,
     /// Whether it may get new work: neither draining nor in a domain that is out.
     pub open: bool,
+    /// What it says of its start.
+    pub start: Start,
+}
+
+/// What a server says of its start.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Start {
+    /// Nothing, so that it may have started at any time.
+    #[default]
+    Unknown,
+    /// It bears little yet; the number changes each time that it says so anew.
+    Cold(u64),
+    /// It bears its slots.
+    Warm,
 }
 
 /// One shard of a service.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Spec {
     /// The service.
     pub service: ServiceId,
@@ -53,6 +67,8 @@
     pub probe_cost: Duration,
     /// The most slot time for probes, in hundredths of a percent.
     pub probe_share: u32,
+    /// Calls a second that a cold server bears; 0 for no such bound.
+    pub cold_rate: f64,
     /// The longest deadline of a call.
     pub longest: Duration,
 }
@@ -72,6 +88,7 @@
             hedge_percent: 0,
             probe_cost: Duration::from_millis(6),
             probe_share: 100,
+            cold_rate: 0.0,
             longest: Duration::ZERO,
         }
     }
--- a/crates/route/tests/parts.rs
+++ b/crates/route/tests/parts.rs
@@ -31,6 +31,7 @@
 use route::queue::Waiter;
 use route::spec::share;
 use route::spec::ServerSpec;
+use route::spec::Start;
 use route::Ledger;
 use route::Spec;
 
@@ -49,6 +50,7 @@
         slots,
         connections,
         open: true,
+        start: Start::Unknown,
     }
 }
 
--- a/crates/route/tests/world/mod.rs
+++ b/crates/route/tests/world/mod.rs
@@ -24,6 +24,7 @@
 use route::msg::Kind;
 use route::msg::Release;
 use route::spec::ServerSpec;
+use route::spec::Start;
 use route::verify;
 use route::CallNo;
 use route::Follower;
@@ -77,6 +78,7 @@
         slots,
         connections: 220,
         open: true,
+        start: Start::Unknown,
     };
     let mut spec = Spec::new(base::id::service("s"), (0..SERVERS).map(server).collect());
     spec.grow_after = grow;
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -153,6 +153,7 @@
 
 fn refuse(error: &Error) -> Response<Body> {
     let status = match error {
+        plat::Error::Compacted => StatusCode::GONE,
         Error::Conflict => StatusCode::PRECONDITION_FAILED,
         Error::Busy(_) => StatusCode::TOO_MANY_REQUESTS,
         Error::TooLarge(_) => StatusCode::PAYLOAD_TOO_LARGE,
--- a/crates/wire/src/stream.rs
+++ b/crates/wire/src/stream.rs
@@ -7,6 +7,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use base::marks::Marks;
 use base::Revision;
 use conf::head::Entry;
 use futures_lite::AsyncReadExt;
@@ -35,6 +36,8 @@
         head: Revision,
         /// The revision of the orders that the asking VM has.
         domains: Revision,
+        /// Up to where the asking VM knows the registry.
+        registry: Marks,
     },
     /// The parts that these entries name.
     Parts(Vec<Entry>),
@@ -49,6 +52,8 @@
         head: Option<Vec<u8>>,
         /// The orders about failure domains.
         domains: Option<Vec<u8>>,
+        /// What is newer in the registry.
+        registry: Option<Vec<u8>>,
     },
     /// The parts in the order of the entries; none for one that is not held.
     Parts(Vec<Option<Vec<u8>>>),
