Count the first attempt before another is made beside it

A route that allows one server got a second one: the bound was checked before the first attempt had begun to count.

--- a/crates/entry/src/beside.rs
+++ b/crates/entry/src/beside.rs
@@ -62,7 +62,7 @@
         let mut lost = None;
         let hedges = call.service.hedges > 0;
         for kind in [Kind::Hedge, Kind::Rescue] {
-            if kind == Kind::Hedge && !hedges || !call.may_send() {
+            if kind == Kind::Hedge && !hedges {
                 continue;
             }
             let so_far = || self.ports.now().saturating_sub(began);
@@ -70,6 +70,10 @@
             if let Some(ended) = waited.await {
                 return worse(ended, lost);
             }
+            // The first attempt counts as soon as it has begun.
+            if !call.may_send() {
+                break;
+            }
             let Some(request) = outgoing.make() else {
                 break;
             };
