--- a/crates/conf/src/settings.rs
+++ b/crates/conf/src/settings.rs
@@ -159,6 +159,16 @@
     Registry,
 }
 
+/// The second attempts that the whole fleet may make at each service in ten
+/// seconds, in place of what its ticket says.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Seconds {
+    /// As a share of the first attempts.
+    pub share: f64,
+    /// Beyond that share.
+    pub slack: u32,
+}
+
 /// The platform's object API.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Platform {
@@ -256,6 +266,9 @@
     /// Where readiness and metrics are asked for without a token.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub watch: Option<Watch>,
+    /// The second attempts that the fleet may make at each service.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub seconds: Option<Seconds>,
     /// How long the VM goes on serving after it has said that it is not ready,
     /// so that the balancer in front has seen it.
     #[serde_as(as = "Span")]
--- a/crates/entry/src/beside.rs
+++ b/crates/entry/src/beside.rs
@@ -60,7 +60,7 @@
         let request = outgoing.make();
         let mut first = pin!(self.send(call, first, request));
         let mut lost = None;
-        let hedges = call.service.hedges > 0;
+        let hedges = call.service.hedges > 0 || call.rule.target < call.rule.deadline;
         for kind in [Kind::Hedge, Kind::Rescue] {
             if kind == Kind::Hedge && !hedges {
                 continue;
--- a/crates/load/src/fleet.rs
+++ b/crates/load/src/fleet.rs
@@ -396,6 +396,7 @@
             interface: Interface::Tickets,
         },
         watch: None,
+        seconds: None,
         notice: Duration::from_millis(500),
         forget: Duration::from_secs(3600),
         policy: start.policy,
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -352,7 +352,7 @@
         let table = self.table();
         let mut cells = Vec::new();
         let mut todos = Vec::new();
-        for spec in specs::of_state(&state, &self.settings.region) {
+        for spec in specs::of_state(&state, &self.settings) {
             let spec = Arc::new(spec);
             let cell = match table.shard(spec.shard) {
                 Some(cell) => cell.clone(),
--- a/crates/node/src/specs.rs
+++ b/crates/node/src/specs.rs
@@ -1,6 +1,8 @@
 //! Turns the configuration in force into what the decisions need.
 
+use conf::settings::Seconds;
 use conf::Service;
+use conf::Settings;
 use conf::State;
 use route::spec::ServerSpec;
 use route::spec::Start;
@@ -10,15 +12,42 @@
 ///
 /// A region looks after its own servers only, so that regions that lose each
 /// other go on as they are.
-pub fn of_state(state: &State, region: &str) -> Vec<Spec> {
+pub fn of_state(state: &State, settings: &Settings) -> Vec<Spec> {
+    let region = settings.region.as_str();
     let all = state.services.iter();
     let mut specs: Vec<Spec> = all
-        .flat_map(|service| of_service(state, service, region).shards())
+        .map(|service| of_service(state, service, region))
+        .map(|spec| with_seconds(spec, settings.seconds))
+        .flat_map(Spec::shards)
         .collect();
     specs.sort_by_key(|spec| spec.shard);
     specs
 }
 
+/// The part of what the fleet may spend on second attempts that one home
+/// spends: another home of the service may have spent as much in the same ten
+/// seconds.
+const OWN_PART: f64 = 0.5;
+/// The part of second attempts that is kept for those after a failure.
+const RETRY_PART: f64 = 0.3;
+
+/// Puts the bounds of the settings in the place of the service's own.
+fn with_seconds(spec: Spec, seconds: Option<Seconds>) -> Spec {
+    let Some(seconds) = seconds else {
+        return spec;
+    };
+    let part = |part: f64, of: f64| (part * of).floor() as u32;
+    let share = seconds.share * 100.0;
+    let slack = f64::from(seconds.slack) * OWN_PART;
+    Spec {
+        retry_percent: part(RETRY_PART, share),
+        retry_slack: part(RETRY_PART, slack),
+        hedge_percent: part(1.0 - RETRY_PART, share),
+        hedge_slack: part(1.0 - RETRY_PART, slack),
+        ..spec
+    }
+}
+
 fn of_service(state: &State, service: &Service, region: &str) -> Spec {
     let near = service
         .servers
--- a/crates/route/src/ledger/mod.rs
+++ b/crates/route/src/ledger/mod.rs
@@ -149,8 +149,8 @@
             units: Vec::new(),
             heritage: Heritage::default(),
             active: Vec::new(),
-            retries: Budget::new(spec.retry_percent),
-            hedges: Budget::new(spec.hedge_percent),
+            retries: Budget::new(spec.retry_percent, spec.retry_slack),
+            hedges: Budget::new(spec.hedge_percent, spec.hedge_slack),
             typical: 0.0,
             gap: 0.0,
             changed: true,
@@ -204,8 +204,8 @@
 
     /// Follows a change of the configuration.
     pub fn set_spec(&mut self, spec: Arc<Spec>, now: Time) {
-        self.retries.set_percent(spec.retry_percent);
-        self.hedges.set_percent(spec.hedge_percent);
+        self.retries.set(spec.retry_percent, spec.retry_slack);
+        self.hedges.set(spec.hedge_percent, spec.hedge_slack);
         self.spec = spec;
         self.changed = true;
         self.match_servers();
@@ -297,11 +297,11 @@
             return;
         }
         if ask.kind == Kind::First {
-            self.retries.earn();
-            self.hedges.earn();
+            self.retries.earn(now);
+            self.hedges.earn(now);
         }
         let again = matches!(ask.kind, Kind::Retry | Kind::Rescue);
-        if again && !self.retries.spend() {
+        if again && !self.retries.spend(now) {
             self.refuse(from, call, Why::Budget, BUDGET_WAIT);
             return;
         }
@@ -315,14 +315,14 @@
 
     /// Grants a hedge only out of what nobody else wants.
     fn hedge(&mut self, waiter: &Waiter, now: Time) {
-        let place = if self.queue.is_empty() && self.hedges.allows() {
+        let place = if self.queue.is_empty() && self.hedges.allows(now) {
             self.place(waiter, true, now)
         } else {
             None
         };
         match place {
             Some(at) => {
-                self.hedges.spend();
+                self.hedges.spend(now);
                 self.grant(waiter, at, now);
             }
             None => self.refuse(waiter.vm, waiter.call, Why::Budget, BUDGET_WAIT),
--- a/crates/route/src/spec.rs
+++ b/crates/route/src/spec.rs
@@ -11,6 +11,8 @@
 
 /// The most servers that one home looks after.
 pub const SHARD_SERVERS: usize = 64;
+/// Second attempts beyond their share in ten seconds, where nobody says more.
+const SLACK: u32 = 10;
 /// The share of a server's connections that the fleet uses, in percent; the
 /// rest is for connections that close while others open.
 const CONNECTION_PERCENT: usize = 90;
@@ -61,8 +63,12 @@
     pub queues: bool,
     /// Second attempts per hundred first ones.
     pub retry_percent: u32,
+    /// Second attempts beyond that share in ten seconds.
+    pub retry_slack: u32,
     /// Hedged attempts per hundred first ones.
     pub hedge_percent: u32,
+    /// Hedged attempts beyond that share in ten seconds.
+    pub hedge_slack: u32,
     /// The slot time that a probe costs.
     pub probe_cost: Duration,
     /// The most slot time for probes, in hundredths of a percent.
@@ -85,7 +91,9 @@
             grow_after: 16,
             queues: true,
             retry_percent: 10,
+            retry_slack: SLACK,
             hedge_percent: 0,
+            hedge_slack: SLACK,
             probe_cost: Duration::from_millis(6),
             probe_share: 100,
             cold_rate: 0.0,
