--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -19,6 +19,7 @@
 use net::timeout;
 use net::Body;
 use route::attempts::Failure;
+use route::msg::Load;
 use route::spec;
 
 use crate::dialect::Dialect;
@@ -79,6 +80,8 @@
     pub content: Content,
     /// The time from sending the request to the head.
     pub took: Duration,
+    /// What the server said about its load.
+    pub load: Option<Load>,
 }
 
 /// An attempt that failed.
@@ -156,7 +159,8 @@
         conn: Conn,
     ) -> Result<Head, Failed> {
         let (parts, incoming) = response.into_parts();
-        guard.set_load(self.dialect.load(&parts.headers));
+        let load = self.dialect.load(&parts.headers);
+        guard.set_load(load);
         match self.dialect.judge(self.id.as_ref(), &parts) {
             Reply::Answer => {}
             Reply::Refused => {
@@ -180,6 +184,7 @@
             parts,
             content,
             took,
+            load,
         })
     }
 
--- a/crates/entry/src/proxy.rs
+++ b/crates/entry/src/proxy.rs
@@ -24,6 +24,7 @@
 use net::Body;
 use net::BoxFuture;
 use obs::spans::Open;
+use obs::CallRecord;
 use obs::Calls;
 use obs::Metrics;
 use obs::SpanKind;
@@ -153,7 +154,8 @@
         let began = self.ports.now();
         let parent = self.spans.extract(request.headers());
         let span = self.spans.start("call", SpanKind::Server, &parent);
-        let arrival = Arrival::new(&request, &span);
+        let id = self.dialect.call_id(request.headers());
+        let arrival = Arrival::new(&request, &span, id.as_ref());
         let state = self.ports.state();
         let draw = fastrand::f64();
         let method = request.method().as_str();
@@ -187,6 +189,7 @@
             span.fail(answer.text.clone());
             self.metrics.refusal(name, answer.reason);
         }
+        log_end(&record, &result, self.ports.state().revision);
         self.calls.add(record);
         match result {
             Ok(served) => {
@@ -413,7 +416,10 @@
             left,
         };
         call.sends.fetch_add(1, Ordering::Relaxed);
-        match attempt.run(request).await {
+        let began = self.ports.now();
+        let result = attempt.run(request).await;
+        self.log_attempt(call, &permit, server, &result, self.ports.now() - began);
+        match result {
             Ok(head) => {
                 self.metrics.attempt(&call.service.name, "answered");
                 let place = Place {
@@ -440,6 +446,36 @@
         }
     }
 
+    /// Logs how an attempt ended.
+    fn log_attempt(
+        &self,
+        call: &Call<'_>,
+        permit: &Permit,
+        server: &conf::Server,
+        result: &Result<Head, Failed>,
+        took: Duration,
+    ) {
+        let id = call.id.as_ref().and_then(|id| id.to_str().ok());
+        let (end, text) = match result {
+            Ok(head) => ("answered", head.parts.status.as_str().to_owned()),
+            Err(failed) => (failed.failure.name(), failed.text.clone()),
+        };
+        let load = result.as_ref().ok().and_then(|head| head.load);
+        log::info!(
+            id = id.unwrap_or_default(),
+            call = permit.call,
+            server = server.name,
+            domain = server.domain,
+            number = call.tried.len() as u64,
+            end = end,
+            detail = text,
+            pace = load.map_or(0, |load| load.pace),
+            busy = load.map_or(0, |load| load.busy),
+            took_us = took.as_micros() as u64;
+            "attempt: ended"
+        );
+    }
+
     /// Marks a server's answer and passes it on.
     fn pass_on(&self, served: Served, added: Duration) -> Response<Body> {
         let Served {
@@ -510,6 +546,29 @@
     }
 }
 
+/// Logs how a call ended; `revision` is that of the configuration in force.
+fn log_end(record: &CallRecord, result: &Result<Served, Answer>, revision: u64) {
+    let waited = match result {
+        Ok(served) => served.waited,
+        Err(_) => Duration::ZERO,
+    };
+    log::info!(
+        id = record.id,
+        service = record.service,
+        path = record.path,
+        status = record.status,
+        outcome = record.outcome,
+        reason = result.as_ref().err().map_or("", |answer| answer.reason),
+        server = record.server,
+        domain = record.domain,
+        attempts = record.attempts,
+        permit_us = waited.as_micros() as u64,
+        took_us = record.took,
+        revision = revision;
+        "call: ended"
+    );
+}
+
 fn mark(fields: &mut HeaderMap, vm: &HeaderValue, place: &Place) {
     fields.insert(headers::VM, vm.clone());
     fields.insert(headers::ATTEMPTS, place.attempts.into());
--- a/crates/entry/src/record.rs
+++ b/crates/entry/src/record.rs
@@ -5,6 +5,7 @@
 use std::time::UNIX_EPOCH;
 
 use http::header;
+use http::HeaderValue;
 use http::Request;
 use http::StatusCode;
 use obs::spans::Open;
@@ -33,11 +34,12 @@
     pub path: String,
     method: String,
     trace: String,
+    id: String,
 }
 
 impl Arrival {
     /// Notes what is needed of `request` once it is taken apart.
-    pub fn new<B>(request: &Request<B>, span: &Open) -> Self {
+    pub fn new<B>(request: &Request<B>, span: &Open, id: Option<&HeaderValue>) -> Self {
         let named = request.headers().get(header::HOST);
         let named = named.and_then(|value| value.to_str().ok());
         let host = request.uri().authority().map(|host| host.as_str());
@@ -46,6 +48,10 @@
             path: request.uri().path().to_owned(),
             method: request.method().to_string(),
             trace: span.trace(),
+            id: id
+                .and_then(|id| id.to_str().ok())
+                .unwrap_or_default()
+                .to_owned(),
         }
     }
 
@@ -75,6 +81,7 @@
         CallRecord {
             at: since.unwrap_or_default().as_millis() as u64,
             trace: self.trace,
+            id: self.id,
             service: service.to_owned(),
             method: self.method,
             path: self.path,
--- a/crates/node/src/cell.rs
+++ b/crates/node/src/cell.rs
@@ -13,6 +13,7 @@
 use entry::Refused;
 use route::follower::Event;
 use route::ledger::Action;
+use route::ledger::Decision;
 use route::msg::Ask;
 use route::msg::Body;
 use route::msg::Envelope;
@@ -205,8 +206,12 @@
                 Action::StepDown(epoch) => over = Some(epoch),
             }
         }
+        let decisions = seat.take_decisions();
         let legacy = over.and_then(|epoch| seat.overtake(epoch, now));
         drop(seat);
+        for decision in &decisions {
+            log_decision(decision);
+        }
         self.inherit(legacy, now);
         todo
     }
@@ -256,3 +261,45 @@
         self.silent = self.silent.or(other.silent);
     }
 }
+
+/// Logs a decision of the home with what it was made from.
+fn log_decision(decision: &Decision) {
+    match decision {
+        Decision::Granted {
+            vm,
+            call,
+            server,
+            kind,
+            busy,
+            limit,
+            expected,
+            age,
+            waiting,
+        } => log::info!(
+            vm = format!("{vm:x}"),
+            call = *call,
+            server = format!("{server:x}"),
+            kind:? = *kind,
+            busy = *busy,
+            limit = *limit,
+            expected_ms = expected * 1e3,
+            age_ms = age.as_millis() as u64,
+            waiting = *waiting as u64;
+            "home: granted"
+        ),
+        Decision::Refused {
+            vm,
+            call,
+            why,
+            after,
+            waiting,
+        } => log::info!(
+            vm = format!("{vm:x}"),
+            call = *call,
+            why = why.name(),
+            after_ms = after.as_millis() as u64,
+            waiting = *waiting as u64;
+            "home: refused"
+        ),
+    }
+}
--- a/crates/obs/src/calls.rs
+++ b/crates/obs/src/calls.rs
@@ -17,6 +17,9 @@
     pub at: u64,
     /// The trace that it belongs to.
     pub trace: String,
+    /// The id that the caller gave it, empty if none.
+    #[serde(default)]
+    pub id: String,
     /// The service.
     pub service: String,
     /// The method.
--- a/crates/route/src/ledger/mod.rs
+++ b/crates/route/src/ledger/mod.rs
@@ -131,8 +131,48 @@
     gap: f64,
     changed: bool,
     counts: Counts,
+    decisions: Vec<Decision>,
     actions: Vec<Action>,
 }
+
+/// A decision and what it was made from, for the log.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Decision {
+    /// A permit was granted.
+    Granted {
+        /// The VM that asked.
+        vm: VmId,
+        /// The attempt.
+        call: CallNo,
+        /// The server.
+        server: ServerId,
+        /// Which attempt at the call it is.
+        kind: Kind,
+        /// Calls that were in flight at the server.
+        busy: u32,
+        /// Calls that it bore.
+        limit: u32,
+        /// Its expected service time in seconds.
+        expected: f64,
+        /// How long ago the server last answered.
+        age: Duration,
+        /// Requests that waited.
+        waiting: usize,
+    },
+    /// A request was refused.
+    Refused {
+        /// The VM that asked.
+        vm: VmId,
+        /// The attempt.
+        call: CallNo,
+        /// Why.
+        why: Why,
+        /// When to try again.
+        after: Duration,
+        /// Requests that waited.
+        waiting: usize,
+    },
+}
 impl Ledger {
     /// Makes the ledger of a new epoch, which follows `prior`.
     pub fn new(me: VmId, prior: Epoch, spec: Arc<Spec>, fleet: Fleet<'_>, now: Time) -> Self {
@@ -155,6 +195,7 @@
             gap: 0.0,
             changed: true,
             counts: Counts::default(),
+            decisions: Vec::new(),
             actions: Vec::new(),
             spec,
         };
@@ -197,6 +238,11 @@
         self.permits.list()
     }
 
+    /// Takes the decisions made since the last time.
+    pub fn take_decisions(&mut self) -> Vec<Decision> {
+        std::mem::take(&mut self.decisions)
+    }
+
     /// Takes the actions that have come up since the last time.
     pub fn take_actions(&mut self) -> Vec<Action> {
         std::mem::take(&mut self.actions)
@@ -390,6 +436,18 @@
         let left = waiter.due.saturating_sub(now);
         self.give(waiter.vm, waiter.call, server, left, now);
         self.counts.granted += 1;
+        let choice = &self.servers[at];
+        self.decisions.push(Decision::Granted {
+            vm: waiter.vm,
+            call: waiter.call,
+            server,
+            kind: waiter.ask.kind,
+            busy: choice.busy.saturating_sub(1),
+            limit: choice.limit.current(),
+            expected: choice.limit.expected(self.typical, now),
+            age: choice.limit.age(now),
+            waiting: self.queue.len(),
+        });
         self.send_grant(waiter.vm, waiter.call, server);
     }
 
@@ -511,6 +569,13 @@
 
     fn refuse(&mut self, to: VmId, call: CallNo, why: Why, after: Duration) {
         self.counts.refused += 1;
+        self.decisions.push(Decision::Refused {
+            vm: to,
+            call,
+            why,
+            after,
+            waiting: self.queue.len(),
+        });
         let epoch = self.epoch;
         let body = Body::Refuse {
             epoch,
--- a/crates/route/src/seat.rs
+++ b/crates/route/src/seat.rs
@@ -13,6 +13,7 @@
 
 use crate::epoch::Epoch;
 use crate::ledger::Action;
+use crate::ledger::Decision;
 use crate::ledger::Fleet;
 use crate::ledger::Ledger;
 use crate::msg::Body;
@@ -88,6 +89,13 @@
         actions
     }
 
+    /// Takes the decisions made since the last time.
+    pub fn take_decisions(&mut self) -> Vec<Decision> {
+        self.ledger
+            .as_mut()
+            .map_or(Vec::new(), Ledger::take_decisions)
+    }
+
     /// Follows a change of the configuration.
     pub fn set_spec(&mut self, spec: Arc<Spec>, now: Time) {
         self.spec = spec.clone();
