Ask servers for the pace of their hosts before a call, and prefer idle, near, connected ones

The home now asks the two best servers of unknown pace, with a bound of one question in 50 ms a server, and holds the call for 15 ms at the most. One answer counts as two usual times at the most in a server's average.

--- a/crates/node/src/cell.rs
+++ b/crates/node/src/cell.rs
@@ -17,6 +17,7 @@
 use route::msg::Ask;
 use route::msg::Body;
 use route::msg::Envelope;
+use route::msg::Load;
 use route::msg::Release;
 use route::policy::Local;
 use route::seat::Legacy;
@@ -190,8 +191,8 @@
     }
 
     /// Notes the result of a probe.
-    pub fn probed(&self, server: ServerId, ok: bool, now: Time) -> Todo {
-        self.in_seat(now, |seat| seat.probed(server, ok, now))
+    pub fn probed(&self, server: ServerId, ok: bool, load: Option<Load>, now: Time) -> Todo {
+        self.in_seat(now, |seat| seat.probed(server, ok, load, now))
     }
 
     fn in_seat(&self, now: Time, work: impl FnOnce(&mut Seat)) -> Todo {
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -135,6 +135,8 @@
             pulls,
             lost,
         }));
+        // It is set once, right here.
+        let _ = shared.own.set(Arc::downgrade(&shared));
         gauges::register(&shared);
         let mut node = Self {
             shared,
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -2,14 +2,13 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::Weak;
 use std::time::Duration;
 
 use base::ServerId;
-use entry::Dialect;
 use http::Request;
-use net::client;
-use net::exec::Handle;
 use route::msg::Load;
+use route::spec;
 use smol::net::TcpListener;
 use smol::net::TcpStream;
 use wire::datagram;
@@ -118,19 +117,21 @@
         let Some(known) = state.server(cell.service, server) else {
             return;
         };
+        let Some(shared) = self.own.get().and_then(Weak::upgrade) else {
+            return;
+        };
         let probe = Probe {
-            address: known.address,
+            id: server,
+            server: known.clone(),
             path: service.probe.path.clone(),
-            handle: self.handle.clone(),
-            dialect: self.dialect.clone(),
+            share: spec::share(known.connections, self.view().alive.len()),
         };
         let cell = cell.clone();
-        let clock = self.clock;
         self.handle.detach(async move {
-            let load = probe.run().await;
-            let now = clock.now();
-            // What follows from it is done at the next tick.
-            let _ = cell.probed(server, load.is_some(), now);
+            let load = probe.run(&shared).await;
+            let now = shared.clock.now();
+            let todo = cell.probed(server, load.is_some(), load, now);
+            shared.run(&cell, todo);
             if let Some(load) = load {
                 cell.with_local(|local| local.probed(server, load, now));
             }
@@ -138,29 +139,40 @@
     }
 }
 
-/// A request for a server's health.
+/// A request for a server's health, on a connection that calls use too.
 struct Probe {
-    address: SocketAddr,
+    id: ServerId,
+    server: conf::Server,
     path: String,
-    handle: Handle,
-    dialect: Arc<dyn Dialect>,
+    share: usize,
 }
 
 impl Probe {
     /// Returns the load that a healthy server reports; none if it is not healthy.
-    async fn run(self) -> Option<Load> {
+    async fn run(self, shared: &Shared) -> Option<Load> {
+        net::timeout(PROBE_WAIT, self.ask(shared)).await?
+    }
+
+    async fn ask(self, shared: &Shared) -> Option<Load> {
         let request = Request::get(&self.path)
-            .header(http::header::HOST, self.address.to_string())
+            .header(http::header::HOST, self.server.address.to_string())
             .body(net::body::empty())
             .ok()?;
-        let answer = client::once(&self.handle, self.address, request, PROBE_WAIT, PROBE_SIZE);
-        let answer = answer.await.ok()?;
-        let load = self.dialect.load(answer.headers());
+        let pools = &shared.pools;
+        let mut conn = pools
+            .get(self.id, &self.server, false, self.share)
+            .await
+            .ok()?;
+        let answer = conn.sender()?.send(request).await.ok()?;
+        let (parts, incoming) = answer.into_parts();
+        net::body::collect(incoming, PROBE_SIZE).await.ok()?;
+        pools.keep(conn, shared.clock.now());
         let idle = Load {
             busy: 0,
             waiting: 0,
             pace: route::msg::PACE,
         };
-        answer.status().is_success().then(|| load.unwrap_or(idle))
+        let load = shared.dialect.load(&parts.headers);
+        parts.status.is_success().then(|| load.unwrap_or(idle))
     }
 }
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -9,8 +9,10 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
+use std::sync::OnceLock;
 use std::sync::PoisonError;
 use std::sync::RwLock;
+use std::sync::Weak;
 use std::time::Duration;
 
 use base::Clock;
@@ -112,6 +114,7 @@
     pub(crate) memory: Mutex<Keys>,
     pulse: AtomicU64,
     pub(crate) next_claim: AtomicU64,
+    pub(crate) own: OnceLock<Weak<Shared>>,
     pub(crate) waiting: AtomicUsize,
     pub(crate) asked: Event,
     pauses: AtomicU64,
@@ -207,6 +210,7 @@
             memory: Mutex::new(memory),
             pulse: AtomicU64::new(now.as_millis() as u64),
             next_claim: AtomicU64::new(1),
+            own: OnceLock::new(),
             waiting: AtomicUsize::new(0),
             asked: Event::new(),
             pauses: AtomicU64::new(0),
--- a/crates/route/src/choose.rs
+++ b/crates/route/src/choose.rs
@@ -10,11 +10,17 @@
 use base::Time;
 
 /// How much longer a full server is expected to take than an empty one.
-const CROWDING: f64 = 0.3;
+const CROWDING: f64 = 0.6;
 /// Usual service times after which a call in flight counts as stuck.
 const STUCK: f64 = 4.0;
 /// What a call to another failure domain costs in seconds, both ways.
 const DISTANCE: f64 = 0.001;
+/// The share by which a server in the caller's failure domain may be slower and
+/// still be chosen: links between domains are dear, and go down with them.
+const REMOTE: f64 = 0.12;
+/// The share by which a server that the VM is connected to may be slower and
+/// still be chosen: a new connection costs the server time.
+const UNLINKED: f64 = 0.08;
 
 /// The share by which expected times differ that count as the same.
 const ALIKE: f64 = 0.02;
@@ -36,8 +42,12 @@
     pub expected: f64,
     /// How long its oldest call has been in flight, in seconds.
     pub oldest: f64,
+    /// How much longer work takes on its host now than it usually does.
+    pub pace: f64,
     /// Whether it stands in the caller's failure domain.
     pub local: bool,
+    /// Whether the caller's VM has most likely a connection to it.
+    pub linked: bool,
     /// When it was last given a call.
     pub used: Time,
 }
@@ -53,12 +63,15 @@
     fn cost(&self) -> f64 {
         let crowd = f64::from(self.busy) / f64::from(self.slots.max(1));
         let rounds = if self.free { 1.0 } else { 1.0 + crowd };
-        let mut time = self.expected * (1.0 + CROWDING * crowd) * rounds;
+        let mut time = self.expected * self.pace * (1.0 + CROWDING * crowd) * rounds;
         if self.oldest > STUCK * self.expected {
             time = time.max(self.oldest);
         }
         if !self.local {
-            time += DISTANCE;
+            time = time * (1.0 + REMOTE) + DISTANCE;
+        }
+        if !self.linked {
+            time *= 1.0 + UNLINKED;
         }
         time
     }
--- a/crates/route/src/ledger/mod.rs
+++ b/crates/route/src/ledger/mod.rs
@@ -8,6 +8,7 @@
 //! What the ledger may use depends on its [`Roster`]: until all VMs have
 //! promised to follow its epoch, it leaves the silent ones their part of the
 //! warm servers' slots and uses no other server. See `docs/design/homes.md`.
+mod pace;
 mod place;
 mod promises;
 mod servers;
@@ -128,6 +129,8 @@
     retries: Budget,
     hedges: Budget,
     typical: f64,
+    /// How much longer work takes on the hosts on average.
+    slowness: f64,
     gap: f64,
     changed: bool,
     counts: Counts,
@@ -192,6 +195,7 @@
             retries: Budget::new(spec.retry_percent, spec.retry_slack),
             hedges: Budget::new(spec.hedge_percent, spec.hedge_slack),
             typical: 0.0,
+            slowness: 1.0,
             gap: 0.0,
             changed: true,
             counts: Counts::default(),
@@ -377,9 +381,14 @@
 
     fn admit(&mut self, waiter: Waiter, now: Time) {
         let ahead = self.queue.ahead_of(&waiter);
+        let mut waiter = waiter;
         if ahead == 0 {
             if let Some(at) = self.place(&waiter, false, now) {
-                self.grant(&waiter, at, now);
+                if !self.asks_first(&mut waiter, at, now) {
+                    self.grant(&waiter, at, now);
+                    return;
+                }
+                self.queue.add(waiter);
                 return;
             }
         }
@@ -422,6 +431,7 @@
         while at < self.queue.len().min(LOOK_AHEAD) {
             let waiter = self.queue.list()[at].clone();
             match self.place(&waiter, false, now) {
+                Some(server) if now < waiter.hold && !self.is_fast(server, now) => at += 1,
                 Some(server) => {
                     self.queue.remove(at);
                     self.grant(&waiter, server, now);
@@ -468,6 +478,7 @@
             self.servers[at].busy += 1;
             self.servers[at].used = now;
             self.servers[at].note_grant(now);
+            self.servers[at].note_link(vm, now);
         }
     }
 
--- /dev/null
+++ b/crates/route/src/ledger/pace.rs
@@ -0,0 +1,132 @@
+//! How fast the hosts of the servers are at this moment.
+//!
+//! Servers share their hosts with others, so the same work takes several times
+//! as long on some of them for a fraction of a second. Answers and probes tell
+//! how long work takes now; that is worth little soon after. Before a call goes
+//! to a server of which nothing fresh is known, the home asks the best few for
+//! their pace, for as long as a small part of the call's time. See
+//! `docs/design/limits.md`, "Pace".
+
+use std::time::Duration;
+
+use base::ServerId;
+use base::Time;
+use base::VmId;
+
+use super::servers::Server;
+use super::Action;
+use super::Ledger;
+use crate::msg::Load;
+use crate::msg::PACE;
+use crate::queue::Waiter;
+
+/// The age at which a report of the pace says nothing any more. Hosts of the
+/// measured deployments change theirs every 150 ms; see
+/// `docs/measure/platform.md`.
+const PACE_LIFE: f64 = 0.15;
+/// Weight of one report in the average pace.
+const PACE_WEIGHT: f64 = 0.02;
+/// A host counts as fast if work takes at most this many times as long as usual.
+const FAST: f64 = 1.6;
+/// The average pace from which asking before a call is worth its cost.
+const NOISY: f64 = 1.15;
+/// The longest time that a call waits for reports.
+const HOLD: Duration = Duration::from_millis(15);
+/// Servers that are asked for one call.
+const ASKED: usize = 2;
+/// The shortest time between two questions to one server, which bounds what
+/// measuring costs it.
+const ASK_PERIOD: Duration = Duration::from_millis(50);
+/// The time after its last call for which a VM is taken to be connected to a
+/// server; servers close connections that have been idle for ten seconds.
+const LINK_LIFE: Duration = Duration::from_secs(8);
+
+impl Ledger {
+    /// Notes what a server said of its load.
+    pub(super) fn note_load(&mut self, server: ServerId, load: Option<Load>, now: Time) {
+        let (Some(at), Some(load)) = (self.find(server), load) else {
+            return;
+        };
+        let pace = f64::from(load.pace) / f64::from(PACE);
+        self.slowness += (pace - self.slowness) * PACE_WEIGHT;
+        let server = &mut self.servers[at];
+        server.load = Some(load);
+        server.pace = Some((pace, now));
+    }
+
+    /// Returns how much longer work at `server` takes now than usual, as far as
+    /// that is known.
+    pub(super) fn pace_of(&self, server: &Server, now: Time) -> f64 {
+        let Some((pace, since)) = server.pace else {
+            return self.slowness;
+        };
+        let age = now.saturating_sub(since).as_secs_f64();
+        let weight = (1.0 - age / PACE_LIFE).max(0.0);
+        self.slowness + (pace - self.slowness) * weight
+    }
+
+    /// Returns whether the server at place `at` is known to be fast now.
+    pub(super) fn is_fast(&self, at: usize, now: Time) -> bool {
+        self.pace_of(&self.servers[at], now) <= FAST.min(self.slowness)
+    }
+
+    /// Returns whether `waiter`, for which the server at place `best` is the
+    /// best known, should rather wait for reports; asks for them if so.
+    pub(super) fn asks_first(&mut self, waiter: &mut Waiter, best: usize, now: Time) -> bool {
+        if self.slowness < NOISY || self.is_fast(best, now) {
+            return false;
+        }
+        let asked = self.ask_pace(waiter, now);
+        if asked > 0 {
+            waiter.hold = now + HOLD;
+        }
+        asked > 0
+    }
+
+    /// Asks the servers that would be best for `waiter` if they were fast.
+    fn ask_pace(&mut self, waiter: &Waiter, now: Time) -> usize {
+        let mut candidates: Vec<(bool, bool, u32, Time, usize)> = self
+            .servers
+            .iter()
+            .enumerate()
+            .filter(|(_, server)| !server.probing && now >= server.probed + ASK_PERIOD)
+            .filter(|(_, server)| self.is_unsure(server, now))
+            .filter_map(|(at, server)| self.candidate(at, server, waiter, now))
+            .filter(|candidate| candidate.free)
+            .map(|c| (!c.local, !c.linked, c.busy, c.used, c.at))
+            .collect();
+        candidates.sort_unstable();
+        candidates.truncate(ASKED);
+        for (.., at) in &candidates {
+            let server = &mut self.servers[*at];
+            server.probing = true;
+            server.probed = now;
+            self.counts.probes += 1;
+            self.actions.push(Action::Probe(server.id));
+        }
+        candidates.len()
+    }
+
+    /// Returns whether the pace of `server` is not known.
+    fn is_unsure(&self, server: &Server, now: Time) -> bool {
+        let fresh = |since: Time| now.saturating_sub(since).as_secs_f64() < PACE_LIFE / 2.0;
+        !server.pace.is_some_and(|(_, since)| fresh(since))
+    }
+}
+
+impl Server {
+    /// Notes that a VM was given a call.
+    pub(super) fn note_link(&mut self, vm: VmId, now: Time) {
+        self.links.retain(|(_, at)| now < *at + LINK_LIFE);
+        match self.links.iter_mut().find(|(known, _)| *known == vm) {
+            Some(link) => link.1 = now,
+            None => self.links.push((vm, now)),
+        }
+    }
+
+    /// Returns whether `vm` most likely has a connection.
+    pub(super) fn is_linked(&self, vm: VmId, now: Time) -> bool {
+        let mut links = self.links.iter();
+        links.any(|(known, at)| *known == vm && now < *at + LINK_LIFE)
+    }
+}
--- a/crates/route/src/ledger/place.rs
+++ b/crates/route/src/ledger/place.rs
@@ -91,7 +91,9 @@
             slots: spec.slots,
             expected: server.limit.expected(self.typical, now),
             oldest,
+            pace: self.pace_of(server, now),
             local: spec.domain == waiter.ask.domain,
+            linked: server.is_linked(waiter.vm, now),
             used: server.used,
         })
     }
--- a/crates/route/src/ledger/servers.rs
+++ b/crates/route/src/ledger/servers.rs
@@ -59,6 +59,10 @@
     pub(super) start: Start,
     /// When it was last given calls while it was not warm.
     pub(super) grants: Vec<Time>,
+    /// How long work takes on its host, and when it said so.
+    pub(super) pace: Option<(f64, Time)>,
+    /// When VMs were last given calls at it.
+    pub(super) links: Vec<(VmId, Time)>,
 }
 
 impl Ledger {
@@ -85,7 +89,8 @@
     }
 
     /// Notes the result of a probe.
-    pub fn probed(&mut self, server: ServerId, ok: bool, now: Time) {
+    pub fn probed(&mut self, server: ServerId, ok: bool, load: Option<Load>, now: Time) {
+        self.note_load(server, load, now);
         let spec = self.spec.clone();
         if let Some(at) = self.find(server) {
             let server = &mut self.servers[at];
@@ -110,6 +115,7 @@
                 self.typical = took;
             }
         }
+        self.note_load(release.server, release.load, now);
         let Some(at) = self.find(release.server) else {
             return;
         };
@@ -117,9 +123,6 @@
         if release.outcome != Outcome::Done || server.source == Source::Told {
             server.source = Source::Seen;
         }
-        if release.load.is_some() {
-            server.load = release.load;
-        }
         let before = server.limit.warmth(&spec);
         server
             .limit
@@ -290,6 +293,8 @@
             load: None,
             start: known.start,
             grants: Vec::new(),
+            pace: None,
+            links: Vec::new(),
         }
     }
 }
--- a/crates/route/src/limit.rs
+++ b/crates/route/src/limit.rs
@@ -24,6 +24,8 @@
 const ERROR_HALF_LIFE: f64 = 2.0;
 /// Weight of one answer in the average service time.
 const WEIGHT: f64 = 0.2;
+/// Usual service times that one answer counts as in that average at the most.
+const OUTLIER: f64 = 2.0;
 /// An answer is healthy if it took at most this many usual service times.
 const HEALTHY: f64 = 3.0;
 /// Weight of one answer in the average pace of a server.
@@ -237,6 +239,8 @@
         if self.usual == 0.0 {
             self.usual = took;
         } else {
+            // One slow answer says more of its host's moment than of the server.
+            let took = took.min(self.usual * OUTLIER);
             self.usual += (took - self.usual) * WEIGHT;
         }
         let known = typical > 0.0;
--- a/crates/route/src/queue.rs
+++ b/crates/route/src/queue.rs
@@ -25,6 +25,8 @@
     pub due: Time,
     /// Until when it may wait for a permit.
     pub until: Time,
+    /// Until when it waits for news of a server that is not slow now.
+    pub hold: Time,
 }
 
 impl Waiter {
@@ -38,6 +40,7 @@
             ask,
             due,
             until,
+            hold: Time::ZERO,
         }
     }
 
--- a/crates/route/src/seat.rs
+++ b/crates/route/src/seat.rs
@@ -8,6 +8,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use base::ServerId;
 use base::Time;
 use base::VmId;
 
@@ -19,6 +20,7 @@
 use crate::msg::Body;
 use crate::msg::Envelope;
 use crate::msg::Line;
+use crate::msg::Load;
 use crate::msg::Msg;
 use crate::spec::Spec;
 
@@ -193,9 +195,9 @@
     }
 
     /// Notes the result of a probe.
-    pub fn probed(&mut self, server: base::ServerId, ok: bool, now: Time) {
+    pub fn probed(&mut self, server: ServerId, ok: bool, load: Option<Load>, now: Time) {
         if let Some(ledger) = &mut self.ledger {
-            ledger.probed(server, ok, now);
+            ledger.probed(server, ok, load, now);
         }
     }
 }
