Let calls wait only if they can still be answered within their target

Load answered: more calls than can be served in time. A call that cannot make its target is refused at once with the time at which there is room, or waits for an eighth of its target behind the others.

--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod proxy;
 pub mod record;
 pub mod request;
+mod spent;
 pub mod tracked;
 
 pub use dialect::Dialect;
--- a/crates/entry/src/proxy.rs
+++ b/crates/entry/src/proxy.rs
@@ -55,11 +55,14 @@
 use crate::record::Arrival;
 use crate::record::Place;
 use crate::request::Outgoing;
+use crate::spent::Spent;
 use crate::tracked::Tracked;
 
 /// Attempts at one call whose servers certainly did not run it, at the most;
 /// those that may have run are bounded by the route.
 const UNRUN_MAX: u32 = 3;
+/// The part of its target latency that a call may wait although it is late.
+const LATE_PART: f64 = 0.125;
 /// When a caller should come back to a VM that has no configuration yet; VMs
 /// have it within a fraction of a second of their start.
 const UNCONFIGURED_WAIT: Duration = Duration::from_millis(300);
@@ -83,6 +86,7 @@
     spans: Arc<Spans>,
     calls: Arc<Calls>,
     dialect: Arc<dyn Dialect>,
+    spent: Spent,
     me: Identity,
 }
 
@@ -91,6 +95,7 @@
     pub(crate) service: &'a Service,
     pub(crate) rule: Rule,
     due: Time,
+    goal: Time,
     span: &'a Open,
     id: Option<HeaderValue>,
     pub(crate) tried: Vec<ServerId>,
@@ -140,6 +145,7 @@
             spans,
             calls,
             dialect: Arc::new(Native),
+            spent: Spent::default(),
             me,
         }
     }
@@ -214,10 +220,11 @@
         span.set("service", service.name.clone());
         let fields = request.headers();
         let id = self.dialect.call_id(fields);
-        let limit = self
-            .dialect
-            .limit(fields)
-            .map_or(rule.deadline, |l| l.min(rule.deadline));
+        let asked = self.dialect.limit(fields);
+        let limit = asked.map_or(rule.deadline, |l| l.min(rule.deadline));
+        let spent = found.mapping.map_or(Duration::ZERO, |mapping| {
+            self.spent.note(&mapping.name, asked)
+        });
         let key = idempotency_key(service, &rule, request.headers());
         let (parts, incoming) = request.into_parts();
         let reading = Outgoing::new(parts, incoming, peer, self.me.body);
@@ -236,6 +243,7 @@
             service,
             rule,
             due: began + limit,
+            goal: (began + rule.target).saturating_sub(spent),
             span,
             id,
             tried: Vec::new(),
@@ -354,6 +362,8 @@
         let ask = Ask {
             class: call.rule.class,
             left: self.left(call),
+            goal: call.goal.saturating_sub(self.ports.now()),
+            brief: call.rule.target.mul_f64(LATE_PART),
             kind,
             avoid: call.tried.clone(),
             domain: self.me.domain,
--- a/crates/route/src/follower/mod.rs
+++ b/crates/route/src/follower/mod.rs
@@ -433,6 +433,7 @@
         let call = &self.calls[at];
         let mut ask = call.ask.clone();
         ask.left = call.due.saturating_sub(now);
+        ask.goal = ask.goal.saturating_sub(now.saturating_sub(call.since));
         let body = Body::Acquire {
             epoch: self.seen,
             call: call.number,
--- /dev/null
+++ b/crates/route/src/ledger/admit.rs
@@ -0,0 +1,63 @@
+//! Which calls are let in when there is no room at once.
+//!
+//! The load that this answers: more calls than the servers can serve within
+//! their target latency. Serving all of them would serve all of them late, so a
+//! call waits only if it can still be answered in time after those before it.
+//! Any other is refused at once with the time after which there should be room,
+//! unless so little waits that it is served soon anyway. Late calls go after
+//! those of their class that are not. See `docs/design/limits.md`, "Overload".
+
+use std::time::Duration;
+
+use base::Time;
+
+use super::Ledger;
+use super::NO_SERVER_WAIT;
+use super::RETRY_MIN;
+use crate::msg::Kind;
+use crate::msg::Why;
+use crate::queue::Waiter;
+
+impl Ledger {
+    /// Grants a permit to `waiter`, lets it wait, or refuses it.
+    pub(super) fn admit(&mut self, mut waiter: Waiter, now: Time) {
+        let finish = Duration::from_secs_f64(self.average);
+        waiter.late = waiter.ask.goal < finish;
+        let ahead = self.queue.ahead_of(&waiter);
+        if ahead == 0 {
+            if let Some(at) = self.place(&waiter, false, now) {
+                if self.asks_first(&mut waiter, at, now) {
+                    self.queue.add(waiter);
+                } else {
+                    self.grant(&waiter, at, now);
+                }
+                return;
+            }
+        }
+        let elsewhere = waiter.ask.kind == Kind::Rescue;
+        let hopeless = elsewhere && !self.has_other(&waiter.ask.avoid);
+        if hopeless || self.spec.open_slots() == 0 {
+            self.refuse(waiter.vm, waiter.call, Why::NoServer, NO_SERVER_WAIT);
+            return;
+        }
+        let mut wait = self.wait_of(ahead + 1);
+        if !waiter.late && wait + finish > waiter.ask.goal {
+            waiter.late = true;
+            wait = self.wait_of(self.queue.ahead_of(&waiter) + 1);
+        }
+        let until = if waiter.late {
+            now + waiter.ask.brief
+        } else {
+            now + waiter.ask.goal.saturating_sub(finish)
+        };
+        waiter.until = waiter.until.min(until);
+        let fits = now + wait <= waiter.until && self.queue.has_room(waiter.ask.class);
+        if !fits {
+            self.refuse(waiter.vm, waiter.call, Why::Overload, wait.max(RETRY_MIN));
+            return;
+        }
+        self.counts.queued += 1;
+        self.send_queued(waiter.vm, waiter.call);
+        self.queue.add(waiter);
+    }
+}
--- a/crates/route/src/ledger/mod.rs
+++ b/crates/route/src/ledger/mod.rs
@@ -8,6 +8,7 @@
 //! What the ledger may use depends on its [`Roster`]: until all VMs have
 //! promised to follow its epoch, it leaves the silent ones their part of the
 //! warm servers' slots and uses no other server. See `docs/design/homes.md`.
+mod admit;
 mod pace;
 mod place;
 mod promises;
@@ -129,6 +130,8 @@
     retries: Budget,
     hedges: Budget,
     typical: f64,
+    /// The average time that a call takes at a server, slow hosts counted.
+    average: f64,
     /// How much longer work takes on the hosts on average.
     slowness: f64,
     gap: f64,
@@ -195,6 +198,7 @@
             retries: Budget::new(spec.retry_percent, spec.retry_slack),
             hedges: Budget::new(spec.hedge_percent, spec.hedge_slack),
             typical: 0.0,
+            average: 0.0,
             slowness: 1.0,
             gap: 0.0,
             changed: true,
@@ -379,36 +383,6 @@
         }
     }
 
-    fn admit(&mut self, waiter: Waiter, now: Time) {
-        let ahead = self.queue.ahead_of(&waiter);
-        let mut waiter = waiter;
-        if ahead == 0 {
-            if let Some(at) = self.place(&waiter, false, now) {
-                if !self.asks_first(&mut waiter, at, now) {
-                    self.grant(&waiter, at, now);
-                    return;
-                }
-                self.queue.add(waiter);
-                return;
-            }
-        }
-        let elsewhere = waiter.ask.kind == Kind::Rescue;
-        let hopeless = elsewhere && !self.has_other(&waiter.ask.avoid);
-        if hopeless || self.spec.open_slots() == 0 {
-            self.refuse(waiter.vm, waiter.call, Why::NoServer, NO_SERVER_WAIT);
-            return;
-        }
-        let wait = self.wait_of(ahead);
-        let fits = now + wait <= waiter.until && self.queue.has_room(waiter.ask.class);
-        if !fits {
-            self.refuse(waiter.vm, waiter.call, Why::Overload, wait.max(RETRY_MIN));
-            return;
-        }
-        self.counts.queued += 1;
-        self.send_queued(waiter.vm, waiter.call);
-        self.queue.add(waiter);
-    }
-
     fn release(&mut self, from: VmId, release: Release, now: Time) {
         drop(self.queue.take(|w| w.vm == from && w.call == release.call));
         let Some(permit) = self.permits.get(from, release.call).copied() else {
--- a/crates/route/src/ledger/place.rs
+++ b/crates/route/src/ledger/place.rs
@@ -19,6 +19,11 @@
 use crate::msg::Warmth;
 use crate::queue::Waiter;
 
+/// Calls that end while the next one is on its way, from which on one waits in
+/// the server; below it, the slot that stands idle costs less than a call that
+/// is bound to a server too early.
+const DEPTH_MIN: f64 = 0.5;
+
 impl Ledger {
     /// Returns how long a request waits that has `ahead` others before it.
     pub(super) fn wait_of(&self, ahead: usize) -> Duration {
@@ -28,7 +33,7 @@
         });
         let slots: u32 = up.map(|server| server.limit.current()).sum();
         let rounds = ahead as f64 / f64::from(slots.max(1));
-        Duration::from_secs_f64(rounds * (self.typical + self.gap))
+        Duration::from_secs_f64(rounds * (self.average + self.gap))
     }
 
     /// Returns the place of the server for `waiter`; with `spare` only one
@@ -131,6 +136,9 @@
         // the home, which is what the gap covers.
         let ending = f64::from(limit) * 2.0 * self.gap / usual;
         let likely = ending + ending.sqrt();
+        if likely < DEPTH_MIN {
+            return 0;
+        }
         (likely.ceil() as u32).clamp(1, limit)
     }
 
--- a/crates/route/src/ledger/servers.rs
+++ b/crates/route/src/ledger/servers.rs
@@ -23,6 +23,8 @@
 
 /// Weight of one permit in the average time that a slot stands idle.
 const GAP_WEIGHT: f64 = 0.05;
+/// Weight of one answer in the average time of all calls.
+const AVERAGE_WEIGHT: f64 = 0.05;
 /// The span in which the calls of a server that is not warm are counted; longer
 /// than the second that the bound is for, as calls arrive early and late.
 const RATE_SPAN: Duration = Duration::from_millis(1100);
@@ -113,7 +115,9 @@
             self.gap += (gap - self.gap) * GAP_WEIGHT;
             if self.typical == 0.0 {
                 self.typical = took;
+                self.average = took;
             }
+            self.average += (took - self.average) * AVERAGE_WEIGHT;
         }
         self.note_load(release.server, release.load, now);
         let Some(at) = self.find(release.server) else {
--- a/crates/route/src/msg.rs
+++ b/crates/route/src/msg.rs
@@ -44,6 +44,11 @@
     pub class: Class,
     /// The time left to its deadline.
     pub left: Duration,
+    /// The time left until an answer is worth less to its caller; zero if that
+    /// has passed.
+    pub goal: Duration,
+    /// The time that it may wait although it is late for that.
+    pub brief: Duration,
     /// Which attempt it is.
     pub kind: Kind,
     /// Servers that earlier attempts have used.
--- a/crates/route/src/queue.rs
+++ b/crates/route/src/queue.rs
@@ -1,4 +1,5 @@
-//! Calls that wait at the home, by class, then by deadline.
+//! Calls that wait at the home, by class, then by deadline; those that are late
+//! for their target after the others of their class.
 
 use base::Class;
 use base::Time;
@@ -25,6 +26,8 @@
     pub due: Time,
     /// Until when it may wait for a permit.
     pub until: Time,
+    /// Whether its answer will come later than it is worth most.
+    pub late: bool,
     /// Until when it waits for news of a server that is not slow now.
     pub hold: Time,
 }
@@ -40,12 +43,13 @@
             ask,
             due,
             until,
+            late: false,
             hold: Time::ZERO,
         }
     }
 
-    fn order(&self) -> (Class, Time, VmId, CallNo) {
-        (self.ask.class, self.due, self.vm, self.call)
+    fn order(&self) -> (Class, bool, Time, VmId, CallNo) {
+        (self.ask.class, self.late, self.due, self.vm, self.call)
     }
 }
 
