Let servers warm up although hosts are slow, and bound the rate of those that may be cold

The average time, slow hosts counted, is the measure now. The rate bound now holds for a server that says that it is cold, or that may have restarted within the time that its service is cold.

--- a/crates/conf/src/service.rs
+++ b/crates/conf/src/service.rs
@@ -157,6 +157,10 @@
     /// Calls a second that a cold server bears; 0 for no such bound.
     #[serde(default, skip_serializing_if = "is_none")]
     pub cold_rate: f64,
+    /// For how long a server that has started is cold.
+    #[serde_as(as = "Span")]
+    #[serde(default, skip_serializing_if = "Duration::is_zero")]
+    pub cold_span: Duration,
     /// Connections that each server bears from the whole fleet, where servers
     /// announce themselves; 0 if tickets name it for each server.
     #[serde(default, skip_serializing_if = "is_unset")]
@@ -203,6 +207,7 @@
             cold: Cold::default(),
             probe: Probe::default(),
             cold_rate: 0.0,
+            cold_span: Duration::ZERO,
             connections: 0,
             servers: Vec::new(),
             ticket: 0,
--- a/crates/node/src/specs.rs
+++ b/crates/node/src/specs.rs
@@ -74,6 +74,7 @@
         probe_cost: service.probe.cost,
         probe_share: service.probe.share,
         cold_rate: service.cold_rate,
+        cold_span: service.cold_span,
         longest: service.longest(),
         ..Spec::new(service.id(), servers.collect())
     }
--- a/crates/route/src/ledger/servers.rs
+++ b/crates/route/src/ledger/servers.rs
@@ -107,7 +107,9 @@
 
     pub(super) fn learn(&mut self, permit: &Permit, release: &Release, now: Time) {
         let spec = self.spec.clone();
-        let typical = self.typical;
+        // Slow hosts are usual where they are many, and must not keep a server
+        // from warming up.
+        let typical = self.typical.max(self.average);
         let took = release.took.as_secs_f64();
         if release.outcome == Outcome::Done {
             let held = now.saturating_sub(permit.since).as_secs_f64();
@@ -145,6 +147,11 @@
             return;
         };
         let server = &mut self.servers[at];
+        if server.start == Start::Warm {
+            // It will announce its restart, if that is what it was.
+            server.limit.suspect(now);
+            return;
+        }
         server.source = Source::Seen;
         let before = server.limit.warmth(&spec);
         server.limit.chill(&spec);
--- a/crates/route/src/limit.rs
+++ b/crates/route/src/limit.rs
@@ -81,6 +81,7 @@
     sheds: bool,
     errors: f64,
     erred: Time,
+    back: Option<Time>,
 }
 
 impl Limit {
@@ -105,6 +106,7 @@
             sheds: false,
             errors: 0.0,
             erred: Time::ZERO,
+            back: None,
         }
     }
 
@@ -276,6 +278,16 @@
         self.pace = 1.0;
     }
 
+    /// Notes that the server may have restarted just now.
+    pub fn suspect(&mut self, now: Time) {
+        self.back = Some(now);
+    }
+
+    /// Returns whether the server may be cold without having said so yet.
+    pub fn may_be_cold(&self, spec: &Spec, now: Time) -> bool {
+        self.back.is_some_and(|back| now < back + spec.cold_span)
+    }
+
     /// Sets the limit back to that of a server that has just started.
     pub fn chill(&mut self, spec: &Spec) {
         self.current = self.coldest(spec);
@@ -328,6 +340,7 @@
         if ok {
             self.down = false;
             self.chill(spec);
+            self.suspect(now);
         } else {
             self.fail(spec, now);
         }
--- a/crates/route/src/spec.rs
+++ b/crates/route/src/spec.rs
@@ -75,6 +75,8 @@
     pub probe_share: u32,
     /// Calls a second that a cold server bears; 0 for no such bound.
     pub cold_rate: f64,
+    /// For how long a server that has restarted is cold.
+    pub cold_span: Duration,
     /// The longest deadline of a call.
     pub longest: Duration,
 }
@@ -97,6 +99,7 @@
             probe_cost: Duration::from_millis(6),
             probe_share: 100,
             cold_rate: 0.0,
+            cold_span: Duration::ZERO,
             longest: Duration::ZERO,
         }
     }
