--- a/crates/node/src/cell.rs
+++ b/crates/node/src/cell.rs
@@ -274,6 +274,7 @@
             busy,
             limit,
             expected,
+            pace,
             age,
             waiting,
         } => log::info!(
@@ -284,6 +285,7 @@
             busy = *busy,
             limit = *limit,
             expected_ms = expected * 1e3,
+            pace = *pace,
             age_ms = age.as_millis() as u64,
             waiting = *waiting as u64;
             "home: granted"
--- a/crates/route/src/choose.rs
+++ b/crates/route/src/choose.rs
@@ -9,8 +9,6 @@
 
 use base::Time;
 
-/// How much longer a full server is expected to take than an empty one.
-const CROWDING: f64 = 0.6;
 /// Usual service times after which a call in flight counts as stuck.
 const STUCK: f64 = 4.0;
 /// What a call to another failure domain costs in seconds, both ways.
@@ -44,6 +42,9 @@
     pub oldest: f64,
     /// How much longer work takes on its host now than it usually does.
     pub pace: f64,
+    /// How much longer a call takes at a full server than at an empty one, as a
+    /// share.
+    pub crowding: f64,
     /// Whether it stands in the caller's failure domain.
     pub local: bool,
     /// Whether the caller's VM has most likely a connection to it.
@@ -59,11 +60,20 @@
         (self.cost().ln() / ALIKE).floor()
     }
 
+    /// Returns how long a call is expected to take at this server, in seconds,
+    /// whatever else it costs.
+    pub fn time(&self) -> f64 {
+        let others = f64::from(self.slots.max(2) - 1);
+        let crowd = (f64::from(self.busy) / others).min(1.0);
+        self.expected * self.pace * (1.0 + self.crowding * crowd)
+    }
+
     /// Returns the expected time of a call at this server, in seconds.
     fn cost(&self) -> f64 {
-        let crowd = f64::from(self.busy) / f64::from(self.slots.max(1));
+        let others = f64::from(self.slots.max(2) - 1);
+        let crowd = (f64::from(self.busy) / others).min(1.0);
         let rounds = if self.free { 1.0 } else { 1.0 + crowd };
-        let mut time = self.expected * self.pace * (1.0 + CROWDING * crowd) * rounds;
+        let mut time = self.expected * self.pace * (1.0 + self.crowding * crowd) * rounds;
         if self.oldest > STUCK * self.expected {
             time = time.max(self.oldest);
         }
--- a/crates/route/src/ledger/admit.rs
+++ b/crates/route/src/ledger/admit.rs
@@ -23,6 +23,9 @@
     pub(super) fn admit(&mut self, mut waiter: Waiter, now: Time) {
         let finish = Duration::from_secs_f64(self.average);
         waiter.late = waiter.ask.goal < finish;
+        if !waiter.late && self.slowness > 1.0 {
+            waiter.patient = now + waiter.ask.goal.saturating_sub(finish);
+        }
         let ahead = self.queue.ahead_of(&waiter);
         if ahead == 0 {
             if let Some(at) = self.place(&waiter, false, now) {
--- a/crates/route/src/ledger/mod.rs
+++ b/crates/route/src/ledger/mod.rs
@@ -132,6 +132,10 @@
     typical: f64,
     /// The average time that a call takes at a server, slow hosts counted.
     average: f64,
+    /// The average time of calls that had their server to themselves, and of
+    /// those that had not.
+    alone: f64,
+    crowded: f64,
     /// How much longer work takes on the hosts on average.
     slowness: f64,
     gap: f64,
@@ -160,6 +164,8 @@
         limit: u32,
         /// Its expected service time in seconds.
         expected: f64,
+        /// How much longer work takes on its host, as far as that is known.
+        pace: f64,
         /// How long ago the server last answered.
         age: Duration,
         /// Requests that waited.
@@ -199,6 +205,8 @@
             hedges: Budget::new(spec.hedge_percent, spec.hedge_slack),
             typical: 0.0,
             average: 0.0,
+            alone: 0.0,
+            crowded: 0.0,
             slowness: 1.0,
             gap: 0.0,
             changed: true,
@@ -288,6 +296,7 @@
         self.ask_promises(now);
         self.forget_stale(now);
         self.learn_typical();
+        self.ask_for_waiting(now);
         self.pump(now);
         self.send_sheets(now);
         self.start_probes(now);
@@ -429,6 +438,7 @@
             busy: choice.busy.saturating_sub(1),
             limit: choice.limit.current(),
             expected: choice.limit.expected(self.typical, now),
+            pace: self.pace_of(choice, now),
             age: choice.limit.age(now),
             waiting: self.queue.len(),
         });
@@ -442,6 +452,7 @@
             server,
             since: now,
             ends: now + left + GRACE,
+            beside: self.busy(server),
             lingers: false,
         };
         if !self.permits.add(permit) {
--- a/crates/route/src/ledger/pace.rs
+++ b/crates/route/src/ledger/pace.rs
@@ -30,6 +30,14 @@
 const FAST: f64 = 1.6;
 /// The average pace from which asking before a call is worth its cost.
 const NOISY: f64 = 1.15;
+/// Usual service times that one call counts as when crowding is learned.
+const CROWD_OUTLIER: f64 = 3.0;
+/// Weight of one call in what is learned of crowding.
+const CROWD_WEIGHT: f64 = 0.02;
+/// The least crowding that is assumed: spreading calls costs nothing.
+const CROWDING_MIN: f64 = 0.4;
+/// The most crowding that is believed.
+const CROWDING_MAX: f64 = 2.0;
 /// The longest time that a call waits for reports.
 const HOLD: Duration = Duration::from_millis(15);
 /// Servers that are asked for one call.
@@ -83,9 +91,45 @@
         asked > 0
     }
 
+    /// Asks on behalf of the first call that waits although servers are free.
+    pub(super) fn ask_for_waiting(&mut self, now: Time) {
+        if self.slowness < NOISY {
+            return;
+        }
+        if let Some(waiter) = self.queue.list().first().cloned() {
+            self.ask_pace(&waiter, now);
+        }
+    }
+
+    /// Notes how long a call took that found `busy` others at its server.
+    pub(super) fn note_crowding(&mut self, took: f64, busy: u32, slots: u32) {
+        if self.typical <= 0.0 || slots < 2 {
+            return;
+        }
+        let took = took.min(self.typical * CROWD_OUTLIER);
+        let average = if busy == 0 {
+            &mut self.alone
+        } else {
+            &mut self.crowded
+        };
+        if *average == 0.0 {
+            *average = took;
+        }
+        *average += (took - *average) * CROWD_WEIGHT;
+    }
+
+    /// Returns how much longer a call takes at a full server than at an empty
+    /// one, as a share.
+    pub(super) fn crowding(&self) -> f64 {
+        if self.alone <= 0.0 || self.crowded <= 0.0 {
+            return CROWDING_MIN;
+        }
+        (self.crowded / self.alone - 1.0).clamp(CROWDING_MIN, CROWDING_MAX)
+    }
+
     /// Asks the servers that would be best for `waiter` if they were fast.
-    fn ask_pace(&mut self, waiter: &Waiter, now: Time) -> usize {
-        let mut candidates: Vec<(bool, bool, u32, Time, usize)> = self
+    pub(super) fn ask_pace(&mut self, waiter: &Waiter, now: Time) -> usize {
+        let mut candidates: Vec<(u32, bool, bool, Time, usize)> = self
             .servers
             .iter()
             .enumerate()
@@ -93,7 +137,7 @@
             .filter(|(_, server)| self.is_unsure(server, now))
             .filter_map(|(at, server)| self.candidate(at, server, waiter, now))
             .filter(|candidate| candidate.free)
-            .map(|c| (!c.local, !c.linked, c.busy, c.used, c.at))
+            .map(|c| (c.busy, !c.local, !c.linked, c.used, c.at))
             .collect();
         candidates.sort_unstable();
         candidates.truncate(ASKED);
--- a/crates/route/src/ledger/place.rs
+++ b/crates/route/src/ledger/place.rs
@@ -50,12 +50,16 @@
         };
         let wary = waiter.ask.class == Class::Critical;
         let fresh = all().filter(|c| !avoid.contains(&self.servers[c.at].id));
-        let best = choose::best(fresh, wary);
+        let in_time = |c: &Candidate| {
+            let left = (waiter.ask.goal + waiter.since).saturating_sub(now);
+            now >= waiter.patient || c.time() <= left.as_secs_f64()
+        };
+        let best = choose::best(fresh.filter(in_time), wary);
         let elsewhere = spare || waiter.ask.kind == Kind::Rescue;
         if best.is_some() || elsewhere || self.has_other(avoid) {
             return best;
         }
-        choose::best(all(), wary)
+        choose::best(all().filter(in_time), wary)
     }
 
     /// Returns whether an open server exists that is not in `avoid`.
@@ -101,6 +105,7 @@
             expected: server.limit.expected(self.typical, now),
             oldest,
             pace: self.pace_of(server, now),
+            crowding: self.crowding(),
             local: spec.domain == waiter.ask.domain,
             linked: server.is_linked(waiter.vm, now),
             used: server.used,
--- a/crates/route/src/ledger/servers.rs
+++ b/crates/route/src/ledger/servers.rs
@@ -120,6 +120,8 @@
                 self.average = took;
             }
             self.average += (took - self.average) * AVERAGE_WEIGHT;
+            let slots = self.spec.server(release.server).map_or(1, |s| s.slots);
+            self.note_crowding(took, permit.beside, slots);
         }
         self.note_load(release.server, release.load, now);
         let Some(at) = self.find(release.server) else {
--- a/crates/route/src/permits.rs
+++ b/crates/route/src/permits.rs
@@ -19,6 +19,8 @@
     pub since: Time,
     /// When it ends at the latest, whatever is heard of it.
     pub ends: Time,
+    /// Calls that were in flight at the server when it was granted.
+    pub beside: u32,
     /// Whether its holder is done while the server may not be.
     pub lingers: bool,
 }
--- a/crates/route/src/queue.rs
+++ b/crates/route/src/queue.rs
@@ -26,6 +26,11 @@
     pub due: Time,
     /// Until when it may wait for a permit.
     pub until: Time,
+    /// When it asked.
+    pub since: Time,
+    /// Until when it waits for a server that answers within its target rather
+    /// than go to a slow one.
+    pub patient: Time,
     /// Whether its answer will come later than it is worth most.
     pub late: bool,
     /// Until when it waits for news of a server that is not slow now.
@@ -43,6 +48,8 @@
             ask,
             due,
             until,
+            since: now,
+            patient: Time::ZERO,
             late: false,
             hold: Time::ZERO,
         }
