Keep trailers of small answers, and try unused servers although a connection has to be opened

Two tests found what the last changes broke: trailers of an answer that is read whole were dropped, and of two servers the one without a connection was never tried again. A small answer that breaks off is a 502 that says so now, where the caller got a part before; its test says that, and a new one cuts a large one.

--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -8,6 +8,7 @@
 use bytes::BytesMut;
 use conf::Server;
 use http::response::Parts;
+use http::HeaderMap;
 use http::HeaderValue;
 use http::Request;
 use http::Response;
@@ -59,8 +60,8 @@
 
 /// The body of a server's answer.
 pub enum Content {
-    /// It has come whole.
-    Whole(Bytes),
+    /// It has come whole, with its trailers.
+    Whole(Bytes, Option<HeaderMap>),
     /// It is still coming, after `prefix`.
     Stream {
         /// What has come already.
@@ -207,7 +208,7 @@
             .size_hint()
             .upper()
             .is_some_and(|upper| upper > GATHERED_MAX as u64);
-        let mut gathered = BytesMut::new();
+        let mut gathered = Gathered::default();
         let left = self.left.saturating_sub(guard.took());
         let whole = if large {
             Some(Ok(false))
@@ -218,7 +219,7 @@
             Some(Ok(true)) => {
                 guard.end(outcome_of(parts.status));
                 self.pools.keep(conn, self.ports.now());
-                Ok(Content::Whole(gathered.freeze()))
+                Ok(Content::Whole(gathered.bytes.freeze(), gathered.trailers))
             }
             Some(Ok(false)) => {
                 let settle = Settle {
@@ -228,7 +229,7 @@
                     ports: self.ports.clone(),
                 };
                 Ok(Content::Stream {
-                    prefix: gathered.freeze(),
+                    prefix: gathered.bytes.freeze(),
                     rest: incoming,
                     settle: Box::new(settle),
                 })
@@ -250,14 +251,22 @@
     }
 }
 
+/// What has come of a body.
+#[derive(Default)]
+struct Gathered {
+    bytes: BytesMut,
+    trailers: Option<HeaderMap>,
+}
+
 /// Reads `incoming` into `gathered`; false if there is more than may be
 /// gathered.
-async fn read_up_to(incoming: &mut Incoming, gathered: &mut BytesMut) -> hyper::Result<bool> {
+async fn read_up_to(incoming: &mut Incoming, gathered: &mut Gathered) -> hyper::Result<bool> {
     while let Some(frame) = incoming.frame().await {
-        if let Ok(data) = frame?.into_data() {
-            gathered.extend_from_slice(&data);
+        match frame?.into_data() {
+            Ok(data) => gathered.bytes.extend_from_slice(&data),
+            Err(frame) => gathered.trailers = frame.into_trailers().ok(),
         }
-        if gathered.len() > GATHERED_MAX {
+        if gathered.bytes.len() > GATHERED_MAX {
             return Ok(false);
         }
     }
--- a/crates/entry/src/proxy.rs
+++ b/crates/entry/src/proxy.rs
@@ -504,7 +504,10 @@
         }
         parts.version = http::Version::default();
         match content {
-            Content::Whole(bytes) => Response::from_parts(parts, body::full(bytes)),
+            Content::Whole(bytes, None) => Response::from_parts(parts, body::full(bytes)),
+            Content::Whole(bytes, Some(trailers)) => {
+                Response::from_parts(parts, body::with_trailers(bytes, trailers))
+            }
             Content::Stream {
                 prefix,
                 rest,
--- a/crates/load/tests/calls.rs
+++ b/crates/load/tests/calls.rs
@@ -160,9 +160,26 @@
         let server = Scripted::new(cut);
         let lab = Lab::new(&[server.address]);
         let answer = lab.call("GET", "/", "", "");
+        // A small answer is read whole before its head is passed on, so the
+        // caller is told instead of getting a part.
+        assert!(answer.starts_with("HTTP/1.1 502"), "{answer}");
+        assert!(has(&answer, "snipepaddle-outcome: unknown"), "{answer}");
+    }
+}
+
+#[test]
+fn call_large_body_cut_by_the_server_is_not_whole_for_the_caller() {
+    for _ in 0..16 {
+        let server = Scripted::new(|stream, _| {
+            let head = "HTTP/1.1 200 OK\r\ncontent-length: 200000\r\n\r\n";
+            let _ = stream.write_all(head.as_bytes());
+            let _ = stream.write_all(&[b'x'; 100_000]);
+        });
+        let lab = Lab::new(&[server.address]);
+        let answer = lab.call("GET", "/", "", "");
         let (head, body) = answer.split_once("\r\n\r\n").unwrap_or((&answer, ""));
-        assert!(has(head, "content-length: 10"), "{answer}");
-        assert!(body.len() < 10, "{answer}");
+        assert!(has(head, "content-length: 200000"), "{head}");
+        assert!(body.len() < 200_000, "{}", body.len());
     }
 }
 
--- a/crates/net/src/body.rs
+++ b/crates/net/src/body.rs
@@ -1,11 +1,15 @@
 //! Bodies of requests and answers.
 
 use bytes::Bytes;
+use futures_lite::stream;
+use http::HeaderMap;
 use http_body_util::combinators::BoxBody;
 use http_body_util::BodyExt;
 use http_body_util::Empty;
 use http_body_util::Full;
 use http_body_util::Limited;
+use http_body_util::StreamBody;
+use hyper::body::Frame;
 
 /// Any error of a body; a body that ends with one is not a whole one.
 pub type BoxError = Box<dyn std::error::Error + Send + Sync>;
@@ -24,6 +28,15 @@
         .boxed()
 }
 
+/// Returns a body of `bytes` that is followed by `trailers`.
+pub fn with_trailers(bytes: Bytes, trailers: HeaderMap) -> Body {
+    // Its length is left open, as trailers follow chunks only.
+    let frames = [Ok(Frame::data(bytes)), Ok(Frame::trailers(trailers))];
+    boxed(StreamBody::new(stream::iter::<[Result<_, BoxError>; 2]>(
+        frames,
+    )))
+}
+
 /// Returns `body` with its kind hidden.
 pub fn boxed<B>(body: B) -> Body
 where
--- a/crates/route/benches/cost.rs
+++ b/crates/route/benches/cost.rs
@@ -79,6 +79,8 @@
     Ask {
         class: Class::Interactive,
         left: Duration::from_secs(1),
+        goal: Duration::from_secs(1),
+        brief: Duration::from_secs(1) / 8,
         kind: Kind::First,
         avoid: Vec::new(),
         domain: 1,
--- a/crates/route/src/ledger/pace.rs
+++ b/crates/route/src/ledger/pace.rs
@@ -48,6 +48,9 @@
 /// The time after its last call for which a VM is taken to be connected to a
 /// server; servers close connections that have been idle for ten seconds.
 const LINK_LIFE: Duration = Duration::from_secs(8);
+/// The time after which an unused server is tried again although a connection
+/// has to be opened for it.
+const UNTRIED: Duration = Duration::from_secs(2);
 
 impl Ledger {
     /// Notes what a server said of its load.
@@ -168,8 +171,12 @@
         }
     }
 
-    /// Returns whether `vm` most likely has a connection.
+    /// Returns whether `vm` most likely has a connection, or should open one all
+    /// the same because nobody has used the server for a while.
     pub(super) fn is_linked(&self, vm: VmId, now: Time) -> bool {
+        if now >= self.used + UNTRIED {
+            return true;
+        }
         let mut links = self.links.iter();
         links.any(|(known, at)| *known == vm && now < *at + LINK_LIFE)
     }
--- a/crates/route/tests/parts.rs
+++ b/crates/route/tests/parts.rs
@@ -194,6 +194,8 @@
                 let ask = Ask {
                     class: Class::ALL[usize::from(*class) % 3],
                     left: Duration::from_millis(u64::from(*left)),
+                    goal: Duration::from_millis(u64::from(*left)),
+                    brief: Duration::from_millis(u64::from(*left)) / 8,
                     kind: Kind::First,
                     avoid: Vec::new(),
                     domain: 0,
@@ -208,14 +210,40 @@
 
 #[test]
 fn spend_budget_follows_the_share() {
-    let mut budget = Budget::new(10);
+    let mut budget = Budget::new(10, 10);
     let mut spent = 0;
     for _ in 0..1000 {
-        budget.earn();
-        spent += u32::from(budget.spend());
+        budget.earn(Time::ZERO);
+        spent += u32::from(budget.spend(Time::ZERO));
     }
     assert!((100..=111).contains(&spent), "{spent}");
-    assert!(!Budget::new(0).spend());
+    assert!(!Budget::new(0, 10).spend(Time::ZERO));
+}
+
+#[test]
+fn spend_budget_never_exceeds_share_and_slack_in_any_window() {
+    bolero::check!()
+        .with_type::<Vec<(u8, bool)>>()
+        .for_each(|steps| {
+            let mut budget = Budget::new(20, 28);
+            let mut now = Time::ZERO;
+            let mut firsts: Vec<Time> = Vec::new();
+            let mut seconds: Vec<Time> = Vec::new();
+            for (wait, first) in steps {
+                now += Duration::from_millis(u64::from(*wait) * 10);
+                if *first {
+                    budget.earn(now);
+                    firsts.push(now);
+                } else if budget.spend(now) {
+                    seconds.push(now);
+                }
+                // The window before counts too where it has more.
+                let since = |span: u64| now.saturating_sub(Duration::from_secs(span));
+                let spent = seconds.iter().filter(|at| **at > since(9)).count();
+                let earned = firsts.iter().filter(|at| **at >= since(10)).count();
+                assert!(spent as f64 <= 0.2 * earned as f64 + 28.0);
+            }
+        });
 }
 
 #[test]
@@ -362,6 +390,8 @@
     let ask = Ask {
         class: Class::Interactive,
         left: Duration::from_secs(1),
+        goal: Duration::from_secs(1),
+        brief: Duration::from_secs(1) / 8,
         kind: Kind::First,
         avoid: Vec::new(),
         domain: 0,
@@ -451,6 +481,8 @@
     let ask = Ask {
         class: Class::Interactive,
         left: Duration::from_secs(60),
+        goal: Duration::from_secs(60),
+        brief: Duration::from_secs(60) / 8,
         kind: Kind::First,
         avoid: Vec::new(),
         domain: 0,
--- a/crates/route/tests/world/mod.rs
+++ b/crates/route/tests/world/mod.rs
@@ -89,6 +89,8 @@
     Ask {
         class: Class::Interactive,
         left,
+        goal: left,
+        brief: left / 8,
         kind: Kind::First,
         avoid: Vec::new(),
         domain: 0,
--- a/crates/wire/benches/cost.rs
+++ b/crates/wire/benches/cost.rs
@@ -25,6 +25,8 @@
     let ask = Ask {
         class: Class::Critical,
         left: std::time::Duration::from_secs(1),
+        goal: std::time::Duration::from_secs(1),
+        brief: std::time::Duration::from_secs(1) / 8,
         kind: Kind::First,
         avoid: Vec::new(),
         domain: 3 << 60,
--- a/crates/wire/tests/datagrams.rs
+++ b/crates/wire/tests/datagrams.rs
@@ -21,6 +21,8 @@
     let ask = Ask {
         class: Class::Critical,
         left: std::time::Duration::from_millis(call % 1000),
+        goal: std::time::Duration::from_millis(call % 1000),
+        brief: std::time::Duration::from_millis(call % 1000) / 8,
         kind: Kind::First,
         avoid: vec![call, 1],
         domain: 3,
