--- a/crates/node/src/registry.rs
+++ b/crates/node/src/registry.rs
@@ -258,6 +258,9 @@
                 });
                 continue;
             }
+            if !ends {
+                reading.endings.retain(|ending| ending.name != item.name);
+            }
             changed |= self.take_item(reading.topic, item, now);
         }
         if changed {
@@ -266,8 +269,15 @@
     }
 
     /// Takes the ends of entries that did not come back after an outage.
+    ///
+    /// They bear the revision up to which this VM has read since: peers that know
+    /// as much as when the entry ended would not ask for it otherwise.
     fn end_due(&self, reading: &mut Reading) {
         let now = self.clock.now();
+        let read = reading.revision.unwrap_or(0);
+        if reading.endings.is_empty() || read <= lock(&self.catalog).marks().servers {
+            return;
+        }
         let endings = std::mem::take(&mut reading.endings);
         let (due, kept): (Vec<_>, Vec<_>) = endings.into_iter().partition(|e| now >= e.due);
         reading.endings = kept;
@@ -275,7 +285,7 @@
         for ending in due {
             let item = Item {
                 name: ending.name,
-                revision: ending.revision,
+                revision: read.max(ending.revision),
                 value: None,
             };
             changed |= self.take_item(Topic::Servers, item, now);
--- a/crates/route/src/ledger/admit.rs
+++ b/crates/route/src/ledger/admit.rs
@@ -18,6 +18,10 @@
 use crate::msg::Why;
 use crate::queue::Waiter;
 
+/// How much longer than expected a call may have to wait without being late. One
+/// that is let in and refused later has waited for nothing.
+const MARGIN: f64 = 1.25;
+
 impl Ledger {
     /// Grants a permit to `waiter`, lets it wait, or refuses it.
     pub(super) fn admit(&mut self, mut waiter: Waiter, now: Time) {
@@ -44,7 +48,7 @@
             return;
         }
         let mut wait = self.wait_of(ahead + 1);
-        if !waiter.late && wait + finish > waiter.ask.goal {
+        if !waiter.late && wait.mul_f64(MARGIN) + finish > waiter.ask.goal {
             waiter.late = true;
             wait = self.wait_of(self.queue.ahead_of(&waiter) + 1);
         }
