--- a/crates/conf/tests/catalog.rs
+++ b/crates/conf/tests/catalog.rs
@@ -75,23 +75,21 @@
 
 #[test]
 fn catalog_never_goes_back() {
-    bolero::check!()
-        .with_type::<Vec<Word>>()
-        .for_each(|words| {
-            let mut catalog = Catalog::new();
-            for word in words {
-                let before = catalog.clone();
-                tell(&mut catalog, *word, Time::ZERO);
-                let (old, new) = (before.marks(), catalog.marks());
-                assert!(!old.exceeds(&new), "{old:?} {new:?}");
-                let ticket = |c: &Catalog| c.layout().map_or(0, |l| l.ticket);
-                assert!(ticket(&before) <= ticket(&catalog));
-                for was in before.servers() {
-                    let is = catalog.servers().iter().find(|s| s.name == was.name);
-                    assert!(is.is_some_and(|is| is.revision >= was.revision));
-                }
+    bolero::check!().with_type::<Vec<Word>>().for_each(|words| {
+        let mut catalog = Catalog::new();
+        for word in words {
+            let before = catalog.clone();
+            tell(&mut catalog, *word, Time::ZERO);
+            let (old, new) = (before.marks(), catalog.marks());
+            assert!(!old.exceeds(&new), "{old:?} {new:?}");
+            let ticket = |c: &Catalog| c.layout().map_or(0, |l| l.ticket);
+            assert!(ticket(&before) <= ticket(&catalog));
+            for was in before.servers() {
+                let is = catalog.servers().iter().find(|s| s.name == was.name);
+                assert!(is.is_some_and(|is| is.revision >= was.revision));
             }
-        });
+        }
+    });
 }
 
 #[test]
@@ -173,7 +171,13 @@
         ..instance(80)
     };
     catalog.set_server("i-1", 2, Some(cold), Time::ZERO);
-    assert_ne!(catalog.state("r", Time::ZERO).services[0].servers[0].cold, 0);
+    assert_ne!(
+        catalog.state("r", Time::ZERO).services[0].servers[0].cold,
+        0
+    );
     assert!(catalog.set_server("i-1", 3, Some(instance(80)), Time::ZERO));
-    assert_eq!(catalog.state("r", Time::ZERO).services[0].servers[0].cold, 0);
+    assert_eq!(
+        catalog.state("r", Time::ZERO).services[0].servers[0].cold,
+        0
+    );
 }
--- a/crates/route/tests/load.rs
+++ b/crates/route/tests/load.rs
@@ -8,6 +8,7 @@
 use base::Outcome;
 use base::ServerId;
 use base::Time;
+use route::heritage::Sheet;
 use route::ledger::Action;
 use route::ledger::Fleet;
 use route::msg::Ask;
@@ -16,7 +17,6 @@
 use route::msg::Kind;
 use route::msg::Load;
 use route::msg::Release;
-use route::heritage::Sheet;
 use route::spec::ServerSpec;
 use route::spec::Start;
 use route::CallNo;
@@ -119,7 +119,7 @@
         while self.now < end {
             self.now += STEP;
             let steps = self.now.as_millis() as u64;
-            if steps % PACE_STEPS == 0 {
+            if steps.is_multiple_of(PACE_STEPS) {
                 for pace in &mut self.paces {
                     let slow = self.rng.f64() < self.slow_share;
                     *pace = if slow { SLOW } else { 1 };
@@ -129,7 +129,7 @@
             if self.rng.f64() < rate * STEP.as_secs_f64() {
                 self.ask();
             }
-            if steps % 20 == 0 {
+            if steps.is_multiple_of(20) {
                 self.ledger.tick(self.now);
             }
             self.act();
@@ -176,7 +176,8 @@
                 load: Some(self.load(run.server)),
             };
             let epoch = self.ledger.epoch();
-            self.ledger.receive(VM, Body::Release { epoch, release }, now);
+            self.ledger
+                .receive(VM, Body::Release { epoch, release }, now);
         }
     }
 
