--- a/crates/node/src/registry.rs
+++ b/crates/node/src/registry.rs
@@ -31,21 +31,21 @@
 const READERS: usize = 3;
 /// The key by which the readers are chosen.
 const READ_KEY: u64 = 0x7265_6164_6572_7321;
-/// The age at which any VM begins to read: half of the shortest time in which
-/// a change has to be in force.
-const STALE: Duration = Duration::from_millis(1000);
+/// The age at which any VM begins to read. A change has to be in force two
+/// seconds after it was accepted, and reading it takes milliseconds.
+const STALE: Duration = Duration::from_millis(1200);
 /// How much later the last VM begins than the first, so that those that begin
 /// late find that others have read meanwhile.
-const STALE_SPREAD: Duration = Duration::from_millis(600);
+const STALE_SPREAD: Duration = Duration::from_millis(500);
 /// The wait of a VM that does not read before it looks whether it should.
 const IDLE: Duration = Duration::from_millis(100);
 /// The longest wait of one watch. A connection may fall silent for good, so a
 /// watch ends long before a change would be late.
-const WATCH_WAIT: Duration = Duration::from_millis(1500);
+const WATCH_WAIT: Duration = Duration::from_millis(2500);
 /// How long an answer may take beyond the wait; many times what is usual.
 const ANSWER_LIMIT: Duration = Duration::from_millis(1200);
 /// The rest after changes of servers, which come with every sign of life.
-const SERVERS_REST: Duration = Duration::from_millis(500);
+const SERVERS_REST: Duration = Duration::from_millis(600);
 /// The rest after other answers.
 const REST: Duration = Duration::from_millis(50);
 /// The first wait after a failure.
--- a/crates/route/src/choose.rs
+++ b/crates/route/src/choose.rs
@@ -15,10 +15,10 @@
 const DISTANCE: f64 = 0.001;
 /// The share by which a server in the caller's failure domain may be slower and
 /// still be chosen: links between domains are dear, and go down with them.
-const REMOTE: f64 = 0.12;
+const REMOTE: f64 = 0.25;
 /// The share by which a server that the VM is connected to may be slower and
 /// still be chosen: a new connection costs the server time.
-const UNLINKED: f64 = 0.08;
+const UNLINKED: f64 = 0.15;
 
 /// The share by which expected times differ that count as the same.
 const ALIKE: f64 = 0.02;
