--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -305,7 +305,14 @@
         for task in self.tasks {
             task.cancel().await;
         }
-        log::info!("node: stopped; all calls ended: {}", ended.is_some());
+        let sent = self.shared.outbox.sent();
+        log::info!(
+            messages = sent.msgs,
+            datagrams = sent.datagrams,
+            bytes = sent.bytes;
+            "node: stopped; all calls ended: {}",
+            ended.is_some()
+        );
         ended.is_some()
     }
 }
--- a/crates/obs/src/logs.rs
+++ b/crates/obs/src/logs.rs
@@ -12,6 +12,7 @@
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::sync::mpsc;
+use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::PoisonError;
 use std::time::Duration;
@@ -34,33 +35,60 @@
 const RATE: f64 = 300.0;
 /// Lines that may come at once after a quiet time.
 const BURST: f64 = 1000.0;
+/// How long the end of the process waits for the last lines.
+const LAST_WAIT: Duration = Duration::from_millis(300);
+/// The time between two looks whether they are written.
+const LAST_REST: Duration = Duration::from_millis(2);
 /// The time between two lines about dropped ones.
 const DROPPED_PERIOD: Duration = Duration::from_secs(1);
 
-/// Starts logging; the handle keeps it going.
-pub fn start(level: &str, json: bool) -> Result<LoggerHandle, FlexiLoggerError> {
+/// Keeps logging going; the lines that wait are written when it is dropped.
+pub struct Handle {
+    waiting: Arc<AtomicU64>,
+    _logger: LoggerHandle,
+}
+
+impl Drop for Handle {
+    fn drop(&mut self) {
+        let end = Instant::now() + LAST_WAIT;
+        while self.waiting.load(Ordering::SeqCst) > 0 && Instant::now() < end {
+            std::thread::sleep(LAST_REST);
+        }
+    }
+}
+
+/// Starts logging until the handle is dropped.
+pub fn start(level: &str, json: bool) -> Result<Handle, FlexiLoggerError> {
     let (lines, queue) = mpsc::sync_channel(QUEUE);
+    let waiting = Arc::new(AtomicU64::new(0));
+    let left = waiting.clone();
     // Without the thread lines are dropped, which is all that can be done.
     let _ = std::thread::Builder::new()
         .name("logs".into())
         .stack_size(128 << 10)
-        .spawn(move || write_lines(&queue));
+        .spawn(move || write_lines(&queue, &left));
     let writer = Bounded {
         lines,
+        waiting: waiting.clone(),
         json,
         gate: Mutex::new(Gate::new(Instant::now())),
         dropped: AtomicU64::new(0),
     };
-    Logger::try_with_str(level)?
+    let logger = Logger::try_with_str(level)?
         .log_to_writer(Box::new(writer))
-        .start()
+        .start()?;
+    Ok(Handle {
+        waiting,
+        _logger: logger,
+    })
 }
 
-fn write_lines(queue: &mpsc::Receiver<Vec<u8>>) {
+fn write_lines(queue: &mpsc::Receiver<Vec<u8>>, waiting: &AtomicU64) {
     let mut out = io::stdout().lock();
     while let Ok(line) = queue.recv() {
         // A reader that has gone must not end the process.
         let _ = out.write_all(&line).and_then(|()| out.flush());
+        waiting.fetch_sub(1, Ordering::SeqCst);
     }
 }
 
@@ -105,6 +133,7 @@
 /// Writes lines through the queue.
 struct Bounded {
     lines: mpsc::SyncSender<Vec<u8>>,
+    waiting: Arc<AtomicU64>,
     json: bool,
     gate: Mutex<Gate>,
     dropped: AtomicU64,
@@ -144,7 +173,9 @@
         } else {
             text_line(now, record)
         };
+        self.waiting.fetch_add(1, Ordering::SeqCst);
         if self.lines.try_send(line).is_err() {
+            self.waiting.fetch_sub(1, Ordering::SeqCst);
             self.dropped.fetch_add(1, Ordering::Relaxed);
         }
     }
--- a/crates/route/src/choose.rs
+++ b/crates/route/src/choose.rs
@@ -68,12 +68,13 @@
         self.expected * self.pace * (1.0 + self.crowding * crowd)
     }
 
-    /// Returns the expected time of a call at this server, in seconds.
-    fn cost(&self) -> f64 {
+    /// Returns the expected time of a call at this server, in seconds, with all
+    /// else that it costs.
+    pub fn cost(&self) -> f64 {
         let others = f64::from(self.slots.max(2) - 1);
         let crowd = (f64::from(self.busy) / others).min(1.0);
         let rounds = if self.free { 1.0 } else { 1.0 + crowd };
-        let mut time = self.expected * self.pace * (1.0 + self.crowding * crowd) * rounds;
+        let mut time = self.time() * rounds;
         if self.oldest > STUCK * self.expected {
             time = time.max(self.oldest);
         }
--- a/crates/route/src/ledger/pace.rs
+++ b/crates/route/src/ledger/pace.rs
@@ -16,6 +16,7 @@
 use super::servers::Server;
 use super::Action;
 use super::Ledger;
+use crate::choose::Candidate;
 use crate::msg::Load;
 use crate::msg::PACE;
 use crate::queue::Waiter;
@@ -132,7 +133,7 @@
 
     /// Asks the servers that would be best for `waiter` if they were fast.
     pub(super) fn ask_pace(&mut self, waiter: &Waiter, now: Time) -> usize {
-        let mut candidates: Vec<(u32, bool, bool, Time, usize)> = self
+        let mut candidates: Vec<(f64, Time, usize)> = self
             .servers
             .iter()
             .enumerate()
@@ -140,9 +141,12 @@
             .filter(|(_, server)| self.is_unsure(server, now))
             .filter_map(|(at, server)| self.candidate(at, server, waiter, now))
             .filter(|candidate| candidate.free)
-            .map(|c| (c.busy, !c.local, !c.linked, c.used, c.at))
+            .map(|c| {
+                let fast = Candidate { pace: 1.0, ..c };
+                (fast.cost(), c.used, c.at)
+            })
             .collect();
-        candidates.sort_unstable();
+        candidates.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
         candidates.truncate(ASKED);
         for (.., at) in &candidates {
             let server = &mut self.servers[*at];
