Ask near servers although a far one is known to be fast

The home now asks whenever an unknown server would cost a tenth less if it was fast, and holds the call until those asked have answered, 15 ms at the most.

--- a/crates/route/src/ledger/mod.rs
+++ b/crates/route/src/ledger/mod.rs
@@ -414,7 +414,7 @@
         while at < self.queue.len().min(LOOK_AHEAD) {
             let waiter = self.queue.list()[at].clone();
             match self.place(&waiter, false, now) {
-                Some(server) if now < waiter.hold && !self.is_fast(server, now) => at += 1,
+                Some(_) if self.awaits_reports(&waiter, now) => at += 1,
                 Some(server) => {
                     self.queue.remove(at);
                     self.grant(&waiter, server, now);
--- a/crates/route/src/ledger/pace.rs
+++ b/crates/route/src/ledger/pace.rs
@@ -27,8 +27,6 @@
 const PACE_LIFE: f64 = 0.15;
 /// Weight of one report in the average pace.
 const PACE_WEIGHT: f64 = 0.02;
-/// A host counts as fast if work takes at most this many times as long as usual.
-const FAST: f64 = 1.6;
 /// The average pace from which asking before a call is worth its cost.
 const NOISY: f64 = 1.15;
 /// Usual service times that one call counts as when crowding is learned.
@@ -39,6 +37,9 @@
 const CROWDING_MIN: f64 = 0.4;
 /// The most crowding that is believed.
 const CROWDING_MAX: f64 = 2.0;
+/// The part of what the best known server costs that another has to cost, if its
+/// host is fast, to be worth asking.
+const WORTH_ASKING: f64 = 0.9;
 /// The longest time that a call waits for reports.
 const HOLD: Duration = Duration::from_millis(15);
 /// Servers that are asked for one call.
@@ -77,22 +78,29 @@
         self.slowness + (pace - self.slowness) * weight
     }
 
-    /// Returns whether the server at place `at` is known to be fast now.
-    pub(super) fn is_fast(&self, at: usize, now: Time) -> bool {
-        self.pace_of(&self.servers[at], now) <= FAST.min(self.slowness)
-    }
-
     /// Returns whether `waiter`, for which the server at place `best` is the
     /// best known, should rather wait for reports; asks for them if so.
     pub(super) fn asks_first(&mut self, waiter: &mut Waiter, best: usize, now: Time) -> bool {
-        if self.slowness < NOISY || self.is_fast(best, now) {
+        if self.slowness < NOISY {
             return false;
         }
-        let asked = self.ask_pace(waiter, now);
-        if asked > 0 {
-            waiter.hold = now + HOLD;
+        let known = self.candidate(best, &self.servers[best], waiter, now);
+        let Some(known) = known.map(|candidate| candidate.cost()) else {
+            return false;
+        };
+        waiter.asked = self.ask_pace(waiter, known, now);
+        if waiter.asked.is_empty() {
+            return false;
         }
-        asked > 0
+        waiter.hold = now + HOLD;
+        true
+    }
+
+    /// Returns whether `waiter` should wait for reports rather than go to the
+    /// server at place `best`.
+    pub(super) fn awaits_reports(&self, waiter: &Waiter, now: Time) -> bool {
+        let asked = |id: ServerId| self.find(id).is_some_and(|at| self.servers[at].probing);
+        now < waiter.hold && waiter.asked.iter().any(|id| asked(*id))
     }
 
     /// Asks on behalf of the first call that waits although servers are free.
@@ -101,7 +109,7 @@
             return;
         }
         if let Some(waiter) = self.queue.list().first().cloned() {
-            self.ask_pace(&waiter, now);
+            self.ask_pace(&waiter, f64::INFINITY, now);
         }
     }
 
@@ -131,8 +139,9 @@
         (self.crowded / self.alone - 1.0).clamp(CROWDING_MIN, CROWDING_MAX)
     }
 
-    /// Asks the servers that would be best for `waiter` if they were fast.
-    pub(super) fn ask_pace(&mut self, waiter: &Waiter, now: Time) -> usize {
+    /// Asks the servers that would be best for `waiter` if they were fast, and
+    /// better than one that costs `known`; returns which.
+    fn ask_pace(&mut self, waiter: &Waiter, known: f64, now: Time) -> Vec<ServerId> {
         let mut candidates: Vec<(f64, Time, usize)> = self
             .servers
             .iter()
@@ -145,17 +154,20 @@
                 let fast = Candidate { pace: 1.0, ..c };
                 (fast.cost(), c.used, c.at)
             })
+            .filter(|(cost, ..)| *cost < known * WORTH_ASKING)
             .collect();
         candidates.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
         candidates.truncate(ASKED);
-        for (.., at) in &candidates {
-            let server = &mut self.servers[*at];
+        let mut asked = Vec::new();
+        for (.., at) in candidates {
+            let server = &mut self.servers[at];
             server.probing = true;
             server.probed = now;
             self.counts.probes += 1;
             self.actions.push(Action::Probe(server.id));
+            asked.push(server.id);
         }
-        candidates.len()
+        asked
     }
 
     /// Returns whether the pace of `server` is not known.
--- a/crates/route/src/queue.rs
+++ b/crates/route/src/queue.rs
@@ -2,6 +2,7 @@
 //! for their target after the others of their class.
 
 use base::Class;
+use base::ServerId;
 use base::Time;
 use base::VmId;
 
@@ -26,6 +27,8 @@
     pub due: Time,
     /// Until when it may wait for a permit.
     pub until: Time,
+    /// Servers that were asked for their pace on its behalf.
+    pub asked: Vec<ServerId>,
     /// When it asked.
     pub since: Time,
     /// Until when it waits for a server that answers within its target rather
@@ -48,6 +51,7 @@
             ask,
             due,
             until,
+            asked: Vec::new(),
             since: now,
             patient: Time::ZERO,
             late: false,
