--- a/crates/route/src/ledger/admit.rs
+++ b/crates/route/src/ledger/admit.rs
@@ -23,9 +23,18 @@
 const MARGIN: f64 = 1.25;
 
 impl Ledger {
+    /// Returns the time that most calls take at a server that runs others too.
+    ///
+    /// The average is no measure of what can be in time: where hosts are slow by
+    /// turns, a few calls are far above it and most are below.
+    fn likely(&self) -> Duration {
+        let crowded = self.typical * (1.0 + self.crowding());
+        Duration::from_secs_f64(crowded.min(self.average))
+    }
+
     /// Grants a permit to `waiter`, lets it wait, or refuses it.
     pub(super) fn admit(&mut self, mut waiter: Waiter, now: Time) {
-        let finish = Duration::from_secs_f64(self.average);
+        let finish = self.likely();
         waiter.late = waiter.ask.goal < finish;
         if !waiter.late && self.slowness > 1.0 {
             waiter.patient = now + waiter.ask.goal.saturating_sub(finish);
