--- a/crates/route/src/ledger/servers.rs
+++ b/crates/route/src/ledger/servers.rs
@@ -30,7 +30,11 @@
 const RATE_SPAN: Duration = Duration::from_millis(1100);
 /// The time after its last request for which a follower is sent sheets.
 const ACTIVE: Duration = Duration::from_secs(5);
-/// The time between two sheets to a follower when nothing changes.
+/// The bytes that a server takes in a sheet, about.
+const LINE_BYTES: usize = 25;
+/// The bytes a second that a home sends as sheets on average.
+const SHEET_RATE: f64 = 20e3;
+/// The shortest time between two sheets to a follower when nothing changes.
 const SHEET_PERIOD: Duration = Duration::from_secs(1);
 
 /// Where the ledger has what it knows about a server from.
@@ -187,12 +191,19 @@
     }
 
     pub(super) fn send_sheets(&mut self, now: Time) {
-        let changed = std::mem::take(&mut self.changed);
+        let period = self.sheet_period();
+        // A change is told at once, but not each of many.
+        let soon = self.changed && now >= self.told + (period / 4).min(SHEET_PERIOD);
+        if soon {
+            self.changed = false;
+            self.told = now;
+        }
+        let changed = soon;
         let due: Vec<VmId> = self
             .active
             .iter_mut()
             .filter(|active| now < active.asked + ACTIVE)
-            .filter(|active| changed || now >= active.told + SHEET_PERIOD)
+            .filter(|active| changed || now >= active.told + period)
             .map(|active| {
                 active.told = now;
                 active.vm
@@ -209,6 +220,15 @@
         }
     }
 
+    /// Returns the time between two sheets to a follower when nothing changes: the
+    /// more VMs and servers there are, the longer, so that what a home sends does
+    /// not grow with them.
+    fn sheet_period(&self) -> Duration {
+        let bytes = self.roster.len() * self.servers.len() * LINE_BYTES;
+        let needed = Duration::from_secs_f64(bytes as f64 / SHEET_RATE);
+        needed.max(SHEET_PERIOD)
+    }
+
     pub(super) fn start_probes(&mut self, now: Time) {
         let spec = self.spec.clone();
         if spec.probe_share == 0 {
