Read the store in turn at the start, and list readers only

VMs that start together begin to read over 0.3 s, or 3 s at the first start of a deployment, and most hear from a peer before.

--- a/crates/conf/src/catalog.rs
+++ b/crates/conf/src/catalog.rs
@@ -115,6 +115,11 @@
         self.layout.is_some()
     }
 
+    /// Returns whether a layout and servers are known.
+    pub fn is_filled(&self) -> bool {
+        self.has_layout() && !self.servers.is_empty()
+    }
+
     /// Returns the layout in force.
     pub fn layout(&self) -> Option<&Arc<Layout>> {
         self.layout.as_ref().map(|(_, layout)| layout)
--- a/crates/conf/src/settings.rs
+++ b/crates/conf/src/settings.rs
@@ -269,6 +269,9 @@
     /// The second attempts that the fleet may make at each service.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub seconds: Option<Seconds>,
+    /// Whether the whole deployment starts for the first time.
+    #[serde(default)]
+    pub first: bool,
     /// How long the VM goes on serving after it has said that it is not ready,
     /// so that the balancer in front has seen it.
     #[serde_as(as = "Span")]
--- a/crates/load/src/fleet.rs
+++ b/crates/load/src/fleet.rs
@@ -397,6 +397,7 @@
         },
         watch: None,
         seconds: None,
+        first: false,
         notice: Duration::from_millis(500),
         forget: Duration::from_secs(3600),
         policy: start.policy,
--- a/crates/node/src/registry.rs
+++ b/crates/node/src/registry.rs
@@ -15,6 +15,7 @@
 use base::rendezvous;
 use base::Revision;
 use base::Time;
+use base::VmId;
 use conf::catalog::Update;
 use conf::registry::Item;
 use conf::registry::Page;
@@ -33,19 +34,23 @@
 const READ_KEY: u64 = 0x7265_6164_6572_7321;
 /// The age at which any VM begins to read. A change has to be in force two
 /// seconds after it was accepted, and reading it takes milliseconds.
-const STALE: Duration = Duration::from_millis(1200);
+const STALE: Duration = Duration::from_millis(1400);
 /// How much later the last VM begins than the first, so that those that begin
 /// late find that others have read meanwhile.
-const STALE_SPREAD: Duration = Duration::from_millis(500);
+const STALE_SPREAD: Duration = Duration::from_millis(400);
+/// The span over which VMs that are started again together begin to read.
+const START_SPREAD: Duration = Duration::from_millis(300);
+/// The same at the first start of a deployment, long before callers come.
+const FIRST_SPREAD: Duration = Duration::from_secs(3);
 /// The wait of a VM that does not read before it looks whether it should.
-const IDLE: Duration = Duration::from_millis(100);
+const IDLE: Duration = Duration::from_millis(50);
 /// The longest wait of one watch. A connection may fall silent for good, so a
 /// watch ends long before a change would be late.
-const WATCH_WAIT: Duration = Duration::from_millis(2500);
+const WATCH_WAIT: Duration = Duration::from_secs(3);
 /// How long an answer may take beyond the wait; many times what is usual.
 const ANSWER_LIMIT: Duration = Duration::from_millis(1200);
 /// The rest after changes of servers, which come with every sign of life.
-const SERVERS_REST: Duration = Duration::from_millis(600);
+const SERVERS_REST: Duration = Duration::from_millis(800);
 /// The rest after other answers.
 const REST: Duration = Duration::from_millis(50);
 /// The first wait after a failure.
@@ -57,7 +62,8 @@
 const RETURN: Duration = Duration::from_millis(2200);
 /// The time between two looks for entry VMs that no peer has told of.
 const VMS_PERIOD: Duration = Duration::from_secs(20);
-/// The time after its start at which a VM that knows no other looks for some.
+/// The time between two looks whether this VM knows no other, or should be
+/// listed.
 const LONELY: Duration = Duration::from_millis(1500);
 
 /// The end of a server's entry that counts only once it is certain that it is
@@ -109,18 +115,39 @@
         let now = self.clock.now();
         let changed = lock(&self.catalog).merge(update, now);
         if changed {
+            // The sender would have read for itself if it knew less.
+            self.confirm(STALE / 2);
             self.put_in_force();
         }
     }
 
+    fn readers(&self) -> Vec<VmId> {
+        rendezvous::top(READ_KEY, &self.view().alive, READERS)
+    }
+
+    /// Returns the span over which VMs that start together begin to read, so
+    /// that most of them hear from a peer before.
+    fn start_spread(&self) -> Duration {
+        if self.settings.first {
+            FIRST_SPREAD
+        } else {
+            START_SPREAD
+        }
+    }
+
     fn should_read(&self) -> bool {
-        let readers = rendezvous::top(READ_KEY, &self.view().alive, READERS);
-        if readers.contains(&self.me) {
+        let part = (self.me % 1000) as f64 / 1000.0;
+        let spread = self.start_spread();
+        let now = self.clock.now();
+        if now < spread {
+            // Until then the membership is not known well enough to choose.
+            return now >= spread.mul_f64(part) && !lock(&self.catalog).is_filled();
+        }
+        if self.readers().contains(&self.me) {
             return true;
         }
-        let later = STALE_SPREAD.mul_f64((self.me % 1000) as f64 / 1000.0);
-        let unknown = !lock(&self.catalog).has_layout();
-        unknown || u128::from(self.registry_age()) > (STALE + later).as_millis()
+        let later = STALE_SPREAD.mul_f64(part);
+        u128::from(self.registry_age()) > (STALE + later).as_millis()
     }
 
     /// Follows `topic` for as long as it is polled.
@@ -333,28 +360,31 @@
         changed
     }
 
-    /// Writes where peers reach this VM, and looks for VMs that no peer has told
-    /// of, for as long as it is polled.
+    /// Writes where peers reach this VM while it is a reader, and looks for VMs
+    /// that no peer has told of, for as long as it is polled.
+    ///
+    /// Only readers are listed: whoever finds one of them finds all.
     pub(crate) async fn keep_enlisted(self: Arc<Self>, registry: Arc<dyn Registry>) {
         let address = self.settings.peers.listen;
-        let mut failures = 0;
-        while let Err(error) = registry
-            .enlist(&self.settings.vm, address, ANSWER_LIMIT)
-            .await
-        {
-            log::debug!("registry: cannot enlist: {error}");
-            failures += 1;
-            let doubled = BACKOFF_MIN * 2_u32.saturating_pow(failures);
-            smol::Timer::after(doubled.min(BACKOFF_MAX)).await;
-        }
-        smol::Timer::after(LONELY).await;
+        let mut enlisted = false;
+        let mut searched = Time::ZERO;
         loop {
-            if self.view().alive.len() < 2 || self.should_read() {
+            let rest = LONELY.mul_f64(0.8 + 0.4 * fastrand::f64());
+            smol::Timer::after(rest).await;
+            let now = self.clock.now();
+            let alone = self.view().alive.len() < 2;
+            let first = self.readers().first() == Some(&self.me);
+            if alone || (first && now >= searched + VMS_PERIOD) {
+                searched = now;
                 self.invite_listed(&*registry).await;
             }
-            let alone = self.view().alive.len() < 2;
-            let rest = if alone { LONELY } else { VMS_PERIOD };
-            smol::Timer::after(rest.mul_f64(0.8 + 0.4 * fastrand::f64())).await;
+            if !enlisted && self.readers().contains(&self.me) {
+                let result = registry.enlist(&self.settings.vm, address, ANSWER_LIMIT);
+                match result.await {
+                    Ok(()) => enlisted = true,
+                    Err(error) => log::debug!("registry: cannot enlist: {error}"),
+                }
+            }
         }
     }
 
