--- a/crates/node/src/registry.rs
+++ b/crates/node/src/registry.rs
@@ -35,9 +35,9 @@
 /// The age at which any VM begins to read. A change has to be in force two
 /// seconds after it was accepted, and reading it takes milliseconds.
 const STALE: Duration = Duration::from_millis(1400);
-/// How much later the last VM begins than the first, so that those that begin
-/// late find that others have read meanwhile.
-const STALE_SPREAD: Duration = Duration::from_millis(400);
+/// How much later the last VM begins than the first, for each VM of the fleet, so
+/// that those that begin late find that others have read meanwhile.
+const STALE_EACH: Duration = Duration::from_millis(20);
 /// The span over which VMs that are started again together begin to read.
 const START_SPREAD: Duration = Duration::from_millis(300);
 /// The same at the first start of a deployment, long before callers come.
@@ -146,7 +146,8 @@
         if self.readers().contains(&self.me) {
             return true;
         }
-        let later = STALE_SPREAD.mul_f64(part);
+        let fleet = self.view().alive.len() as u32;
+        let later = (STALE_EACH * fleet).mul_f64(part);
         u128::from(self.registry_age()) > (STALE + later).as_millis()
     }
 
