--- a/crates/load/tests/calls.rs
+++ b/crates/load/tests/calls.rs
@@ -174,6 +174,7 @@
             let head = "HTTP/1.1 200 OK\r\ncontent-length: 200000\r\n\r\n";
             let _ = stream.write_all(head.as_bytes());
             let _ = stream.write_all(&[b'x'; 100_000]);
+            let _ = stream.shutdown(Shutdown::Both);
         });
         let lab = Lab::new(&[server.address]);
         let answer = lab.call("GET", "/", "", "");
--- a/crates/route/src/ledger/servers.rs
+++ b/crates/route/src/ledger/servers.rs
@@ -193,7 +193,8 @@
     pub(super) fn send_snapshots(&mut self, now: Time) {
         let period = self.snapshot_period();
         // A change is told at once, but not each of many.
-        let soon = self.changed && now >= self.sent + (period / 4).min(SNAPSHOT_PERIOD);
+        let rest = period.saturating_sub(SNAPSHOT_PERIOD) / 4;
+        let soon = self.changed && now >= self.sent + rest;
         if soon {
             self.changed = false;
             self.sent = now;
