--- a/crates/conf/src/registry.rs
+++ b/crates/conf/src/registry.rs
@@ -105,7 +105,4 @@
         address: SocketAddr,
         limit: Duration,
     ) -> BoxFuture<'a, plat::Result<()>>;
-
-    /// Removes what [`Registry::enlist`] wrote.
-    fn delist<'a>(&'a self, vm: &'a str, limit: Duration) -> BoxFuture<'a, plat::Result<()>>;
 }
--- a/crates/entry/src/call.rs
+++ b/crates/entry/src/call.rs
@@ -91,6 +91,35 @@
     }
 }
 
+/// Logs how an attempt ended.
+pub(crate) fn log_attempt(
+    call: &Call<'_>,
+    permit: &Permit,
+    server: &conf::Server,
+    result: &Result<Head, Failed>,
+    took: Duration,
+) {
+    let id = call.id.as_ref().and_then(|id| id.to_str().ok());
+    let (end, text) = match result {
+        Ok(head) => ("answered", head.parts.status.as_str().to_owned()),
+        Err(failed) => (failed.failure.name(), failed.text.clone()),
+    };
+    let load = result.as_ref().ok().and_then(|head| head.load);
+    log::info!(
+        id = id.unwrap_or_default(),
+        call = permit.call,
+        server = server.name,
+        domain = server.domain,
+        number = call.tried.len() as u64,
+        end = end,
+        detail = text,
+        pace = load.map_or(0, |load| load.pace),
+        busy = load.map_or(0, |load| load.busy),
+        took_us = took.as_micros() as u64;
+        "attempt: ended"
+    );
+}
+
 /// Logs how a call ended; `revision` is that of the configuration in force.
 pub(crate) fn log_end(record: &CallRecord, result: &Result<Served, Answer>, revision: u64) {
     let waited = match result {
--- a/crates/entry/src/dialect.rs
+++ b/crates/entry/src/dialect.rs
@@ -49,9 +49,6 @@
     /// Reads a server's report of its load.
     fn load(&self, fields: &HeaderMap) -> Option<Load>;
 
-    /// Reads how much longer a server says that it is cold.
-    fn cold(&self, fields: &HeaderMap) -> Option<Duration>;
-
     /// Removes fields of a server's answer that are not for callers.
     fn hide(&self, fields: &mut HeaderMap);
 
@@ -101,10 +98,6 @@
         })
     }
 
-    fn cold(&self, _fields: &HeaderMap) -> Option<Duration> {
-        None
-    }
-
     fn hide(&self, fields: &mut HeaderMap) {
         fields.remove(headers::LOAD);
     }
--- a/crates/entry/src/proxy.rs
+++ b/crates/entry/src/proxy.rs
@@ -8,7 +8,6 @@
 use std::time::Duration;
 
 use base::DomainId;
-use base::Time;
 use conf::service::Rule;
 use conf::state::Found;
 use conf::Service;
@@ -44,6 +43,7 @@
 use crate::attempt::Failed;
 use crate::attempt::Head;
 use crate::call::explain;
+use crate::call::log_attempt;
 use crate::call::log_end;
 use crate::call::mark;
 use crate::call::Call;
@@ -54,7 +54,6 @@
 use crate::dialect::Native;
 use crate::headers;
 use crate::pool::Pools;
-use crate::ports::Permit;
 use crate::ports::Ports;
 use crate::record::Arrival;
 use crate::record::Place;
@@ -144,7 +143,11 @@
         let found = state.route(&arrival.host, &arrival.path, method, draw);
         let service = found.map(|found| found.service);
         let result = match found {
-            Some(found) => self.serve(found, request, peer, began, &span).await,
+            Some(found) => {
+                let limits = state.limits();
+                let body = limits.map_or(self.me.body, |limits| limits.body.min(self.me.body));
+                self.serve(found, request, peer, body, &span).await
+            }
             None if !state.is_known() => Err(Answer::not_run(
                 StatusCode::SERVICE_UNAVAILABLE,
                 "no-configuration",
@@ -190,9 +193,10 @@
         found: Found<'_>,
         request: Request<Incoming>,
         peer: SocketAddr,
-        began: Time,
+        body: usize,
         span: &Open,
     ) -> Result<Served, Answer> {
+        let began = self.ports.now();
         let Found { service, rule, .. } = found;
         span.set("service", service.name.clone());
         let fields = request.headers();
@@ -204,7 +208,7 @@
         });
         let key = idempotency_key(service, &rule, request.headers());
         let (parts, incoming) = request.into_parts();
-        let reading = Outgoing::new(parts, incoming, peer, self.me.body);
+        let reading = Outgoing::new(parts, incoming, peer, body);
         let outgoing = net::timeout(limit, reading).await.unwrap_or_else(|| {
             Err(Answer::not_run(
                 StatusCode::REQUEST_TIMEOUT,
@@ -405,7 +409,7 @@
         call.sends.fetch_add(1, Ordering::Relaxed);
         let began = self.ports.now();
         let result = attempt.run(request).await;
-        self.log_attempt(call, &permit, server, &result, self.ports.now() - began);
+        log_attempt(call, &permit, server, &result, self.ports.now() - began);
         match result {
             Ok(head) => {
                 self.metrics.attempt(&call.service.name, "answered");
@@ -433,36 +437,6 @@
         }
     }
 
-    /// Logs how an attempt ended.
-    fn log_attempt(
-        &self,
-        call: &Call<'_>,
-        permit: &Permit,
-        server: &conf::Server,
-        result: &Result<Head, Failed>,
-        took: Duration,
-    ) {
-        let id = call.id.as_ref().and_then(|id| id.to_str().ok());
-        let (end, text) = match result {
-            Ok(head) => ("answered", head.parts.status.as_str().to_owned()),
-            Err(failed) => (failed.failure.name(), failed.text.clone()),
-        };
-        let load = result.as_ref().ok().and_then(|head| head.load);
-        log::info!(
-            id = id.unwrap_or_default(),
-            call = permit.call,
-            server = server.name,
-            domain = server.domain,
-            number = call.tried.len() as u64,
-            end = end,
-            detail = text,
-            pace = load.map_or(0, |load| load.pace),
-            busy = load.map_or(0, |load| load.busy),
-            took_us = took.as_micros() as u64;
-            "attempt: ended"
-        );
-    }
-
     /// Marks a server's answer and passes it on.
     fn pass_on(&self, served: Served, added: Duration) -> Response<Body> {
         let Served {
--- a/crates/node/src/registry.rs
+++ b/crates/node/src/registry.rs
@@ -121,6 +121,32 @@
         }
     }
 
+    /// Puts the catalog's configuration in force on this VM.
+    pub(crate) fn put_catalog_in_force(&self) {
+        let one_at_a_time = lock(&self.refreshing);
+        let now = self.clock.now();
+        let catalog = lock(&self.catalog);
+        let changes = catalog.changes();
+        if self.shown.swap(changes, Ordering::SeqCst) == changes {
+            return;
+        }
+        let marks = catalog.marks();
+        let state = catalog.state(&self.settings.region, now);
+        drop(catalog);
+        let todos = self.refresh(state);
+        drop(one_at_a_time);
+        self.run_all(todos);
+        let age = self.registry_age();
+        self.with_members(|members| {
+            members.set_marks(member::Marks {
+                registry: marks,
+                age,
+                ..members.marks()
+            });
+            members.announce();
+        });
+    }
+
     fn readers(&self) -> Vec<VmId> {
         rendezvous::top(READ_KEY, &self.view().alive, READERS)
     }
@@ -373,6 +399,7 @@
             let rest = LONELY.mul_f64(0.8 + 0.4 * fastrand::f64());
             smol::Timer::after(rest).await;
             let now = self.clock.now();
+            lock(&self.catalog).sweep(now);
             let alone = self.view().alive.len() < 2;
             let first = self.readers().first() == Some(&self.me);
             if alone || (first && now >= searched + VMS_PERIOD) {
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -110,7 +110,7 @@
     pub(crate) state: RwLock<Arc<State>>,
     view: RwLock<Arc<View>>,
     table: RwLock<Arc<Table>>,
-    refreshing: Mutex<()>,
+    pub(crate) refreshing: Mutex<()>,
     pub(crate) memory: Mutex<Keys>,
     pulse: AtomicU64,
     pub(crate) next_claim: AtomicU64,
@@ -318,39 +318,13 @@
         });
     }
 
-    /// Puts the catalog's configuration in force on this VM.
-    fn put_catalog_in_force(&self) {
-        let one_at_a_time = lock(&self.refreshing);
-        let now = self.clock.now();
-        let catalog = lock(&self.catalog);
-        let changes = catalog.changes();
-        if self.shown.swap(changes, Ordering::SeqCst) == changes {
-            return;
-        }
-        let marks = catalog.marks();
-        let state = catalog.state(&self.settings.region, now);
-        drop(catalog);
-        let todos = self.refresh(state);
-        drop(one_at_a_time);
-        self.run_all(todos);
-        let age = self.registry_age();
-        self.with_members(|members| {
-            members.set_marks(member::Marks {
-                registry: marks,
-                age,
-                ..members.marks()
-            });
-            members.announce();
-        });
-    }
-
     /// Brings all cells in line with `state`, which is in force from then on, and
     /// with the membership; for the holder of `refreshing` only. What has to be
     /// done then is returned, to be done without it.
     ///
     /// Calls find their service in the state and then its cells, so these are
     /// there before a new state is, and until after an old one.
-    fn refresh(&self, state: Arc<State>) -> Vec<(Arc<Cell>, Todo)> {
+    pub(crate) fn refresh(&self, state: Arc<State>) -> Vec<(Arc<Cell>, Todo)> {
         let now = self.clock.now();
         let view = self.view();
         let table = self.table();
@@ -382,7 +356,7 @@
         todos
     }
 
-    fn run_all(&self, todos: Vec<(Arc<Cell>, Todo)>) {
+    pub(crate) fn run_all(&self, todos: Vec<(Arc<Cell>, Todo)>) {
         for (cell, todo) in todos {
             self.run(&cell, todo);
         }
