Do not wait for the body of a refusal

A server that refused a call and never sent the rest of its refusal held the call until its caller left: the body was read without a limit, so that the connection could be kept. Found on reading the change; the test got no answer in 20 s before.

--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -37,6 +37,8 @@
 /// bytes, so that one that breaks can be asked for again. It is the size up to
 /// which requests are kept, see [`crate::request`].
 const GATHERED_MAX: usize = KEPT_MAX;
+/// The longest wait for the body of a refusal, which servers send with its head.
+const REFUSAL_WAIT: Duration = Duration::from_millis(20);
 
 /// What an attempt needs.
 pub struct Attempt {
@@ -189,9 +191,11 @@
         })
     }
 
-    /// Keeps the connection of a refusal whose body is short.
+    /// Keeps the connection of a refusal whose body comes at once; the call must
+    /// not wait for it.
     async fn reuse(&self, incoming: Incoming, conn: Conn) {
-        if body::collect(incoming, GATHERED_MAX).await.is_ok() {
+        let read = timeout(REFUSAL_WAIT, body::collect(incoming, GATHERED_MAX));
+        if matches!(read.await, Some(Ok(_))) {
             self.pools.keep(conn, self.ports.now());
         }
     }
