--- a/crates/entry/src/proxy.rs
+++ b/crates/entry/src/proxy.rs
@@ -54,6 +54,7 @@
 use crate::dialect::Native;
 use crate::headers;
 use crate::pool::Pools;
+use crate::ports::Permit;
 use crate::ports::Ports;
 use crate::record::Arrival;
 use crate::record::Place;
@@ -175,7 +176,7 @@
             span.fail(answer.text.clone());
             self.metrics.refusal(name, answer.reason);
         }
-        log_end(&record, &result, self.ports.state().revision);
+        log_end(&record, &result, state.revision);
         self.calls.add(record);
         match result {
             Ok(served) => {
@@ -365,6 +366,14 @@
         }
     }
 
+    /// Ends a permit that is not used.
+    fn give_back(&self, permit: Permit, text: &str) -> Missed {
+        let none = Duration::ZERO;
+        self.ports
+            .release(permit, base::Outcome::Unused, none, None);
+        Missed::unsent(text)
+    }
+
     pub(crate) async fn send(
         &self,
         call: &Call<'_>,
@@ -376,16 +385,10 @@
         let state = self.ports.state();
         let server = state.server(call.service.id(), id);
         let (Some(server), Some(mut request)) = (server, request) else {
-            let none = Duration::ZERO;
-            self.ports
-                .release(permit, base::Outcome::Unused, none, None);
-            return Err(Missed::unsent("the server has been removed"));
+            return Err(self.give_back(permit, "the server has been removed"));
         };
         if !state.takes_work(server) {
-            let none = Duration::ZERO;
-            self.ports
-                .release(permit, base::Outcome::Unused, none, None);
-            return Err(Missed::unsent("the server is leaving or its domain is out"));
+            return Err(self.give_back(permit, "the server is leaving or its domain is out"));
         }
         let left = self.left(call);
         self.dialect
--- a/crates/node/src/registry.rs
+++ b/crates/node/src/registry.rs
@@ -22,6 +22,7 @@
 use conf::registry::Topic;
 use conf::registry::Value;
 use conf::Registry;
+use member::Membership;
 
 use crate::shared::lock;
 use crate::shared::Shared;
@@ -136,13 +137,12 @@
         let todos = self.refresh(state);
         drop(one_at_a_time);
         self.run_all(todos);
-        let age = self.registry_age();
         self.with_members(|members| {
             members.set_marks(member::Marks {
                 registry: marks,
-                age,
                 ..members.marks()
             });
+            self.stamp_age(members);
             members.announce();
         });
     }
@@ -213,7 +213,7 @@
             return REST;
         }
         self.confirm(Duration::ZERO);
-        self.tell_age();
+        self.with_members(|members| self.stamp_age(members));
         SERVERS_REST
     }
 
@@ -239,18 +239,14 @@
             .mul_f64(0.75 + 0.5 * fastrand::f64())
     }
 
-    /// Tells peers, with the next pings, how old this VM's knowledge is.
-    pub(crate) fn tell_age(&self) {
-        if self.registry.is_none() {
-            return;
-        }
-        let age = self.registry_age();
-        self.with_members(|members| {
+    /// Has peers told, with the next pings, how old this VM's knowledge is.
+    pub(crate) fn stamp_age(&self, members: &mut Membership) {
+        if self.registry.is_some() {
             members.set_marks(member::Marks {
-                age,
+                age: self.registry_age(),
                 ..members.marks()
             });
-        });
+        }
     }
 
     async fn read(&self, registry: &dyn Registry, reading: &mut Reading) -> plat::Result<()> {
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -412,9 +412,11 @@
     /// Does what is due on the followers' side and in the membership.
     pub(crate) fn tick_sides(&self) {
         self.check_pause();
-        self.tell_age();
         let now = self.clock.now();
-        self.with_members(|members| members.tick(now));
+        self.with_members(|members| {
+            self.stamp_age(members);
+            members.tick(now);
+        });
         for cell in self.table().cells() {
             let todo = cell.tick_side(now);
             self.run(cell, todo);
--- a/crates/route/src/choose.rs
+++ b/crates/route/src/choose.rs
@@ -63,17 +63,20 @@
     /// Returns how long a call is expected to take at this server, in seconds,
     /// whatever else it costs.
     pub fn time(&self) -> f64 {
+        self.expected * self.pace * (1.0 + self.crowding * self.crowd())
+    }
+
+    /// Returns how full the server is, from 0 to 1: at 1 it runs one call less than
+    /// it has slots.
+    fn crowd(&self) -> f64 {
         let others = f64::from(self.slots.max(2) - 1);
-        let crowd = (f64::from(self.busy) / others).min(1.0);
-        self.expected * self.pace * (1.0 + self.crowding * crowd)
+        (f64::from(self.busy) / others).min(1.0)
     }
 
     /// Returns the expected time of a call at this server, in seconds, with all
     /// else that it costs.
     pub fn cost(&self) -> f64 {
-        let others = f64::from(self.slots.max(2) - 1);
-        let crowd = (f64::from(self.busy) / others).min(1.0);
-        let rounds = if self.free { 1.0 } else { 1.0 + crowd };
+        let rounds = if self.free { 1.0 } else { 1.0 + self.crowd() };
         let mut time = self.time() * rounds;
         if self.oldest > STUCK * self.expected {
             time = time.max(self.oldest);
