--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -17,5 +17,6 @@
 pub mod plot;
 pub mod report;
 pub mod run;
+pub mod soak;
 pub mod tally;
 pub mod targets;
--- a/crates/load/src/main.rs
+++ b/crates/load/src/main.rs
@@ -35,6 +35,14 @@
   targets                  measures the targets of the design
       --quick              in less than a minute
       --seed NUMBER
+  soak                     real processes under faults drawn from a seed
+      --seeds FROM..TO     in place of one fresh seed
+      --regress            the seeds of soak/seeds.json
+      --size NUMBER        entry VMs
+      --time SPAN          in which faults begin
+      --jobs NUMBER        runs at once
+      --daemon FILE        the daemon's program
+      --keep DIRECTORY     where settings and logs are left
   overhead                 one daemon against calling servers directly
   propagation              time until a ticket is in force, by fleet size
   idle                     cost of control, by fleet size and services
@@ -49,6 +57,7 @@
     let result = match command.as_deref().filter(|_| !help) {
         Some("run") => run_files(args),
         Some("targets") => measure_targets(args),
+        Some("soak") => load::soak::command(args),
         Some("overhead") => measure_overhead(args),
         Some("propagation") => measure_propagation(args),
         Some("idle") => measure_idle(args),
--- a/crates/node/src/registry.rs
+++ b/crates/node/src/registry.rs
@@ -43,8 +43,10 @@
 const START_SPREAD: Duration = Duration::from_millis(300);
 /// The same at the first start of a deployment, long before callers come.
 const FIRST_SPREAD: Duration = Duration::from_secs(3);
-/// The wait of a VM that does not read before it looks whether it should.
+/// The shortest wait of a VM that does not read before it looks whether it should.
 const IDLE: Duration = Duration::from_millis(50);
+/// The longest such wait: a reader that is new to its part begins that late.
+const IDLE_MAX: Duration = Duration::from_millis(500);
 /// The longest wait of one watch. A connection may fall silent for good, so a
 /// watch ends long before a change would be late.
 const WATCH_WAIT: Duration = Duration::from_secs(3);
@@ -161,8 +163,26 @@
         }
     }
 
+    /// Returns this VM's place among all, from 0 to 1, by which it waits longer
+    /// or shorter than others.
+    fn part(&self) -> f64 {
+        (self.me % 1000) as f64 / 1000.0
+    }
+
+    /// Returns the age of this VM's knowledge at which it reads for itself.
+    fn read_age(&self) -> Duration {
+        let fleet = self.view().alive.len() as u32;
+        STALE + (STALE_EACH * fleet).mul_f64(self.part())
+    }
+
+    /// Returns when to look again whether this VM should read.
+    fn next_look(&self) -> Duration {
+        let age = Duration::from_millis(u64::from(self.registry_age()));
+        self.read_age().saturating_sub(age).clamp(IDLE, IDLE_MAX)
+    }
+
     fn should_read(&self) -> bool {
-        let part = (self.me % 1000) as f64 / 1000.0;
+        let part = self.part();
         let spread = self.start_spread();
         let now = self.clock.now();
         if now < spread {
@@ -172,9 +192,7 @@
         if self.readers().contains(&self.me) {
             return true;
         }
-        let fleet = self.view().alive.len() as u32;
-        let later = (STALE_EACH * fleet).mul_f64(part);
-        u128::from(self.registry_age()) > (STALE + later).as_millis()
+        u128::from(self.registry_age()) > self.read_age().as_millis()
     }
 
     /// Follows `topic` for as long as it is polled.
@@ -188,7 +206,7 @@
         loop {
             self.end_due(&mut reading);
             if !self.should_read() {
-                smol::Timer::after(IDLE).await;
+                smol::Timer::after(self.next_look()).await;
                 continue;
             }
             let result = self.read(&*registry, &mut reading).await;
