Give homes and readers to the VMs that can carry them

Cause: on the grown deployments most VMs have a tenth of a core and 10 Mbit/s. Homes fell on them by hash; their links filled, probes of them were not answered in 120 ms, all VMs suspected them by turns, and with every change of home an epoch began in which cold servers are not used (log: the silent VMs are the homes).

Settings now say what a VM may use; VMs tell each other, and homes and readers are chosen among those with at least half of the most. Where all VMs are alike nothing changes. The log of the membership names who answers and who fell silent.

--- a/crates/conf/src/settings.rs
+++ b/crates/conf/src/settings.rs
@@ -101,6 +101,36 @@
     pub key: PathBuf,
 }
 
+/// The link of a VM, in Mbit/s, that goes with one core: beyond it the processor
+/// binds first. A message between VMs costs about 50 us and 300 bytes.
+const LINK_PER_CORE: f64 = 50.0;
+
+/// What a VM may use. Where VMs differ, the abler ones take what all others
+/// depend on.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Capacity {
+    /// The cores that it may use, a part of one included.
+    pub cores: f64,
+    /// Its link, in Mbit/s.
+    pub link: f64,
+}
+
+impl Default for Capacity {
+    fn default() -> Self {
+        Self {
+            cores: 1.0,
+            link: 1000.0,
+        }
+    }
+}
+
+impl Capacity {
+    /// Returns what the VM can carry for others, in thousandths of a core.
+    pub fn carries(&self) -> u32 {
+        (self.cores.min(self.link / LINK_PER_CORE) * 1e3) as u32
+    }
+}
+
 /// How the VM talks to the other entry VMs.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Peers {
@@ -255,6 +285,9 @@
     /// The region that this VM stands in.
     #[serde(default)]
     pub region: String,
+    /// What this VM may use.
+    #[serde(default)]
+    pub capacity: Capacity,
     /// Where callers connect.
     pub callers: Callers,
     /// How to talk to the other entry VMs.
@@ -361,6 +394,11 @@
             "threads",
             "0 threads carry no calls; write at least 1 or leave it out",
         );
+        faults.require(
+            self.capacity.carries() > 0,
+            "capacity",
+            "less than a thousandth of a core or 0.05 Mbit/s; write what the VM has",
+        );
         faults.require(
             (0.0..=1.0).contains(&self.traces.share),
             "traces.share",
--- a/crates/conf/tests/settings.rs
+++ b/crates/conf/tests/settings.rs
@@ -79,3 +79,15 @@
             let _ = conf::read::parse::<conf::Ticket>(&text);
         });
 }
+
+#[test]
+fn capacity_is_what_binds_first() {
+    let carries = |text: &str| {
+        let text = GOOD.replacen("\"vm\"", &format!("\"capacity\": {text}, \"vm\""), 1);
+        Settings::parse(&text).map(|settings| settings.capacity.carries())
+    };
+    assert_eq!(carries(r#"{ "cores": 0.1, "link": 10.0 }"#), Ok(100));
+    assert_eq!(carries(r#"{ "cores": 0.5, "link": 10 }"#), Ok(200));
+    assert_eq!(carries(r#"{ "cores": 0.2, "link": 1000.0 }"#), Ok(200));
+    assert!(carries(r#"{ "cores": 0.0, "link": 1000.0 }"#).is_err());
+}
--- a/crates/load/src/fleet.rs
+++ b/crates/load/src/fleet.rs
@@ -16,6 +16,7 @@
 use base::Clock;
 use conf::settings::Admin;
 use conf::settings::Callers;
+use conf::settings::Capacity;
 use conf::settings::Interface;
 use conf::settings::Logs;
 use conf::settings::Peers;
@@ -397,6 +398,7 @@
         },
         watch: None,
         second_attempts: None,
+        capacity: Capacity::default(),
         first: false,
         notice: Duration::from_millis(500),
         forget: Duration::from_secs(3600),
--- a/crates/member/benches/cost.rs
+++ b/crates/member/benches/cost.rs
@@ -26,6 +26,7 @@
         name: format!("vm-{n}"),
         address: SocketAddr::from(([127, 0, (n >> 8) as u8, n as u8], 7000)),
         domain: 1,
+        capacity: 1000,
         region: 1,
     }
 }
--- a/crates/member/src/peer.rs
+++ b/crates/member/src/peer.rs
@@ -39,6 +39,8 @@
     pub domain: DomainId,
     /// Its region, as a hash of the region's name.
     pub region: RegionId,
+    /// How much it can carry, in thousandths of a core.
+    pub capacity: u32,
 }
 
 /// One peer as this VM sees it.
--- a/crates/member/tests/swim.rs
+++ b/crates/member/tests/swim.rs
@@ -36,6 +36,7 @@
         name: format!("{n}"),
         address: address(n),
         domain: 0,
+        capacity: 1000,
         region: 0,
     };
     Membership::new(profile, incarnation, Config::default(), n as u64)
--- a/crates/node/src/cell.rs
+++ b/crates/node/src/cell.rs
@@ -113,7 +113,10 @@
     pub fn update(&self, spec: Arc<Spec>, view: &View, now: Time) -> Todo {
         *lock(&self.spec) = spec.clone();
         self.with_local(|local| local.set_spec(&spec));
-        let mut todo = self.in_side(|side| side.follower.set_fleet(&view.alive, &spec, now));
+        let mut todo = self.in_side(|side| {
+            let (alive, able) = (&view.alive, &view.able);
+            side.follower.set_fleet(alive, able, &spec, now);
+        });
         todo.add(self.in_coordinator(now, |coordinator| {
             coordinator.set_spec(spec, now);
             coordinator.set_fleet(view.fleet(), now);
@@ -157,7 +160,7 @@
     /// Takes a message from `from`.
     pub fn receive(&self, from: VmId, body: Body, view: &View, now: Time) -> Todo {
         if body.is_for_home() {
-            let chosen = base::rendezvous::first(self.shard, &view.alive) == Some(self.me);
+            let chosen = base::rendezvous::first(self.shard, &view.able) == Some(self.me);
             return self.in_coordinator(now, |coordinator| {
                 coordinator.receive(from, body, view.fleet(), chosen, now)
             });
--- a/crates/node/src/fleet.rs
+++ b/crates/node/src/fleet.rs
@@ -11,6 +11,8 @@
 pub struct View {
     /// The VMs of this one's region that answer, this one included, sorted.
     pub alive: Vec<VmId>,
+    /// Those of them that take work for all others, sorted; see [`able`].
+    pub able: Vec<VmId>,
     /// The VMs of this one's region that may hold permits, this one included,
     /// sorted.
     pub vms: Vec<VmId>,
@@ -21,6 +23,20 @@
     addresses: Vec<(VmId, SocketAddr)>,
 }
 
+/// The part of the most able VM's capacity that another has to have to be as fit
+/// as that one to take work for all.
+const ABLE: f64 = 0.5;
+
+/// Returns the VMs that should be homes and readers: where VMs differ, work that
+/// all others depend on goes to those with the most processor and link.
+pub fn able(alive: &[VmId], capacity: impl Fn(VmId) -> u32) -> Vec<VmId> {
+    let most = alive.iter().map(|&vm| capacity(vm)).max().unwrap_or(0);
+    let least = f64::from(most) * ABLE;
+    let mut able = alive.to_vec();
+    able.retain(|&vm| f64::from(capacity(vm)) >= least);
+    able
+}
+
 impl View {
     /// Takes a snapshot.
     pub fn new(members: &Membership) -> Self {
@@ -29,6 +45,8 @@
         let everywhere = members.alive();
         let mut alive = everywhere.to_vec();
         alive.retain(|vm| members.peer(*vm).is_none_or(near));
+        let capacity = |vm: VmId| members.peer(vm).map_or(me.capacity, |p| p.profile.capacity);
+        let able = able(&alive, capacity);
         let holds = |peer: &&member::Peer| peer.health != Health::Left && near(peer);
         let mut vms: Vec<VmId> = members
             .peers()
@@ -45,6 +63,7 @@
             .collect();
         Self {
             alive,
+            able,
             vms,
             everywhere: everywhere.len(),
             strangers: members.strangers(),
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -358,6 +358,7 @@
         address: settings.peers.listen,
         domain: settings.domain_id(),
         region: base::id::region(&settings.region),
+        capacity: settings.capacity.carries(),
     };
     let since = SystemTime::now().duration_since(UNIX_EPOCH);
     let incarnation = since.unwrap_or_default().as_millis() as u64;
--- a/crates/node/src/registry.rs
+++ b/crates/node/src/registry.rs
@@ -150,7 +150,7 @@
     }
 
     fn readers(&self) -> Vec<VmId> {
-        rendezvous::top(READ_KEY, &self.view().alive, READERS)
+        rendezvous::top(READ_KEY, &self.view().able, READERS)
     }
 
     /// Returns the span over which VMs that start together begin to read, so
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -267,12 +267,7 @@
         if *self.view() == *view {
             return;
         }
-        log::info!(
-            "member: {} of {} VMs in the region answer, {} in all regions",
-            view.alive.len(),
-            view.vms.len(),
-            view.everywhere
-        );
+        self.log_view(&view);
         let whole = view.strangers == 0;
         lock(&self.memory).set_view(&view.vms, whole, self.clock.now());
         write(&self.view, view);
@@ -282,6 +277,26 @@
         self.run_all(todos);
     }
 
+    /// Logs which VMs count as answering from now on, and which no longer do.
+    fn log_view(&self, view: &View) {
+        let old = self.view();
+        let names = |from: &[VmId], but: &[VmId]| {
+            let members = lock(&self.members);
+            let new = from.iter().filter(|vm| but.binary_search(vm).is_err());
+            let name = |vm: &VmId| members.peer(*vm).map(|peer| peer.profile.name.clone());
+            let names: Vec<String> = new.filter_map(name).collect();
+            names.join(" ")
+        };
+        log::info!(
+            answers = names(&view.alive, &old.alive),
+            silent = names(&old.alive, &view.alive);
+            "member: {} of {} VMs in the region answer, {} in all regions",
+            view.alive.len(),
+            view.vms.len(),
+            view.everywhere
+        );
+    }
+
     /// Puts the mirror's configuration in force on this VM; when it returns, it
     /// is, whichever task did it.
     pub(crate) fn put_in_force(&self) {
--- a/crates/route/src/follower/mod.rs
+++ b/crates/route/src/follower/mod.rs
@@ -209,9 +209,10 @@
         std::mem::take(&mut self.events)
     }
 
-    /// Follows a change of the membership or of the configuration.
-    pub fn set_fleet(&mut self, alive: &[VmId], spec: &Spec, now: Time) {
-        self.candidate = rendezvous::first(self.shard, alive);
+    /// Follows a change of the membership or of the configuration; `able` are the
+    /// VMs of `alive` that may be homes.
+    pub fn set_fleet(&mut self, alive: &[VmId], able: &[VmId], spec: &Spec, now: Time) {
+        self.candidate = rendezvous::first(self.shard, able);
         let keys: Vec<(u64, u32)> = spec
             .servers
             .iter()
--- a/crates/route/tests/world/mod.rs
+++ b/crates/route/tests/world/mod.rs
@@ -139,7 +139,8 @@
     fn update(&mut self, at: usize) {
         let ids = self.ids();
         let vm = &mut self.vms[at];
-        vm.follower.set_fleet(&vm.alive, &self.spec, self.now);
+        vm.follower
+            .set_fleet(&vm.alive, &vm.alive, &self.spec, self.now);
         let fleet = Fleet {
             vms: &ids,
             alive: &vm.alive,
