Give each failure domain of a large service a home of its own

A service with more than 32 servers has a shard for each domain, with its home there. The slack is divided.

--- a/crates/base/src/id.rs
+++ b/crates/base/src/id.rs
@@ -55,3 +55,8 @@
     }
     hash::mix(service, u64::from(n))
 }
+
+/// Returns the id of part `n` of the servers of `service` in `domain`.
+pub fn shard_in(service: ServiceId, domain: DomainId, n: u32) -> ShardId {
+    shard(hash::mix(service, domain), n)
+}
--- a/crates/node/src/cell.rs
+++ b/crates/node/src/cell.rs
@@ -1,9 +1,12 @@
 //! One shard on this VM: its follower, its coordinator, and the calls that wait.
 
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
+use std::time::Duration;
 
 use base::ServerId;
 use base::ServiceId;
@@ -21,6 +24,8 @@
 use route::msg::Load;
 use route::msg::Release;
 use route::policy::Local;
+use route::shards::Shard;
+use route::shards::FULL_MAX;
 use route::CallNo;
 use route::Coordinator;
 use route::Follower;
@@ -65,6 +70,8 @@
     side: Mutex<Side>,
     coordinator: Mutex<Coordinator>,
     local: Option<Mutex<Local>>,
+    /// Until when the shard is taken to have no room, in milliseconds.
+    full: AtomicU64,
 }
 
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
@@ -86,6 +93,23 @@
             coordinator: Mutex::new(Coordinator::new(me, spec.clone())),
             local: local.map(Mutex::new),
             spec: Mutex::new(spec),
+            full: AtomicU64::new(0),
+        }
+    }
+
+    /// Notes that the shard refused a call, and when it should have room.
+    pub fn note_full(&self, after: Duration, now: Time) {
+        let until = now + after.min(FULL_MAX);
+        self.full.store(until.as_millis() as u64, Ordering::Relaxed);
+    }
+
+    /// Returns what decides whether a call is sent to this shard.
+    pub fn room(&self, now: Time) -> Shard {
+        let spec = self.spec();
+        Shard {
+            domain: spec.domain,
+            slots: spec.open_slots(),
+            full: (now.as_millis() as u64) < self.full.load(Ordering::Relaxed),
         }
     }
 
@@ -114,8 +138,8 @@
         *lock(&self.spec) = spec.clone();
         self.with_local(|local| local.set_spec(&spec));
         let mut todo = self.in_side(|side| {
-            let (alive, able) = (&view.alive, &view.able);
-            side.follower.set_fleet(alive, able, &spec, now);
+            let homes = view.homes(spec.domain);
+            side.follower.set_fleet(&view.alive, homes, &spec, now);
         });
         todo.add(self.in_coordinator(now, |coordinator| {
             coordinator.set_spec(spec, now);
@@ -160,7 +184,8 @@
     /// Takes a message from `from`.
     pub fn receive(&self, from: VmId, body: Body, view: &View, now: Time) -> Todo {
         if body.is_for_home() {
-            let chosen = base::rendezvous::first(self.shard, &view.able) == Some(self.me);
+            let homes = view.homes(self.spec().domain);
+            let chosen = base::rendezvous::first(self.shard, homes) == Some(self.me);
             return self.in_coordinator(now, |coordinator| {
                 coordinator.receive(from, body, view.fleet(), chosen, now)
             });
--- a/crates/node/src/fleet.rs
+++ b/crates/node/src/fleet.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 
+use base::DomainId;
 use base::VmId;
 use member::Health;
 use member::Membership;
@@ -13,6 +14,8 @@
     pub alive: Vec<VmId>,
     /// Those of them that take work for all others, sorted; see [`able`].
     pub able: Vec<VmId>,
+    /// The same for each failure domain, sorted by domain.
+    homes: Vec<(DomainId, Vec<VmId>)>,
     /// The VMs of this one's region that may hold permits, this one included,
     /// sorted.
     pub vms: Vec<VmId>,
@@ -37,6 +40,19 @@
     able
 }
 
+/// Splits `vms` by domain; both stay sorted.
+fn split(vms: &[VmId], domain: impl Fn(VmId) -> DomainId) -> Vec<(DomainId, Vec<VmId>)> {
+    let mut split: Vec<(DomainId, Vec<VmId>)> = Vec::new();
+    for &vm in vms {
+        let domain = domain(vm);
+        match split.binary_search_by_key(&domain, |(domain, _)| *domain) {
+            Ok(at) => split[at].1.push(vm),
+            Err(at) => split.insert(at, (domain, vec![vm])),
+        }
+    }
+    split
+}
+
 impl View {
     /// Takes a snapshot.
     pub fn new(members: &Membership) -> Self {
@@ -47,6 +63,10 @@
         alive.retain(|vm| members.peer(*vm).is_none_or(near));
         let capacity = |vm: VmId| members.peer(vm).map_or(me.capacity, |p| p.profile.capacity);
         let able = able(&alive, capacity);
+        let domain = |vm: VmId| members.peer(vm).map_or(me.domain, |p| p.profile.domain);
+        let homes = split(&alive, domain).into_iter();
+        let homes = homes.map(|(domain, vms)| (domain, self::able(&vms, capacity)));
+        let homes = homes.collect();
         let holds = |peer: &&member::Peer| peer.health != Health::Left && near(peer);
         let mut vms: Vec<VmId> = members
             .peers()
@@ -64,6 +84,7 @@
         Self {
             alive,
             able,
+            homes,
             vms,
             everywhere: everywhere.len(),
             strangers: members.strangers(),
@@ -71,6 +92,18 @@
         }
     }
 
+    /// Returns the VMs that may be homes of a shard whose servers stand in
+    /// `domain`: those of that domain, where any answers.
+    pub fn homes(&self, domain: Option<DomainId>) -> &[VmId] {
+        let near = domain.and_then(|domain| {
+            let at = self
+                .homes
+                .binary_search_by_key(&domain, |(domain, _)| *domain);
+            at.ok().map(|at| self.homes[at].1.as_slice())
+        });
+        near.unwrap_or(&self.able)
+    }
+
     /// Returns the address of `vm`.
     pub fn address(&self, vm: VmId) -> Option<SocketAddr> {
         let at = self.addresses.binary_search_by_key(&vm, |(vm, _)| *vm);
--- a/crates/node/src/ports.rs
+++ b/crates/node/src/ports.rs
@@ -21,6 +21,8 @@
 use route::msg::Load;
 use route::msg::Reason;
 use route::msg::Release;
+use route::shards;
+use route::shards::Shard;
 use route::CallNo;
 use wire::KeyMsg;
 use wire::Msg;
@@ -52,14 +54,32 @@
 }
 
 impl Shared {
-    /// Returns one of the service's shards.
+    /// Returns the shard of the service that a call should go to.
     fn cell(&self, service: ServiceId) -> Option<Arc<Cell>> {
         let table = self.table();
         let cells = table.service(service);
-        if cells.is_empty() {
-            return None;
+        if let [(_, only)] = cells {
+            return Some(only.clone());
+        }
+        let now = self.clock.now();
+        let rooms: Vec<Shard> = cells.iter().map(|(_, cell)| cell.room(now)).collect();
+        let domain = self.settings.domain_id();
+        let at = shards::choose(&rooms, domain, fastrand::f64())?;
+        Some(cells[at].1.clone())
+    }
+
+    /// Asks a shard of the service, and another one if the first has no room.
+    async fn acquire_any(&self, service: ServiceId, ask: Ask) -> Result<Permit, Refused> {
+        let cell = self.cell(service).ok_or_else(removed)?;
+        let refused = match self.acquire_home(cell.clone(), ask.clone()).await {
+            Err(refused) if refused.reason.is_for_want_of_room() => refused,
+            answer => return answer,
+        };
+        cell.note_full(refused.after, self.clock.now());
+        match self.cell(service) {
+            Some(other) if other.shard != cell.shard => self.acquire_home(other, ask).await,
+            _ => Err(refused),
         }
-        Some(cells[fastrand::usize(..cells.len())].1.clone())
     }
 
     async fn acquire_home(&self, cell: Arc<Cell>, ask: Ask) -> Result<Permit, Refused> {
@@ -128,12 +148,11 @@
 
     fn acquire(&self, service: ServiceId, ask: Ask) -> BoxFuture<'_, Result<Permit, Refused>> {
         Box::pin(async move {
-            let cell = self.cell(service).ok_or_else(removed)?;
             if self.settings.policy == Policy::Home {
-                self.acquire_home(cell, ask).await
-            } else {
-                self.acquire_local(&cell, &ask)
+                return self.acquire_any(service, ask).await;
             }
+            let cell = self.cell(service).ok_or_else(removed)?;
+            self.acquire_local(&cell, &ask)
         })
     }
 
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod policy;
 pub mod queue;
 pub mod roster;
+pub mod shards;
 pub mod spec;
 pub mod verify;
 
--- a/crates/route/src/msg.rs
+++ b/crates/route/src/msg.rs
@@ -71,6 +71,11 @@
 }
 
 impl Reason {
+    /// Returns whether servers elsewhere may have the room that was missing.
+    pub fn is_for_want_of_room(self) -> bool {
+        matches!(self, Self::NoServer | Self::Overload)
+    }
+
     /// Returns the word used in headers, logs and metrics.
     pub fn name(self) -> &'static str {
         match self {
--- a/crates/route/src/spec.rs
+++ b/crates/route/src/spec.rs
@@ -9,8 +9,12 @@
 use base::ShardId;
 use base::VmId;
 
-/// The most servers that one home looks after.
-pub const SHARD_SERVERS: usize = 64;
+/// The most servers of a service that one home looks after wherever they stand;
+/// with more, each failure domain has a home of its own. Below it, a home for
+/// each domain would choose among few servers.
+pub const SHARD_SERVERS: usize = 32;
+/// The most servers of one domain that one home looks after.
+pub const PART_SERVERS: usize = 128;
 /// Second attempts beyond their share in ten seconds, where nobody says more.
 const SLACK: u32 = 10;
 /// The share of a server's connections that the fleet uses, in percent; the
@@ -53,6 +57,8 @@
     pub service: ServiceId,
     /// The shard.
     pub shard: ShardId,
+    /// The failure domain of its servers; none if they may stand in several.
+    pub domain: Option<DomainId>,
     /// The servers, sorted by id.
     pub servers: Vec<ServerSpec>,
     /// Calls in flight that a cold server bears.
@@ -88,6 +94,7 @@
         Self {
             service,
             shard: base::id::shard(service, 0),
+            domain: None,
             servers,
             cold_limit: 1,
             grow_after: 16,
@@ -104,27 +111,41 @@
         }
     }
 
-    /// Splits the servers into as many shards as their number asks for.
+    /// Splits the servers into a shard for each failure domain if they are many,
+    /// and those of a large domain into parts.
     ///
-    /// A server's shard follows from its id, so that adding one moves no other
-    /// unless the number of shards changes.
+    /// A server's part follows from its id, so that adding one moves no other
+    /// unless the number of parts changes. Each shard gets its part of the slack
+    /// of second attempts, which is the whole service's.
     pub fn shards(self) -> Vec<Self> {
-        let count = self.servers.len().div_ceil(SHARD_SERVERS).max(1);
-        if count == 1 {
+        if self.servers.len() <= SHARD_SERVERS {
             return vec![self];
         }
-        let mut shards: Vec<Self> = (0..count as u32)
-            .map(|n| Self {
-                shard: base::id::shard(self.service, n),
-                servers: Vec::new(),
-                ..self.clone()
-            })
-            .collect();
-        for server in self.servers {
-            let at = (server.id % count as u64) as usize;
-            shards[at].servers.push(server);
+        let mut domains: Vec<DomainId> = self.servers.iter().map(|s| s.domain).collect();
+        domains.sort_unstable();
+        domains.dedup();
+        let mut shards = Vec::new();
+        for domain in domains {
+            let all = self.servers.iter().filter(|s| s.domain == domain);
+            let count = all.clone().count().div_ceil(PART_SERVERS) as u32;
+            for n in 0..count {
+                let part = all
+                    .clone()
+                    .filter(|s| s.id % u64::from(count) == u64::from(n));
+                shards.push(Self {
+                    shard: base::id::shard_in(self.service, domain, n),
+                    domain: Some(domain),
+                    servers: part.cloned().collect(),
+                    ..self.clone()
+                });
+            }
         }
         shards.retain(|shard| !shard.servers.is_empty());
+        let count = shards.len() as u32;
+        for shard in &mut shards {
+            shard.retry_slack /= count;
+            shard.hedge_slack /= count;
+        }
         shards
     }
 
