Read the store with three VMs from the first second on

Cause: at the first start every VM began to read after its part of three seconds as long as nothing was known, and the operators' first configuration comes after 0.6 s: 21 of 127 VMs had listed everything by then and watched. VMs now look for each other for a second before any reads.

Readers that the store turns away while others read for them wait up to 3 s, as refused calls are priced.

--- a/crates/node/src/registry.rs
+++ b/crates/node/src/registry.rs
@@ -41,8 +41,9 @@
 const STALE_EACH: Duration = Duration::from_millis(20);
 /// The span over which VMs that are started again together begin to read.
 const START_SPREAD: Duration = Duration::from_millis(300);
-/// The same at the first start of a deployment, long before callers come.
-const FIRST_SPREAD: Duration = Duration::from_secs(3);
+/// The time at the first start of a deployment, long before callers come, in which
+/// VMs only look for each other, so that three of them read and not all.
+const FIRST_REST: Duration = Duration::from_secs(1);
 /// The shortest wait of a VM that does not read before it looks whether it should.
 const IDLE: Duration = Duration::from_millis(50);
 /// The longest such wait: a reader that is new to its part begins that late.
@@ -60,6 +61,8 @@
 const BACKOFF_MIN: Duration = Duration::from_millis(100);
 /// The longest wait after failures, short of [`STALE`].
 const BACKOFF_MAX: Duration = Duration::from_millis(800);
+/// The same while others read for this VM: refused calls are priced, too.
+const CALM_BACKOFF_MAX: Duration = Duration::from_secs(3);
 /// The time after an outage within which servers that are alive are listed
 /// again; the platform's operators promise two seconds.
 const RETURN: Duration = Duration::from_millis(2200);
@@ -153,16 +156,6 @@
         rendezvous::top(READ_KEY, &self.view().able, READERS)
     }
 
-    /// Returns the span over which VMs that start together begin to read, so
-    /// that most of them hear from a peer before.
-    fn start_spread(&self) -> Duration {
-        if self.settings.first {
-            FIRST_SPREAD
-        } else {
-            START_SPREAD
-        }
-    }
-
     /// Returns this VM's place among all, from 0 to 1, by which it waits longer
     /// or shorter than others.
     fn part(&self) -> f64 {
@@ -185,12 +178,14 @@
     }
 
     fn should_read(&self) -> bool {
-        let part = self.part();
-        let spread = self.start_spread();
         let now = self.clock.now();
-        if now < spread {
+        if self.settings.first && now < FIRST_REST {
+            return false;
+        }
+        if now < START_SPREAD {
             // Until then the membership is not known well enough to choose.
-            return now >= spread.mul_f64(part) && !lock(&self.catalog).is_filled();
+            let begins = START_SPREAD.mul_f64(self.part());
+            return now >= begins && !lock(&self.catalog).is_filled();
         }
         if self.readers().contains(&self.me) {
             return true;
@@ -255,9 +250,13 @@
         self.away.fetch_max(now, Ordering::Relaxed);
         let doubled = BACKOFF_MIN * 2_u32.saturating_pow(reading.failures.min(8));
         reading.failures += 1;
-        doubled
-            .min(BACKOFF_MAX)
-            .mul_f64(0.75 + 0.5 * fastrand::f64())
+        let age = Duration::from_millis(u64::from(self.registry_age()));
+        let longest = if age < STALE {
+            CALM_BACKOFF_MAX
+        } else {
+            BACKOFF_MAX
+        };
+        doubled.min(longest).mul_f64(0.75 + 0.5 * fastrand::f64())
     }
 
     /// Has peers told, with the next pings, how old this VM's knowledge is.
