--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -1,11 +1,14 @@
 //! `snipepaddled`: one entry VM as a process.
 //!
 //! It reads its settings, checks them whole before anything starts, serves
-//! until SIGTERM or SIGINT, and then stops without cutting off a call.
+//! until SIGTERM or SIGINT, and then stops without cutting off a call. SIGHUP
+//! has it read the settings again.
 
+use std::path::Path;
 use std::path::PathBuf;
 use std::process::ExitCode;
 use std::sync::Arc;
+use std::time::Duration;
 
 use anyhow::Context;
 use async_signal::Signal;
@@ -38,6 +41,10 @@
 /// The exit code for a stop that cut calls off.
 const CUT: u8 = 3;
 
+/// The time between two looks whether the settings file has changed: it may
+/// change without a signal.
+const LOOK: Duration = Duration::from_secs(5);
+
 /// What the command line asks for.
 struct Asked {
     settings: PathBuf,
@@ -58,7 +65,7 @@
         println!("{}: no faults", asked.settings.display());
         return ExitCode::SUCCESS;
     }
-    match smol::block_on(run(settings)) {
+    match smol::block_on(run(settings, &asked.settings)) {
         Ok(true) => ExitCode::SUCCESS,
         Ok(false) => ExitCode::from(CUT),
         Err(error) => {
@@ -98,22 +105,58 @@
     Ok(Some(asked))
 }
 
-async fn run(settings: Settings) -> anyhow::Result<bool> {
-    let _logs = obs::logs::start(&settings.logs.level, settings.logs.json)
+async fn run(settings: Settings, file: &Path) -> anyhow::Result<bool> {
+    let logs = obs::logs::start(&settings.logs.level, settings.logs.json)
         .context("logs.level is not a level or filter; write \"info\"")?;
-    let mut signals = Signals::new([Signal::Term, Signal::Int])?;
+    let mut signals = Signals::new([Signal::Term, Signal::Int, Signal::Hup])?;
     let pool = Node::pool_of(&settings);
     let options = options(&settings, &pool);
     let node = Node::start_on(pool, settings, options).await?;
     let stop = Stop::new();
     admin::serve(&node, stop.clone()).await?;
     admin::watch::serve(&node, stop.clone()).await?;
-    let _ = signals.next().await;
+    let mut known = read(file);
+    loop {
+        let signal = net::timeout(LOOK, signals.next()).await;
+        let asked = match signal {
+            Some(Some(Ok(Signal::Hup))) => true,
+            // Without signals nobody can ask for anything else.
+            Some(_) => break,
+            None => false,
+        };
+        let text = read(file);
+        if asked || text != known {
+            reload(&node, &logs, text.as_deref());
+            known = text;
+        }
+    }
     let ended = node.stop().await;
     stop.give();
     Ok(ended)
 }
 
+fn read(file: &Path) -> Option<String> {
+    std::fs::read_to_string(file)
+        .map_err(|error| log::warn!("conf: cannot read {}: {error}", file.display()))
+        .ok()
+}
+
+/// Takes changed settings; ones with faults change nothing.
+fn reload(node: &Node, logs: &obs::logs::Handle, text: Option<&str>) {
+    let Some(text) = text else {
+        return;
+    };
+    match Settings::parse(text) {
+        Ok(settings) => {
+            if let Err(error) = logs.set_level(&settings.logs.level) {
+                log::warn!("conf: logs.level stays as it was: {error}");
+            }
+            node.shared().reload(&settings);
+        }
+        Err(faults) => log::error!("conf: the settings stay as they were: {faults}"),
+    }
+}
+
 /// Chooses the adapter of the platform that the settings name.
 fn options(settings: &Settings, pool: &Pool) -> Options {
     match settings.platform.interface {
--- a/crates/member/src/membership/mod.rs
+++ b/crates/member/src/membership/mod.rs
@@ -166,9 +166,15 @@
 
     /// Returns the same membership with addresses to join by.
     pub fn with_seeds(mut self, seeds: Vec<SocketAddr>) -> Self {
+        self.set_seeds(seeds);
+        self
+    }
+
+    /// Changes the addresses to join by.
+    pub fn set_seeds(&mut self, seeds: Vec<SocketAddr>) {
         self.seeds = seeds;
         self.seeds.retain(|seed| *seed != self.me.address);
-        self
+        self.refresh();
     }
 
     /// Returns the VMs that are alive, this one included, sorted by id.
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod peers;
 pub mod ports;
 pub mod registry;
+pub mod reload;
 pub mod shared;
 pub mod specs;
 pub mod status;
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -65,6 +65,8 @@
 pub struct Shared {
     /// The settings.
     pub settings: Settings,
+    /// The settings that were read last; see [`crate::reload`].
+    pub(crate) taken: Mutex<Settings>,
     /// This VM.
     pub me: VmId,
     /// The clock of the process.
@@ -177,6 +179,7 @@
         Self {
             me,
             pools: Arc::new(Pools::new(parts.handle.clone(), parts.clock, parts.lost)),
+            taken: Mutex::new(parts.settings.clone()),
             settings: parts.settings,
             clock: parts.clock,
             handle: parts.handle,
@@ -345,7 +348,7 @@
         let table = self.table();
         let mut cells = Vec::new();
         let mut todos = Vec::new();
-        for spec in specs::of_state(&state, &self.settings) {
+        for spec in specs::of_state(&state, &self.settings.region, self.second_attempts()) {
             let spec = Arc::new(spec);
             let cell = match table.shard(spec.shard) {
                 Some(cell) => cell.clone(),
--- a/crates/node/src/specs.rs
+++ b/crates/node/src/specs.rs
@@ -2,7 +2,6 @@
 
 use conf::settings::SecondAttempts;
 use conf::Service;
-use conf::Settings;
 use conf::State;
 use route::spec::ServerSpec;
 use route::spec::Start;
@@ -12,12 +11,11 @@
 ///
 /// A region looks after its own servers only, so that regions that lose each
 /// other go on as they are.
-pub fn of_state(state: &State, settings: &Settings) -> Vec<Spec> {
-    let region = settings.region.as_str();
+pub fn of_state(state: &State, region: &str, seconds: Option<SecondAttempts>) -> Vec<Spec> {
     let all = state.services.iter();
     let mut specs: Vec<Spec> = all
         .map(|service| of_service(state, service, region))
-        .map(|spec| with_second_attempts(spec, settings.second_attempts))
+        .map(|spec| with_second_attempts(spec, seconds))
         .flat_map(Spec::shards)
         .collect();
     specs.sort_by_key(|spec| spec.shard);
--- a/crates/obs/src/logs.rs
+++ b/crates/obs/src/logs.rs
@@ -45,7 +45,7 @@
 /// Keeps logging going; the lines that wait are written when it is dropped.
 pub struct Handle {
     waiting: Arc<AtomicU64>,
-    _logger: LoggerHandle,
+    logger: LoggerHandle,
 }
 
 impl Drop for Handle {
@@ -77,10 +77,7 @@
     let logger = Logger::try_with_str(level)?
         .log_to_writer(Box::new(writer))
         .start()?;
-    Ok(Handle {
-        waiting,
-        _logger: logger,
-    })
+    Ok(Handle { waiting, logger })
 }
 
 fn write_lines(queue: &mpsc::Receiver<Vec<u8>>, waiting: &AtomicU64) {
@@ -92,6 +89,13 @@
     }
 }
 
+impl Handle {
+    /// Changes which lines are written; `level` is a level or filter.
+    pub fn set_level(&self, level: &str) -> Result<(), FlexiLoggerError> {
+        self.logger.parse_new_spec(level)
+    }
+}
+
 /// Bounds the rate of lines.
 struct Gate {
     tokens: f64,
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -335,6 +335,7 @@
                     self.kill(at).await;
                 }
             }
+            Act::Reload(at) => self.vms[at].lock().await.signal(Signal::HUP),
             Act::Stop(at) => self.stop(at).await,
             Act::Callers(at, harm) => {
                 let link = self.vms[at].lock().await.callers.clone();
--- a/crates/soak/src/scheme.rs
+++ b/crates/soak/src/scheme.rs
@@ -76,6 +76,8 @@
     Kill(VmAt),
     /// The process is asked to stop, and started again.
     Stop(VmAt),
+    /// The process is told that its settings have changed.
+    Reload(VmAt),
     /// All processes are killed at once and started again.
     KillAll,
     /// Connections between callers and a VM are harmed.
@@ -137,7 +139,7 @@
 fn act(rng: &mut fastrand::Rng, size: &Size) -> Act {
     let vm = rng.usize(..size.vms);
     let place = rng.usize(..size.places());
-    match rng.u8(..24) {
+    match rng.u8(..25) {
         0 | 1 => Act::Pause(vm),
         2 => Act::Kill(vm),
         3..=5 => Act::Stop(vm),
@@ -153,6 +155,7 @@
         18 => Act::Leave(place, rng.bool()),
         19 => Act::Out(rng.usize(..DOMAINS.len())),
         20 => Act::Tickets(4),
+        21 => Act::Reload(vm),
         _ => Act::Tickets(1),
     }
 }
@@ -165,6 +168,7 @@
         Act::Pause(at) => Act::Pause(vm(at)),
         Act::Kill(at) => Act::Kill(vm(at)),
         Act::Stop(at) => Act::Stop(vm(at)),
+        Act::Reload(at) => Act::Reload(vm(at)),
         Act::Callers(at, harm) => Act::Callers(vm(at), harm),
         Act::Door(at, store) => Act::Door(vm(at), store),
         Act::Line(at, harm) => Act::Line(vm(at), harm),
