Have few VMs call a store that is away

Waits after failures grow with the fleet, as one VM that succeeds tells the others; only the servers are tried once two reads have failed; VMs that start together wait 8 ms for each VM they know. Servers whose entries lapsed get their time to return from the first answer after failures, not from the last failure. A list has one line in the log in place of one for each server.

--- a/crates/node/src/registry.rs
+++ b/crates/node/src/registry.rs
@@ -39,8 +39,10 @@
 /// How much later the last VM begins than the first, for each VM of the fleet, so
 /// that those that begin late find that others have read meanwhile.
 const STALE_EACH: Duration = Duration::from_millis(20);
-/// The span over which VMs that are started again together begin to read.
+/// The shortest span over which VMs that are started again together begin to read.
 const START_SPREAD: Duration = Duration::from_millis(300);
+/// The same for each VM that is known: most hear from a peer before their turn.
+const START_EACH: Duration = Duration::from_millis(8);
 /// The time at the first start of a deployment, long before callers come, in which
 /// VMs only look for each other, so that three of them read and not all.
 const FIRST_REST: Duration = Duration::from_secs(1);
@@ -61,11 +63,19 @@
 const BACKOFF_MIN: Duration = Duration::from_millis(100);
 /// The longest wait after failures, short of [`STALE`].
 const BACKOFF_MAX: Duration = Duration::from_millis(800);
+/// VMs that may wait no longer than that. In a larger fleet all wait longer, as
+/// one that succeeds tells the others.
+const TRYING: u32 = 12;
+/// Failures from which on a topic waits until the servers can be read again.
+const FAILURES_MAX: u32 = 2;
 /// The same while others read for this VM: refused calls are priced, too.
 const CALM_BACKOFF_MAX: Duration = Duration::from_secs(3);
 /// The time after an outage within which servers that are alive are listed
 /// again; the platform's operators promise two seconds.
 const RETURN: Duration = Duration::from_millis(2200);
+/// Entries up to which each change of one answer has a line in the log; of a whole
+/// list their number is enough.
+const LOGGED_MAX: usize = 40;
 /// The time between two looks for entry VMs that no peer has told of.
 const VMS_PERIOD: Duration = Duration::from_secs(20);
 /// The time between two looks whether this VM knows no other, or should be
@@ -162,10 +172,19 @@
         (self.me % 1000) as f64 / 1000.0
     }
 
+    fn fleet_size(&self) -> u32 {
+        self.view().alive.len() as u32
+    }
+
+    /// Returns whether the last thing that was heard of the system of record is
+    /// that it does not answer.
+    fn is_away(&self) -> bool {
+        self.away.load(Ordering::Relaxed) > self.reached.load(Ordering::Relaxed)
+    }
+
     /// Returns the age of this VM's knowledge at which it reads for itself.
     fn read_age(&self) -> Duration {
-        let fleet = self.view().alive.len() as u32;
-        STALE + (STALE_EACH * fleet).mul_f64(self.part())
+        STALE + (STALE_EACH * self.fleet_size()).mul_f64(self.part())
     }
 
     /// Returns when to look again whether this VM should read.
@@ -182,9 +201,10 @@
         if self.settings.first && now < FIRST_REST {
             return false;
         }
-        if now < START_SPREAD {
+        let spread = START_SPREAD.max(START_EACH * self.fleet_size());
+        if now < spread {
             // Until then the membership is not known well enough to choose.
-            let begins = START_SPREAD.mul_f64(self.part());
+            let begins = spread.mul_f64(self.part());
             return now >= begins && !lock(&self.catalog).is_filled();
         }
         if self.readers().contains(&self.me) {
@@ -203,7 +223,10 @@
         };
         loop {
             self.end_due(&mut reading);
-            if !self.should_read() {
+            let waits = reading.topic != Topic::Servers
+                && reading.failures >= FAILURES_MAX
+                && self.is_away();
+            if waits || !self.should_read() {
                 smol::Timer::after(self.next_look()).await;
                 continue;
             }
@@ -225,6 +248,8 @@
             );
         }
         reading.failures = 0;
+        let now = self.clock.now().as_millis() as u64;
+        self.reached.fetch_max(now, Ordering::Relaxed);
         if reading.topic != Topic::Servers {
             return REST;
         }
@@ -248,13 +273,14 @@
         }
         let now = self.clock.now().as_millis() as u64;
         self.away.fetch_max(now, Ordering::Relaxed);
-        let doubled = BACKOFF_MIN * 2_u32.saturating_pow(reading.failures.min(8));
+        let crowd = (self.fleet_size() / TRYING).max(1);
+        let doubled = BACKOFF_MIN * crowd * 2_u32.saturating_pow(reading.failures.min(8));
         reading.failures += 1;
         let age = Duration::from_millis(u64::from(self.registry_age()));
         let longest = if age < STALE {
             CALM_BACKOFF_MAX
         } else {
-            BACKOFF_MAX
+            BACKOFF_MAX * crowd
         };
         doubled.min(longest).mul_f64(0.75 + 0.5 * fastrand::f64())
     }
@@ -273,18 +299,29 @@
         match reading.revision {
             None => {
                 let (items, revision) = list(registry, reading.topic).await?;
+                self.note_return(reading);
                 self.take_list(reading, items, revision);
             }
             Some(after) => {
                 let page = registry
                     .watch(reading.topic, after, WATCH_WAIT, ANSWER_LIMIT)
                     .await?;
+                self.note_return(reading);
                 self.take_changes(reading, page);
             }
         }
         Ok(())
     }
 
+    /// Takes note that an outage has ended, at the latest now: from now on servers
+    /// whose entries lapsed in it come back.
+    fn note_return(&self, reading: &Reading) {
+        if reading.failures > 0 {
+            let now = self.clock.now().as_millis() as u64;
+            self.away.fetch_max(now, Ordering::Relaxed);
+        }
+    }
+
     fn take_list(&self, reading: &mut Reading, items: Vec<Item>, revision: Revision) {
         let mut names: Vec<String> = items.iter().map(|item| item.name.clone()).collect();
         names.sort_unstable();
@@ -300,7 +337,14 @@
             revision,
             value: None,
         });
-        self.take_items(reading, items.into_iter().chain(gone).collect());
+        let items: Vec<Item> = items.into_iter().chain(gone).collect();
+        let count = items.len();
+        let changed = self.take_items(reading, items);
+        log::info!(
+            revision, entries = count, changed;
+            "registry: {} listed",
+            reading.topic.name()
+        );
         reading.revision = Some(revision);
     }
 
@@ -309,11 +353,13 @@
         reading.revision = reading.revision.max(Some(page.revision));
     }
 
-    fn take_items(&self, reading: &mut Reading, items: Vec<Item>) {
+    /// Takes entries; returns how many changed what this VM knows.
+    fn take_items(&self, reading: &mut Reading, items: Vec<Item>) -> usize {
+        let listed = items.len() > LOGGED_MAX;
         let now = self.clock.now();
         let away = Duration::from_millis(self.away.load(Ordering::Relaxed));
         let returned = !away.is_zero() && now < away + RETURN;
-        let mut changed = false;
+        let mut changed = 0;
         for item in items {
             let ends = item.value.is_none() && reading.topic == Topic::Servers;
             if ends && returned {
@@ -331,11 +377,19 @@
             if !ends {
                 reading.endings.retain(|ending| ending.name != item.name);
             }
-            changed |= self.take_item(reading.topic, item, now);
+            let name = item.name.clone();
+            let revision = item.revision;
+            if self.take_item(reading.topic, item, now) {
+                changed += 1;
+                if !listed {
+                    log_change(reading.topic, &name, revision);
+                }
+            }
         }
-        if changed {
+        if changed > 0 {
             self.put_in_force();
         }
+        changed
     }
 
     /// Takes the ends of entries that did not come back after an outage.
@@ -358,6 +412,7 @@
                 revision: read.max(ending.revision),
                 value: None,
             };
+            log_change(Topic::Servers, &item.name, item.revision);
             changed |= self.take_item(Topic::Servers, item, now);
         }
         if changed {
@@ -372,7 +427,7 @@
             value,
         } = item;
         let mut catalog = lock(&self.catalog);
-        let changed = match (topic, value) {
+        match (topic, value) {
             (_, Some(Value::Unreadable(reason))) => {
                 log::warn!(
                     "registry: {} {name} at revision {revision} cannot be read: {reason}",
@@ -393,14 +448,7 @@
             (Topic::Outs, value) => catalog.set_out(&name, revision, value.is_some(), now),
             // The layout is never deleted, and other kinds do not come here.
             _ => false,
-        };
-        if changed {
-            log::info!(
-                "registry: {} {name} changed at revision {revision}",
-                topic.name()
-            );
         }
-        changed
     }
 
     /// Writes where peers reach this VM while it is a reader, and looks for VMs
@@ -446,6 +494,13 @@
     }
 }
 
+fn log_change(topic: Topic, name: &str, revision: Revision) {
+    log::info!(
+        "registry: {} {name} changed at revision {revision}",
+        topic.name()
+    );
+}
+
 /// Reads all pages of a list; the revision is that of the first page, as what
 /// was deleted later may stand on it.
 async fn list(registry: &dyn Registry, topic: Topic) -> plat::Result<(Vec<Item>, Revision)> {
