Do not take a server that refuses while idle for a full or cold one

Cause: a server that refused a call lost its limit down to that of a cold server, and a cold server gets 4.3 calls a second. The test in route/tests/load.rs failed first (472 of 772 calls refused).

A refusal with a report that the server runs fewer calls than it has slots counts like a failed call; the limit stays. Others lower it as before.

The soak's garbling server held its lock while it wrote another answer and hung; mended.

--- a/crates/route/src/ledger/servers.rs
+++ b/crates/route/src/ledger/servers.rs
@@ -136,9 +136,15 @@
             server.source = Source::Seen;
         }
         let before = server.limit.warmth(&spec);
-        server
-            .limit
-            .note(release.outcome, took, typical, &spec, now);
+        let slots = spec.server(release.server).map_or(0, |s| s.slots);
+        let idle = release.load.is_some_and(|load| load.busy < slots);
+        if release.outcome == Outcome::Shed && idle {
+            server.limit.refused_idle(now);
+        } else {
+            server
+                .limit
+                .note(release.outcome, took, typical, &spec, now);
+        }
         if server.limit.warmth(&spec) != before {
             self.changed = true;
             self.send_snapshots(now);
--- a/crates/route/tests/load.rs
+++ b/crates/route/tests/load.rs
@@ -39,7 +39,7 @@
     since: Time,
     ends: Time,
     asked: Time,
-    fails: bool,
+    outcome: Outcome,
 }
 
 /// What callers got.
@@ -52,6 +52,19 @@
     refused_late: u32,
     /// Calls that their server failed.
     failed: u32,
+    /// Calls that their server refused.
+    shed: u32,
+}
+
+/// A share of calls that end otherwise than they should.
+#[derive(Clone, Copy, Debug)]
+struct Fault {
+    /// The server; none for all.
+    server: Option<ServerId>,
+    share: f64,
+    /// How long such a call takes.
+    after: Duration,
+    outcome: Outcome,
 }
 
 struct World {
@@ -64,8 +77,8 @@
     slots: u32,
     slow_share: f64,
     paces: Vec<u64>,
-    /// A server that fails a share of its calls, and how long it takes to.
-    failing: Option<(ServerId, f64, Duration)>,
+    /// What is wrong with servers.
+    fault: Option<Fault>,
     got: Got,
     sent: Vec<(ServerId, Time)>,
 }
@@ -113,7 +126,7 @@
             slots,
             slow_share,
             paces,
-            failing: None,
+            fault: None,
             got: Got::default(),
             sent: Vec::new(),
         }
@@ -169,8 +182,10 @@
         self.running = left;
         for run in over {
             let took = now - run.asked;
-            if run.fails {
+            if run.outcome == Outcome::Failed {
                 self.got.failed += 1;
+            } else if run.outcome == Outcome::Shed {
+                self.got.shed += 1;
             } else if took <= Duration::from_millis(TARGET) {
                 self.got.in_time += 1;
             } else {
@@ -179,11 +194,7 @@
             let release = Release {
                 call: run.call,
                 server: run.server,
-                outcome: if run.fails {
-                    Outcome::Failed
-                } else {
-                    Outcome::Done
-                },
+                outcome: run.outcome,
                 took: now - run.since,
                 load: Some(self.load(run.server)),
             };
@@ -222,10 +233,13 @@
                 assert!((busy.count() as u32) < self.slots, "beyond its slots");
                 self.sent.push((server, self.now));
                 let mut work = Duration::from_millis(WORK * self.paces[server as usize - 1]);
-                let mut fails = false;
-                if let Some((failing, share, after)) = self.failing {
-                    fails = failing == server && self.rng.f64() < share;
-                    work = if fails { after } else { work };
+                let mut outcome = Outcome::Done;
+                if let Some(fault) = self.fault {
+                    let here = fault.server.is_none_or(|faulty| faulty == server);
+                    if here && self.rng.f64() < fault.share {
+                        outcome = fault.outcome;
+                        work = fault.after;
+                    }
                 }
                 self.running.push(Running {
                     call,
@@ -233,7 +247,7 @@
                     since: self.now,
                     ends: self.now + work,
                     asked,
-                    fails,
+                    outcome,
                 });
             }
             Body::Refuse { call, .. } => {
@@ -300,7 +314,12 @@
     let mut world = World::new(spec(8, 3, Start::Warm), 0.2);
     world.play(Duration::from_secs(3), 40.0);
     world.got = Got::default();
-    world.failing = Some((1, 1.0, Duration::from_millis(2)));
+    world.fault = Some(Fault {
+        server: Some(1),
+        share: 1.0,
+        after: Duration::from_millis(2),
+        outcome: Outcome::Failed,
+    });
     world.play(Duration::from_secs(20), 40.0);
     let got = &world.got;
     let all = got.in_time + got.late + got.refused + got.failed;
@@ -314,7 +333,12 @@
     let mut world = World::new(spec(8, 3, Start::Warm), 0.2);
     world.play(Duration::from_secs(3), 40.0);
     world.got = Got::default();
-    world.failing = Some((1, 0.5, Duration::from_millis(WORK)));
+    world.fault = Some(Fault {
+        server: Some(1),
+        share: 0.5,
+        after: Duration::from_millis(WORK),
+        outcome: Outcome::Failed,
+    });
     world.play(Duration::from_secs(20), 40.0);
     let got = &world.got;
     let all = got.in_time + got.late + got.refused + got.failed;
@@ -322,6 +346,32 @@
     assert!(got.failed * 50 <= all, "{got:?}");
 }
 
+/// Load: a tenth of what the servers can run, while all of them refuse half of the
+/// calls although they are idle. A refused call did not run and may come again, so
+/// every call is offered to a server.
+#[test]
+fn servers_that_refuse_while_idle_are_offered_every_call() {
+    let shedding = Spec {
+        cold_rate: 4.3,
+        cold_span: Duration::from_secs(3),
+        grow_after: 4,
+        ..spec(8, 2, Start::Warm)
+    };
+    let mut world = World::new(shedding, 0.0);
+    world.play(Duration::from_secs(3), 80.0);
+    world.got = Got::default();
+    world.fault = Some(Fault {
+        server: None,
+        share: 0.55,
+        after: Duration::from_millis(2),
+        outcome: Outcome::Shed,
+    });
+    world.play(Duration::from_secs(10), 80.0);
+    let got = &world.got;
+    let all = got.in_time + got.late + got.refused + got.shed;
+    assert!(got.refused * 50 <= all, "{got:?}");
+}
+
 /// Load: far more than cold servers bear, however well they answer.
 #[test]
 fn cold_servers_get_no_more_than_they_bear_in_any_second() {
--- a/crates/soak/src/server.rs
+++ b/crates/soak/src/server.rs
@@ -363,7 +363,8 @@
     /// Returns an answer with something wrong in it.
     fn garbled(&self, id: &str) -> Vec<u8> {
         let mut answer = self.whole(200, id);
-        match self.lock().rng.u8(..4) {
+        let kind = self.lock().rng.u8(..4);
+        match kind {
             0 => b"nothing that was asked for\r\n\r\n".to_vec(),
             1 => self.whole(200, "999999999"),
             2 => {
