--- a/crates/cli/src/cmd/status.rs
+++ b/crates/cli/src/cmd/status.rs
@@ -30,6 +30,24 @@
     if !status.out.is_empty() {
         println!("failure domains out: {}", status.out.join(", "));
     }
+    if let Some(registry) = &status.registry {
+        println!(
+            "ticket {}, {} servers listed; confirmed {} ago{}{}",
+            registry.ticket,
+            registry.servers,
+            humantime::format_duration(registry.age),
+            if registry.reads {
+                "; this VM reads for all"
+            } else {
+                ""
+            },
+            if registry.away {
+                "; the store does not answer this VM"
+            } else {
+                ""
+            }
+        );
+    }
     if status.pauses > 0 {
         println!("this VM was paused {} times", status.pauses);
     }
--- a/crates/node/src/registry.rs
+++ b/crates/node/src/registry.rs
@@ -162,7 +162,7 @@
         });
     }
 
-    fn readers(&self) -> Vec<VmId> {
+    pub(crate) fn readers(&self) -> Vec<VmId> {
         rendezvous::top(READ_KEY, &self.view().able, READERS)
     }
 
@@ -178,7 +178,7 @@
 
     /// Returns whether the last thing that was heard of the system of record is
     /// that it does not answer.
-    fn is_away(&self) -> bool {
+    pub(crate) fn is_away(&self) -> bool {
         self.away.load(Ordering::Relaxed) > self.reached.load(Ordering::Relaxed)
     }
 
--- a/crates/node/src/status.rs
+++ b/crates/node/src/status.rs
@@ -73,6 +73,23 @@
     pub servers: Vec<ServerStatus>,
 }
 
+/// What this VM knows of the users' system of record.
+#[serde_as]
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct RegistryStatus {
+    /// The ticket in force; 0 if none is.
+    pub ticket: u64,
+    /// How long ago this VM's knowledge was found to be the newest.
+    #[serde_as(as = "Span")]
+    pub age: Duration,
+    /// Whether this VM is one of those that read for all.
+    pub reads: bool,
+    /// Whether the system of record failed to answer this VM last.
+    pub away: bool,
+    /// Servers that have an entry.
+    pub servers: usize,
+}
+
 /// All that a VM shows.
 #[serde_as]
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -93,6 +110,9 @@
     pub up: Duration,
     /// Failure domains that are out.
     pub out: Vec<String>,
+    /// What it knows of the users' system of record, if there is one.
+    #[serde(default)]
+    pub registry: Option<RegistryStatus>,
     /// Pauses that were noticed.
     pub pauses: u64,
     /// The other VMs.
@@ -162,12 +182,26 @@
             since: seconds(now.saturating_sub(self.in_force())),
             up: seconds(now),
             out: out.map(|order| order.domain.clone()).collect(),
+            registry: self.registry_status(),
             pauses: self.pauses(),
             vms: self.vm_statuses(),
             shards: table.cells().iter().map(|c| self.shard(c)).collect(),
         }
     }
 
+    fn registry_status(&self) -> Option<RegistryStatus> {
+        self.registry.as_ref()?;
+        let catalog = lock(&self.catalog);
+        let known = catalog.servers().iter();
+        Some(RegistryStatus {
+            ticket: catalog.layout().map_or(0, |layout| layout.ticket),
+            age: Duration::from_millis(u64::from(self.registry_age())),
+            reads: self.readers().contains(&self.me),
+            away: self.is_away(),
+            servers: known.filter(|server| server.value.is_some()).count(),
+        })
+    }
+
     fn vm_statuses(&self) -> Vec<VmStatus> {
         let members = lock(&self.members);
         let peers = members.peers().iter();
