Take from health answers whether a server is cold

Cause: a server whose domain returned, or that was down for a moment, got a cold server's rate for three seconds, and one that turned cold was known only by its next announcement.

Dialects read it; the home asks servers that may be cold, as often as it asks those that are down, and takes the answer over the announcement. Where answers say nothing of it, nothing changes. Test: servers_whose_health_answers_say_warm_get_what_they_bear.

--- a/crates/entry/src/dialect.rs
+++ b/crates/entry/src/dialect.rs
@@ -49,6 +49,10 @@
     /// Reads a server's report of its load.
     fn load(&self, fields: &HeaderMap) -> Option<Load>;
 
+    /// Reads from a health answer whether the server is warm; none if such answers
+    /// say nothing of that.
+    fn warm(&self, fields: &HeaderMap) -> Option<bool>;
+
     /// Removes fields of a server's answer that are not for callers.
     fn hide(&self, fields: &mut HeaderMap);
 
@@ -98,6 +102,10 @@
         })
     }
 
+    fn warm(&self, _fields: &HeaderMap) -> Option<bool> {
+        None
+    }
+
     fn hide(&self, fields: &mut HeaderMap) {
         fields.remove(headers::LOAD);
     }
--- a/crates/node/src/cell.rs
+++ b/crates/node/src/cell.rs
@@ -21,8 +21,8 @@
 use route::msg::Ask;
 use route::msg::Body;
 use route::msg::Envelope;
-use route::msg::Load;
 use route::msg::Release;
+use route::msg::Report;
 use route::policy::Local;
 use route::shards::Shard;
 use route::shards::FULL_MAX;
@@ -219,8 +219,8 @@
     }
 
     /// Notes the result of a probe.
-    pub fn probed(&self, server: ServerId, ok: bool, load: Option<Load>, now: Time) -> Todo {
-        self.in_coordinator(now, |coordinator| coordinator.probed(server, ok, load, now))
+    pub fn probed(&self, server: ServerId, report: Report, now: Time) -> Todo {
+        self.in_coordinator(now, |coordinator| coordinator.probed(server, report, now))
     }
 
     fn in_coordinator(&self, now: Time, work: impl FnOnce(&mut Coordinator)) -> Todo {
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -8,6 +8,7 @@
 use base::ServerId;
 use http::Request;
 use route::msg::Load;
+use route::msg::Report;
 use route::spec;
 use smol::net::TcpListener;
 use smol::net::TcpStream;
@@ -128,11 +129,11 @@
         };
         let cell = cell.clone();
         self.handle.detach(async move {
-            let load = probe.run(&shared).await;
+            let report = probe.run(&shared).await;
             let now = shared.clock.now();
-            let todo = cell.probed(server, load.is_some(), load, now);
+            let todo = cell.probed(server, report, now);
             shared.run(&cell, todo);
-            if let Some(load) = load {
+            if let Some(load) = report.load.filter(|_| report.ok) {
                 cell.with_local(|local| local.probed(server, load, now));
             }
         });
@@ -148,12 +149,13 @@
 }
 
 impl Probe {
-    /// Returns the load that a healthy server reports; none if it is not healthy.
-    async fn run(self, shared: &Shared) -> Option<Load> {
-        net::timeout(PROBE_WAIT, self.ask(shared)).await?
+    /// Returns what the server reports; nothing good if it does not answer.
+    async fn run(self, shared: &Shared) -> Report {
+        let answer = net::timeout(PROBE_WAIT, self.ask(shared)).await;
+        answer.flatten().unwrap_or_default()
     }
 
-    async fn ask(self, shared: &Shared) -> Option<Load> {
+    async fn ask(self, shared: &Shared) -> Option<Report> {
         let request = Request::get(&self.path)
             .header(http::header::HOST, self.server.address.to_string())
             .body(net::body::empty())
@@ -173,6 +175,10 @@
             pace: route::msg::PACE,
         };
         let load = shared.dialect.load(&parts.headers);
-        parts.status.is_success().then(|| load.unwrap_or(idle))
+        parts.status.is_success().then(|| Report {
+            ok: true,
+            load: Some(load.unwrap_or(idle)),
+            warm: shared.dialect.warm(&parts.headers),
+        })
     }
 }
--- a/crates/route/src/coordinator.rs
+++ b/crates/route/src/coordinator.rs
@@ -20,8 +20,8 @@
 use crate::msg::Body;
 use crate::msg::Envelope;
 use crate::msg::Line;
-use crate::msg::Load;
 use crate::msg::Msg;
+use crate::msg::Report;
 use crate::spec::Spec;
 
 /// The first rest after another home was accepted.
@@ -195,9 +195,9 @@
     }
 
     /// Notes the result of a probe.
-    pub fn probed(&mut self, server: ServerId, ok: bool, load: Option<Load>, now: Time) {
+    pub fn probed(&mut self, server: ServerId, report: Report, now: Time) {
         if let Some(ledger) = &mut self.ledger {
-            ledger.probed(server, ok, load, now);
+            ledger.probed(server, report, now);
         }
     }
 }
--- a/crates/route/src/ledger/mod.rs
+++ b/crates/route/src/ledger/mod.rs
@@ -140,6 +140,9 @@
     crowded: f64,
     /// How much longer work takes on the hosts on average.
     slowness: f64,
+    /// Whether a health answer has been had, and whether any told of warmth.
+    asked_warmth: bool,
+    tells_warmth: bool,
     gap: f64,
     changed: bool,
     sent: Time,
@@ -171,6 +174,8 @@
             alone: 0.0,
             crowded: 0.0,
             slowness: 1.0,
+            asked_warmth: false,
+            tells_warmth: false,
             gap: 0.0,
             changed: true,
             sent: Time::ZERO,
--- a/crates/route/src/ledger/place.rs
+++ b/crates/route/src/ledger/place.rs
@@ -18,7 +18,6 @@
 use crate::msg::Kind;
 use crate::msg::Warmth;
 use crate::queue::Waiter;
-use crate::spec::Start;
 
 /// Calls that end while the next one is on its way, from which on one waits in
 /// the server; below it, the slot that stands idle costs less than a call that
@@ -81,10 +80,7 @@
             return None;
         }
         let warmth = server.limit.warmth(&self.spec);
-        let cold = warmth < Warmth::Lowered
-            || matches!(server.start, Start::Cold(_))
-            || server.limit.may_be_cold(&self.spec, now);
-        if cold && server.has_its_rate(&self.spec, now) {
+        if server.is_cold(&self.spec, now) && server.has_its_rate(&self.spec, now) {
             return None;
         }
         let limit = self.usable(server, warmth);
--- a/crates/route/src/ledger/servers.rs
+++ b/crates/route/src/ledger/servers.rs
@@ -16,6 +16,8 @@
 use crate::msg::Line;
 use crate::msg::Load;
 use crate::msg::Release;
+use crate::msg::Report;
+use crate::msg::Warmth;
 use crate::permits::Permit;
 use crate::spec::ServerSpec;
 use crate::spec::Spec;
@@ -67,6 +69,8 @@
     pub(super) grants: Vec<Time>,
     /// How long work takes on its host, and when it said so.
     pub(super) pace: Option<(f64, Time)>,
+    /// The announcement that it is cold which a health answer has overtaken.
+    pub(super) over: Option<Start>,
     /// When VMs were last given calls at it.
     pub(super) links: Vec<(VmId, Time)>,
 }
@@ -95,16 +99,24 @@
     }
 
     /// Notes the result of a probe.
-    pub fn probed(&mut self, server: ServerId, ok: bool, load: Option<Load>, now: Time) {
-        self.note_load(server, load, now);
+    pub fn probed(&mut self, server: ServerId, report: Report, now: Time) {
+        self.note_load(server, report.load, now);
         let spec = self.spec.clone();
+        self.tells_warmth |= report.warm.is_some();
+        self.asked_warmth |= report.ok;
         if let Some(at) = self.find(server) {
             let server = &mut self.servers[at];
             server.probing = false;
+            let before = server.limit.warmth(&spec);
             if server.limit.wants_probe(now) {
-                server.limit.probed(ok, &spec, now);
-                self.changed = true;
+                server.limit.probed(report.ok, &spec, now);
             }
+            match report.warm.filter(|_| report.ok) {
+                Some(true) => server.note_warm(),
+                Some(false) => server.note_cold(&spec, now),
+                None => {}
+            }
+            self.changed |= server.limit.warmth(&spec) != before;
         }
         self.pump(now);
     }
@@ -241,6 +253,8 @@
         if spec.probe_share == 0 {
             return;
         }
+        // Until a first health answer nobody knows whether it tells.
+        let tells = self.tells_warmth || !self.asked_warmth;
         for server in &mut self.servers {
             let Some(known) = spec.server(server.id).filter(|s| s.open) else {
                 continue;
@@ -248,7 +262,8 @@
             let share = f64::from(spec.probe_share) / 10_000.0 * f64::from(known.slots);
             let period = spec.probe_cost.div_f64(share);
             let due = server.probed.is_zero() || now >= server.probed + period;
-            if due && !server.probing && server.limit.wants_probe(now) {
+            let cold = tells && server.is_cold(&spec, now);
+            if due && !server.probing && (cold || server.limit.wants_probe(now)) {
                 server.probed = now;
                 server.probing = true;
                 self.counts.probes += 1;
@@ -294,6 +309,26 @@
 }
 
 impl Server {
+    /// Returns whether it may bear less than its slots.
+    pub(super) fn is_cold(&self, spec: &Spec, now: Time) -> bool {
+        let said = matches!(self.start, Start::Cold(_)) && self.over != Some(self.start);
+        said || self.limit.warmth(spec) < Warmth::Lowered || self.limit.may_be_cold(spec, now)
+    }
+
+    /// Takes the word of its health answer that it is warm, which is newer than
+    /// what it announced.
+    fn note_warm(&mut self) {
+        self.over = Some(self.start);
+        self.limit.warm();
+    }
+
+    /// The same that it is cold.
+    fn note_cold(&mut self, spec: &Spec, now: Time) {
+        self.over = None;
+        self.limit.chill(spec);
+        self.limit.suspect(now);
+    }
+
     /// Notes a call that it is given.
     pub(super) fn note_grant(&mut self, now: Time) {
         self.grants.retain(|at| now < *at + RATE_SPAN);
@@ -334,6 +369,7 @@
             start: known.start,
             grants: Vec::new(),
             pace: None,
+            over: None,
             links: Vec::new(),
         }
     }
--- a/crates/route/src/limit.rs
+++ b/crates/route/src/limit.rs
@@ -272,6 +272,7 @@
     /// Takes a server's own word that it bears its slots.
     pub fn warm(&mut self) {
         self.current = self.slots;
+        self.back = None;
         self.lowered = false;
         self.pace = 1.0;
     }
--- a/crates/route/src/msg.rs
+++ b/crates/route/src/msg.rs
@@ -70,6 +70,17 @@
     Expired,
 }
 
+/// What a health check found.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Report {
+    /// Whether the server answered that it is well.
+    pub ok: bool,
+    /// What it said of its load.
+    pub load: Option<Load>,
+    /// Whether it said that it is warm; none if it said nothing of that.
+    pub warm: Option<bool>,
+}
+
 impl Reason {
     /// Returns whether servers elsewhere may have the room that was missing.
     pub fn is_for_want_of_room(self) -> bool {
--- a/crates/route/tests/load.rs
+++ b/crates/route/tests/load.rs
@@ -17,6 +17,7 @@
 use route::msg::Kind;
 use route::msg::Load;
 use route::msg::Release;
+use route::msg::Report;
 use route::spec::ServerSpec;
 use route::spec::Start;
 use route::CallNo;
@@ -79,6 +80,8 @@
     paces: Vec<u64>,
     /// What is wrong with servers.
     fault: Option<Fault>,
+    /// From when on servers say that they are warm; none if they say nothing.
+    warm: Option<Time>,
     got: Got,
     sent: Vec<(ServerId, Time)>,
 }
@@ -127,6 +130,7 @@
             slow_share,
             paces,
             fault: None,
+            warm: None,
             got: Got::default(),
             sent: Vec::new(),
         }
@@ -217,7 +221,12 @@
             match action {
                 Action::Probe(server) => {
                     let load = self.load(server);
-                    self.ledger.probed(server, true, Some(load), self.now);
+                    let report = Report {
+                        ok: true,
+                        load: Some(load),
+                        warm: self.warm.map(|since| self.now >= since),
+                    };
+                    self.ledger.probed(server, report, self.now);
                 }
                 Action::Send(envelope) => self.hear(envelope.msg.body),
                 Action::StepDown(_) => {}
@@ -393,6 +402,33 @@
     assert!(world.sent.len() >= 4 * 10 * rate as usize / 2);
 }
 
+/// Load: a third of what the servers can run. They have announced that they are
+/// cold, and their health answers say when they no longer are.
+#[test]
+fn servers_whose_health_answers_say_warm_get_what_they_bear() {
+    let cold = Spec {
+        cold_rate: 6.0,
+        cold_span: Duration::from_secs(3),
+        grow_after: 4,
+        ..spec(8, 2, Start::Cold(1))
+    };
+    let mut world = World::new(cold, 0.0);
+    world.warm = Some(world.now + Duration::from_secs(2));
+    world.play(Duration::from_secs(2), 90.0);
+    for (server, at) in &world.sent {
+        let second = world.sent.iter().filter(|(other, sent)| {
+            other == server && *sent >= *at && *sent < *at + Duration::from_secs(1)
+        });
+        assert!(second.count() <= 6, "server {server} at {at:?}");
+    }
+    world.play(Duration::from_secs(1), 90.0);
+    world.got = Got::default();
+    world.play(Duration::from_secs(5), 90.0);
+    let got = &world.got;
+    let all = got.in_time + got.late + got.refused;
+    assert!(got.in_time * 50 >= all * 49, "{got:?}");
+}
+
 /// Load: any, with servers that fail and come back. A server that was down may
 /// have restarted, so its rate is bounded until that would have shown.
 #[test]
