Play each run of the soak in a process of its own

Cause: a run that ended left its listeners, proxies and connections behind, and servers kept every connection until they crashed; after some fifteen runs the process had no file descriptors left and stood still. Runs now fail if they take 90 s more than they should, and connections are let go when they end.

--- a/crates/load/src/main.rs
+++ b/crates/load/src/main.rs
@@ -43,6 +43,7 @@
       --jobs NUMBER        runs at once
       --daemon FILE        the daemon's program
       --keep DIRECTORY     where settings and logs are left
+      --net NUMBER         plays one seed in this process, on 127.NUMBER.0.0
   overhead                 one daemon against calling servers directly
   propagation              time until a ticket is in force, by fleet size
   idle                     cost of control, by fleet size and services
--- a/crates/load/src/soak.rs
+++ b/crates/load/src/soak.rs
@@ -38,6 +38,13 @@
     cause: String,
 }
 
+/// What a run printed and how it ended.
+struct Played {
+    seed: u64,
+    text: String,
+    kept: bool,
+}
+
 /// One run to play.
 #[derive(Clone, Copy, Debug)]
 struct Job {
@@ -69,6 +76,7 @@
     let jobs = args.opt_value_from_str("--jobs")?.unwrap_or(JOBS);
     let daemon: Option<PathBuf> = args.opt_value_from_str("--daemon")?;
     let keep: Option<PathBuf> = args.opt_value_from_str("--keep")?;
+    let net: Option<u8> = args.opt_value_from_str("--net")?;
     let rest = args.finish();
     anyhow::ensure!(
         rest.is_empty(),
@@ -99,9 +107,48 @@
     list.extend(range.map(|seed| Job { seed, size }));
     let directory =
         keep.unwrap_or_else(|| std::env::temp_dir().join(format!("soak-{}", std::process::id())));
+    if let (Some(net), [job]) = (net, list.as_slice()) {
+        return smol::block_on(play_here(*job, net, &daemon, &directory));
+    }
     smol::block_on(play_all(list, jobs, &daemon, &directory))
 }
 
+/// Plays one run in this process.
+async fn play_here(job: Job, net: u8, daemon: &Path, directory: &Path) -> anyhow::Result<bool> {
+    let outcome = soak::run(job.seed, &job.size, net, daemon, directory).await?;
+    print(&outcome, directory);
+    let kept = outcome.findings.is_empty();
+    if kept {
+        // Logs of runs that kept everything are not looked at.
+        let _ = std::fs::remove_dir_all(directory);
+    }
+    Ok(kept)
+}
+
+/// Plays one run in a process of its own, with which all that it opened ends.
+async fn play_apart(job: Job, net: u8, daemon: &Path, directory: &Path) -> anyhow::Result<Played> {
+    let (seed, size) = (job.seed, job.size);
+    let output = smol::process::Command::new(std::env::current_exe()?)
+        .arg("soak")
+        .args(["--seeds", &format!("{seed}..{}", seed + 1)])
+        .args(["--size", &size.vms.to_string()])
+        .args(["--time", &humantime::format_duration(size.time).to_string()])
+        .args(["--net", &net.to_string()])
+        .arg("--daemon")
+        .arg(daemon)
+        .arg("--keep")
+        .arg(directory)
+        .output()
+        .await?;
+    let mut text = String::from_utf8_lossy(&output.stdout).into_owned();
+    text += &String::from_utf8_lossy(&output.stderr);
+    Ok(Played {
+        seed,
+        text,
+        kept: output.status.success(),
+    })
+}
+
 async fn play_all(
     list: Vec<Job>,
     jobs: usize,
@@ -124,14 +171,10 @@
                 let turn = net.fetch_add(1, Ordering::SeqCst) - NETS.start;
                 let net = NETS.start + turn % (NETS.end - NETS.start);
                 let directory = directory.join(job.seed.to_string());
-                let run = soak::run(job.seed, &job.size, net, &daemon, &directory);
-                let outcome = run.await.with_context(|| format!("seed {}", job.seed))?;
-                print(&outcome, &directory);
-                if outcome.findings.is_empty() {
-                    // Logs of runs that kept everything are not looked at.
-                    let _ = std::fs::remove_dir_all(&directory);
-                } else {
-                    broken.push(job.seed);
+                let played = play_apart(job, net, &daemon, &directory).await?;
+                print!("{}", played.text);
+                if !played.kept {
+                    broken.push(played.seed);
                 }
             }
         })
--- a/crates/soak/src/link.rs
+++ b/crates/soak/src/link.rs
@@ -54,10 +54,12 @@
         let accepts = link.clone();
         smol::spawn(async move {
             loop {
-                if let Ok((stream, _)) = listener.accept().await {
-                    let link = accepts.clone();
-                    smol::spawn(async move { link.carry(stream).await }).detach();
-                }
+                let Ok((stream, _)) = listener.accept().await else {
+                    Timer::after(LOOK).await;
+                    continue;
+                };
+                let link = accepts.clone();
+                smol::spawn(async move { link.carry(stream).await }).detach();
             }
         })
         .detach();
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -53,6 +53,8 @@
 use crate::vm::Vm;
 use crate::vm::READY_PATH;
 
+/// The longest time of a run beyond the span in which events begin.
+const RUN_MAX: Duration = Duration::from_secs(90);
 /// The longest wait for the fleet to be ready.
 const START: Duration = Duration::from_secs(20);
 /// How often processes are looked after.
@@ -123,6 +125,21 @@
     net: u8,
     program: &Path,
     directory: &Path,
+) -> anyhow::Result<Outcome> {
+    let limit = size.time + RUN_MAX;
+    let late = async {
+        Timer::after(limit).await;
+        anyhow::bail!("the run did not end within {limit:?}")
+    };
+    futures_lite::future::or(play(seed, size, net, program, directory), late).await
+}
+
+async fn play(
+    seed: u64,
+    size: &Size,
+    net: u8,
+    program: &Path,
+    directory: &Path,
 ) -> anyhow::Result<Outcome> {
     std::fs::create_dir_all(directory)
         .with_context(|| format!("cannot make {}", directory.display()))?;
--- a/crates/soak/src/server.rs
+++ b/crates/soak/src/server.rs
@@ -27,6 +27,8 @@
 use crate::record::Life;
 use crate::record::LifeAt;
 
+/// The rest after a connection could not be accepted.
+const ACCEPT_REST: Duration = Duration::from_millis(50);
 /// Calls that a server runs at once.
 pub const SLOTS: u32 = 3;
 /// Calls that may wait in a server.
@@ -67,7 +69,9 @@
     running: u32,
     waiting: u32,
     slots: Arc<Semaphore>,
-    connections: Vec<TcpStream>,
+    /// Open connections, by the number that each got.
+    connections: Vec<(u64, TcpStream)>,
+    accepted: u64,
     rng: fastrand::Rng,
 }
 
@@ -139,6 +143,7 @@
                 waiting: 0,
                 slots: Arc::new(Semaphore::new(SLOTS as usize)),
                 connections: Vec::new(),
+                accepted: 0,
                 rng: fastrand::Rng::with_seed(seed),
             })),
         };
@@ -146,10 +151,12 @@
         let accepts = place.clone();
         smol::spawn(async move {
             loop {
-                if let Ok((stream, _)) = listener.accept().await {
-                    let place = accepts.clone();
-                    smol::spawn(async move { place.serve(stream).await }).detach();
-                }
+                let Ok((stream, _)) = listener.accept().await else {
+                    Timer::after(ACCEPT_REST).await;
+                    continue;
+                };
+                let place = accepts.clone();
+                smol::spawn(async move { place.serve(stream).await }).detach();
             }
         })
         .detach();
@@ -224,7 +231,7 @@
     pub fn end(&self) {
         let mut state = self.lock();
         state.up = false;
-        for stream in state.connections.drain(..) {
+        for (_, stream) in state.connections.drain(..) {
             let _ = stream.shutdown(Shutdown::Both);
         }
     }
@@ -234,15 +241,22 @@
         self.lock().manner = manner;
     }
 
-    async fn serve(&self, mut stream: TcpStream) {
-        let life = {
+    async fn serve(&self, stream: TcpStream) {
+        let (life, number) = {
             let mut state = self.lock();
             if !state.up {
                 return;
             }
-            state.connections.push(stream.clone());
-            state.life
+            state.accepted += 1;
+            let number = state.accepted;
+            state.connections.push((number, stream.clone()));
+            (state.life, number)
         };
+        self.answer_all(life, stream).await;
+        self.lock().connections.retain(|(at, _)| *at != number);
+    }
+
+    async fn answer_all(&self, life: LifeAt, mut stream: TcpStream) {
         let mut reader = Reader::new(stream.clone());
         while let Ok(Some(request)) = reader.request().await {
             if self.lock().manner == Manner::Hangs {
