--- a/crates/load/src/soak.rs
+++ b/crates/load/src/soak.rs
@@ -94,7 +94,7 @@
         let cases: Vec<Case> = serde_json::from_str(&text).context(SEEDS)?;
         list.extend(cases.into_iter().map(|case| Job {
             seed: case.seed,
-            size: size(case.vms, time),
+            size: size(case.vms, None),
         }));
     }
     let fresh = fastrand::u64(..1 << 32);
--- a/crates/soak/src/server.rs
+++ b/crates/soak/src/server.rs
@@ -281,7 +281,7 @@
     /// Returns the bytes of the answer; none if the connection is to be closed.
     async fn answer(&self, life: LifeAt, request: &Message) -> Option<Vec<u8>> {
         if request.path == "/health" {
-            return Some(self.plain(200));
+            return Some(self.health());
         }
         let text = request
             .field(fields::CALL_ID)
@@ -351,8 +351,15 @@
         )
     }
 
-    fn plain(&self, status: u16) -> Vec<u8> {
-        (self.head(status, 0) + "\r\n").into_bytes()
+    fn health(&self) -> Vec<u8> {
+        let status = if self.lock().entry.drains { 503 } else { 200 };
+        let cold = self.lock().cold.saturating_sub(self.book.now());
+        let cold = if cold.is_zero() {
+            String::new()
+        } else {
+            format!("{}: {:.3}\r\n", fields::COLD, cold.as_secs_f64())
+        };
+        (self.head(status, 0) + &cold + "\r\n").into_bytes()
     }
 
     fn refusal(&self, status: u16, id: &str) -> Vec<u8> {
