--- a/crates/load/src/callers.rs
+++ b/crates/load/src/callers.rs
@@ -49,7 +49,7 @@
 const THREADS: usize = 2;
 
 /// The entry VMs as callers know them.
-pub struct Door {
+pub struct Balancer {
     vms: Mutex<Vec<SocketAddr>>,
     idle: Mutex<Vec<(SocketAddr, Sender)>>,
     factor: Mutex<f64>,
@@ -59,8 +59,8 @@
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
-impl Door {
-    /// Makes the door of the VMs that take callers at `vms`.
+impl Balancer {
+    /// Makes the balancer of the VMs that take callers at `vms`.
     pub fn new(vms: Vec<SocketAddr>) -> Self {
         Self {
             vms: Mutex::new(vms),
@@ -111,7 +111,7 @@
 /// The callers of one run.
 pub struct Callers {
     plan: Arc<Plan>,
-    door: Arc<Door>,
+    balancer: Arc<Balancer>,
     clock: Clock,
     pool: Pool,
     next: Arc<AtomicU64>,
@@ -148,11 +148,11 @@
 }
 
 impl Callers {
-    /// Makes callers of `plan` who call through `door`.
-    pub fn new(plan: Arc<Plan>, door: Arc<Door>) -> Self {
+    /// Makes callers of `plan` who call through `balancer`.
+    pub fn new(plan: Arc<Plan>, balancer: Arc<Balancer>) -> Self {
         Self {
             plan,
-            door,
+            balancer,
             clock: Clock::new(),
             pool: Pool::new("callers", THREADS),
             next: Arc::new(AtomicU64::new(1)),
@@ -194,7 +194,7 @@
         let ramp = start + self.plan.warmup / 2;
         loop {
             let rate = if due < ramp { rate * RAMP } else { rate };
-            let rate = rate * *lock(&self.door.factor);
+            let rate = rate * *lock(&self.balancer.factor);
             due += Duration::from_secs_f64(-(1.0 - rng.f64()).ln() / rate);
             if due >= start + time {
                 return;
@@ -243,10 +243,10 @@
     async fn exchange(&self, call: &Call, known: &ServicePlan) -> Got {
         let mut request = Some(make(call, known));
         for _ in 0..TRIES {
-            let Some(vm) = self.door.pick() else {
+            let Some(vm) = self.balancer.pick() else {
                 break;
             };
-            let Ok(mut sender) = self.door.connect(vm, &self.pool.handle()).await else {
+            let Ok(mut sender) = self.balancer.connect(vm, &self.pool.handle()).await else {
                 continue;
             };
             let Some(sent) = request.take() else {
@@ -273,7 +273,7 @@
         let Ok(bytes) = body::collect(incoming, ANSWER_MAX).await else {
             return Got::default();
         };
-        self.door.keep(vm, sender);
+        self.balancer.keep(vm, sender);
         let disposition = text(&parts.headers, &headers::OUTCOME);
         let end = match disposition {
             Some("served") if bytes.len() == standin::Model::default().answer => End::Served,
--- a/crates/load/src/faults.rs
+++ b/crates/load/src/faults.rs
@@ -9,7 +9,7 @@
 use smol::Timer;
 use standin::objects;
 
-use crate::callers::Door;
+use crate::callers::Balancer;
 use crate::fleet::Fleet;
 use crate::fleet::Member;
 use crate::plan::Event;
@@ -35,16 +35,16 @@
 /// Carries out faults.
 pub struct Injector<'a> {
     fleet: &'a Fleet,
-    door: Arc<Door>,
+    balancer: Arc<Balancer>,
     outages: Vec<Outage>,
 }
 
 impl<'a> Injector<'a> {
     /// Makes an injector for `fleet`.
-    pub fn new(fleet: &'a Fleet, door: Arc<Door>) -> Self {
+    pub fn new(fleet: &'a Fleet, balancer: Arc<Balancer>) -> Self {
         Self {
             fleet,
-            door,
+            balancer,
             outages: Vec::new(),
         }
     }
@@ -95,13 +95,13 @@
                     .fleet
                     .home(service)
                     .context("the service has no home")?;
-                self.door.remove(home.callers);
+                self.balancer.remove(home.callers);
                 home.pause();
             }
             Fault::Resume => self.fleet.vms.iter().for_each(crate::fleet::Vm::resume),
             Fault::Loss { share } => self.fleet.weather.set_loss(*share),
             Fault::Platform { down } => self.platform(*down),
-            Fault::Load { factor } => self.door.set_factor(*factor),
+            Fault::Load { factor } => self.balancer.set_factor(*factor),
             Fault::Mark => {}
         }
         Ok(())
@@ -141,7 +141,7 @@
         for vm in &self.fleet.vms {
             if vm.domain == domain {
                 vm.kill().await;
-                self.door.remove(vm.callers);
+                self.balancer.remove(vm.callers);
             }
         }
     }
@@ -152,7 +152,7 @@
         there.for_each(|member| member.backend.set_frozen(on));
         for vm in self.fleet.vms.iter().filter(|vm| vm.domain == domain) {
             if on {
-                self.door.remove(vm.callers);
+                self.balancer.remove(vm.callers);
                 vm.pause();
             } else {
                 vm.resume();
@@ -166,7 +166,7 @@
             .home(service)
             .context("the service has no home")?;
         home.kill().await;
-        self.door.remove(home.callers);
+        self.balancer.remove(home.callers);
         Ok(())
     }
 
--- a/crates/load/src/run.rs
+++ b/crates/load/src/run.rs
@@ -8,8 +8,8 @@
 use serde::Serialize;
 use standin::sleeper::Punctuality;
 
+use crate::callers::Balancer;
 use crate::callers::Callers;
-use crate::callers::Door;
 use crate::checks::Broken;
 use crate::faults;
 use crate::faults::Injector;
@@ -87,12 +87,14 @@
 /// Runs `plan` once under `start`; returns what came of it and every call.
 pub async fn run(plan: &Plan, start: &Start) -> anyhow::Result<(Outcome, Tally)> {
     let fleet = Fleet::start(plan, start).await?;
-    let door = Arc::new(Door::new(fleet.vms.iter().map(|vm| vm.callers).collect()));
-    let callers = Callers::new(Arc::new(plan.clone()), door.clone());
+    let balancer = Arc::new(Balancer::new(
+        fleet.vms.iter().map(|vm| vm.callers).collect(),
+    ));
+    let callers = Callers::new(Arc::new(plan.clone()), balancer.clone());
     let cpu = cpu_time();
     let punctuality = Punctuality::now();
     let sent = sent(&fleet);
-    let injector = Injector::new(&fleet, door);
+    let injector = Injector::new(&fleet, balancer);
     let begun = fleet.clock.now() + plan.warmup;
     let whole = plan.warmup + plan.time;
     let load = futures_lite::future::zip(
--- a/crates/soak/src/record.rs
+++ b/crates/soak/src/record.rs
@@ -129,7 +129,7 @@
     /// The VM, or all connections to its callers.
     Vm(VmAt),
     /// The VM's way to the store.
-    Door(VmAt),
+    StoreAccess(VmAt),
     /// The store for all.
     Store,
     /// The server of a place, or the way to it.
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -354,21 +354,25 @@
             }
             Act::Reload(at) => self.vms[at].lock().await.signal(Signal::HUP),
             Act::Stop(at) => self.stop(at).await,
-            Act::Callers(at, harm) => {
+            Act::CallerLinks(at, harm) => {
                 let link = self.vms[at].lock().await.callers.clone();
                 self.harm(&link, harm, lasts).await;
                 self.note(Part::Vm(at), "callers' connections harmed", from);
             }
-            Act::Line(at, harm) => {
-                let link = self.vms[at].lock().await.line.clone();
+            Act::StoreLink(at, harm) => {
+                let link = self.vms[at].lock().await.store_link.clone();
                 self.harm(&link, harm, lasts).await;
-                self.note(Part::Door(at), "connections to the store harmed", from);
+                self.note(
+                    Part::StoreAccess(at),
+                    "connections to the store harmed",
+                    from,
+                );
             }
-            Act::Door(at, fault) => {
-                self.vms[at].lock().await.door.set(mode(fault));
+            Act::StoreAccess(at, fault) => {
+                self.vms[at].lock().await.endpoint.set(mode(fault));
                 Timer::after(lasts).await;
-                self.vms[at].lock().await.door.set(Mode::Open);
-                self.note(Part::Door(at), "turned away by the store", from);
+                self.vms[at].lock().await.endpoint.set(Mode::Open);
+                self.note(Part::StoreAccess(at), "turned away by the store", from);
             }
             Act::Store(fault) => {
                 self.set_store(mode(fault)).await;
@@ -383,7 +387,7 @@
                 self.places[at].set_manner(Manner::Sound);
                 self.note(Part::Server(at), "server fails", from);
             }
-            Act::Road(at, harm) => {
+            Act::ServerLink(at, harm) => {
                 let link = self.places[at].link.clone();
                 self.harm(&link, harm, lasts).await;
                 self.note(Part::Server(at), "connections to a server harmed", from);
@@ -428,7 +432,7 @@
 
     async fn set_store(&self, mode: Mode) {
         for vm in &self.vms {
-            vm.lock().await.door.set(mode);
+            vm.lock().await.endpoint.set(mode);
         }
     }
 
--- a/crates/soak/src/scheme.rs
+++ b/crates/soak/src/scheme.rs
@@ -81,11 +81,11 @@
     /// All processes are killed at once and started again.
     KillAll,
     /// Connections between callers and a VM are harmed.
-    Callers(VmAt, Harm),
+    CallerLinks(VmAt, Harm),
     /// A VM's way to the store is harmed.
-    Door(VmAt, Store),
+    StoreAccess(VmAt, Store),
     /// Connections of a VM to the store are harmed.
-    Line(VmAt, Harm),
+    StoreLink(VmAt, Harm),
     /// The store is harmed for all.
     Store(Store),
     /// The store forgets its history.
@@ -93,7 +93,7 @@
     /// A server fails in a way.
     Server(usize, Manner),
     /// Connections to a server are harmed.
-    Road(usize, Harm),
+    ServerLink(usize, Harm),
     /// A server dies and comes back cold; perhaps as one of another service.
     Crash(usize, bool),
     /// A server leaves as planned and comes back; perhaps of another service.
@@ -144,13 +144,13 @@
         2 => Act::Kill(vm),
         3..=5 => Act::Stop(vm),
         6 => Act::KillAll,
-        7 => Act::Callers(vm, harm(rng)),
-        8 | 9 => Act::Door(vm, store(rng)),
-        10 => Act::Line(vm, harm(rng)),
+        7 => Act::CallerLinks(vm, harm(rng)),
+        8 | 9 => Act::StoreAccess(vm, store(rng)),
+        10 => Act::StoreLink(vm, harm(rng)),
         11 => Act::Store(store(rng)),
         12 => Act::Forget,
         13 | 14 => Act::Server(place, manner(rng)),
-        15 | 16 => Act::Road(place, harm(rng)),
+        15 | 16 => Act::ServerLink(place, harm(rng)),
         17 => Act::Crash(place, rng.bool()),
         18 => Act::Leave(place, rng.bool()),
         19 => Act::Out(rng.usize(..DOMAINS.len())),
@@ -169,11 +169,11 @@
         Act::Kill(at) => Act::Kill(vm(at)),
         Act::Stop(at) => Act::Stop(vm(at)),
         Act::Reload(at) => Act::Reload(vm(at)),
-        Act::Callers(at, harm) => Act::Callers(vm(at), harm),
-        Act::Door(at, store) => Act::Door(vm(at), store),
-        Act::Line(at, harm) => Act::Line(vm(at), harm),
+        Act::CallerLinks(at, harm) => Act::CallerLinks(vm(at), harm),
+        Act::StoreAccess(at, store) => Act::StoreAccess(vm(at), store),
+        Act::StoreLink(at, harm) => Act::StoreLink(vm(at), harm),
         Act::Server(at, manner) => Act::Server(place(at), manner),
-        Act::Road(at, harm) => Act::Road(place(at), harm),
+        Act::ServerLink(at, harm) => Act::ServerLink(place(at), harm),
         Act::Crash(at, other) => Act::Crash(place(at), other),
         Act::Leave(at, other) => Act::Leave(place(at), other),
         other => other,
--- a/crates/soak/src/vm.rs
+++ b/crates/soak/src/vm.rs
@@ -16,7 +16,7 @@
 use rustix::process::Pid;
 use rustix::process::Signal;
 use serde_json::json;
-use stand::Door;
+use stand::Endpoint;
 use stand::Store;
 
 use crate::link::Link;
@@ -70,9 +70,9 @@
     /// Where it says whether it is ready.
     pub ready: SocketAddr,
     /// The store as it treats this VM.
-    pub door: Door,
-    /// The way to that door.
-    pub line: Link,
+    pub endpoint: Endpoint,
+    /// The way to that endpoint.
+    pub store_link: Link,
     at: VmAt,
     program: PathBuf,
     settings: PathBuf,
@@ -88,8 +88,8 @@
     /// Prepares VM `at` of `fleet`.
     pub async fn new(at: VmAt, domain: &str, fleet: &Fleet<'_>) -> anyhow::Result<Self> {
         let ip = ip(fleet.net, at);
-        let door = fleet.store.door();
-        let line = Link::open(door.address).await?;
+        let endpoint = fleet.store.endpoint();
+        let store_link = Link::open(endpoint.address).await?;
         let seeds = (0..fleet.count.min(SEEDS)).map(|seed| self::ip(fleet.net, seed));
         let seeds = seeds.map(|ip| SocketAddr::from((ip, PEERS)));
         let settings = json!({
@@ -104,7 +104,7 @@
                 "ready": SocketAddr::from((ip, READY)), "path": READY_PATH,
                 "metrics": SocketAddr::from((ip, METRICS))
             },
-            "platform": { "address": line.address(), "interface": "registry" },
+            "platform": { "address": store_link.address(), "interface": "registry" },
             "second_attempts": { "share": SHARE, "slack": SLACK },
             "threads": 1, "notice": "800ms", "drain": "3500ms", "forget": "30s",
             "logs": { "level": "info", "json": true }, "traces": { "share": 0.0 }
@@ -114,8 +114,8 @@
         Ok(Self {
             callers: Link::open(SocketAddr::from((ip, CALLERS))).await?,
             ready: SocketAddr::from((ip, READY)),
-            door,
-            line,
+            endpoint,
+            store_link,
             at,
             program: fleet.program.into(),
             settings: path,
