--- a/crates/node/src/registry.rs
+++ b/crates/node/src/registry.rs
@@ -41,8 +41,8 @@
 const TRYING: u32 = 12;
 /// Failures from which on a topic waits until the servers can be read again.
 const FAILURES_MAX: u32 = 2;
-/// The same while others read for this VM: refused calls are priced, too.
-const CALM_BACKOFF_MAX: Duration = Duration::from_secs(3);
+/// The age of knowledge from which on the system of record answers nobody.
+const AWAY_FOR_ALL: Duration = Duration::from_secs(4);
 /// The time after an outage within which servers that are alive are listed
 /// again; the platform's operators promise two seconds.
 const RETURN: Duration = Duration::from_millis(2200);
@@ -144,10 +144,28 @@
                 Ok(()) => self.note_success(&mut reading),
                 Err(error) => self.note_failure(&mut reading, &error),
             };
-            smol::Timer::after(rest).await;
+            self.wait_out(rest).await;
+        }
+    }
+
+    /// Waits for `rest`, or until a peer has read, but [`BACKOFF_MAX`] at least:
+    /// others read only now and then, and this VM may be one of those that should.
+    async fn wait_out(&self, rest: Duration) {
+        let mut left = rest;
+        while !left.is_zero() {
+            let part = left.min(BACKOFF_MAX);
+            smol::Timer::after(part).await;
+            left -= part;
+            if !self.is_away_for_all() {
+                return;
+            }
         }
     }
 
+    fn is_away_for_all(&self) -> bool {
+        u128::from(self.registry_age()) >= AWAY_FOR_ALL.as_millis()
+    }
+
     fn note_success(&self, reading: &mut Reading) -> Duration {
         if reading.failures > 0 {
             log::info!(
@@ -182,15 +200,14 @@
         }
         let now = self.clock.now().as_millis() as u64;
         self.away.fetch_max(now, Ordering::Relaxed);
-        let crowd = (self.fleet_size() / TRYING).max(1);
-        let doubled = BACKOFF_MIN * crowd * 2_u32.saturating_pow(reading.failures.min(8));
-        reading.failures += 1;
-        let age = Duration::from_millis(u64::from(self.registry_age()));
-        let longest = if age < STALE {
-            CALM_BACKOFF_MAX
+        let crowd = if self.is_away_for_all() {
+            (self.fleet_size() / TRYING).max(1)
         } else {
-            BACKOFF_MAX * crowd
+            1
         };
+        let doubled = BACKOFF_MIN * crowd * 2_u32.saturating_pow(reading.failures.min(8));
+        reading.failures += 1;
+        let longest = BACKOFF_MAX * crowd;
         doubled.min(longest).mul_f64(0.75 + 0.5 * fastrand::f64())
     }
 
