Hold back ends of entries after an outage for all only

The last failure says when the store came back, but where nobody could read for 4 s, as only then waits are longer.

--- a/crates/node/src/registry.rs
+++ b/crates/node/src/registry.rs
@@ -229,10 +229,11 @@
         Ok(())
     }
 
-    /// Takes note that an outage has ended, at the latest now: from now on servers
-    /// whose entries lapsed in it come back.
+    /// Takes note that an outage for all has ended, at the latest now: from now on
+    /// servers whose entries lapsed in it come back. After any other, the last
+    /// failure says well enough when it ended.
     fn note_return(&self, reading: &Reading) {
-        if reading.failures > 0 {
+        if reading.failures > 0 && self.is_away_for_all() {
             let now = self.clock.now().as_millis() as u64;
             self.away.fetch_max(now, Ordering::Relaxed);
         }
