Use what the project has, and do less twice

Read through once more. A refusal of an idle server is noted as the failed answer that it counts as, in place of a copy of that. What health answers tell is one optional flag. The servers of a large service are not copied whole for each of its shards, the domain of a call comes with its request for a permit in place of a hash for each call, and changes of entries are logged where they are made, which also ends a line that said that an ending had changed something when it had not.

--- a/crates/load/src/soak.rs
+++ b/crates/load/src/soak.rs
@@ -3,7 +3,7 @@
 use std::ops::Range;
 use std::path::Path;
 use std::path::PathBuf;
-use std::sync::atomic::AtomicU8;
+use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 use std::sync::Arc;
 use std::time::Duration;
@@ -156,10 +156,10 @@
     directory: &Path,
 ) -> anyhow::Result<bool> {
     let count = list.len();
-    let net = Arc::new(AtomicU8::new(NETS.start));
+    let turn = Arc::new(AtomicUsize::new(0));
     let work = Arc::new(std::sync::Mutex::new(list.into_iter()));
     let tasks = (0..jobs.max(1)).map(|_| {
-        let (net, work) = (net.clone(), work.clone());
+        let (turn, work) = (turn.clone(), work.clone());
         let (daemon, directory) = (daemon.to_owned(), directory.to_owned());
         smol::spawn(async move {
             let mut broken = Vec::new();
@@ -168,8 +168,8 @@
                 let Some(job) = next else {
                     return anyhow::Ok(broken);
                 };
-                let turn = net.fetch_add(1, Ordering::SeqCst) - NETS.start;
-                let net = NETS.start + turn % (NETS.end - NETS.start);
+                let turn = turn.fetch_add(1, Ordering::SeqCst);
+                let net = NETS.start + (turn % NETS.len()) as u8;
                 let directory = directory.join(job.seed.to_string());
                 let played = play_apart(job, net, &daemon, &directory).await?;
                 print!("{}", played.text);
--- a/crates/node/src/ports.rs
+++ b/crates/node/src/ports.rs
@@ -55,7 +55,7 @@
 
 impl Shared {
     /// Returns the shard of the service that a call should go to.
-    fn cell(&self, service: ServiceId) -> Option<Arc<Cell>> {
+    fn cell(&self, service: ServiceId, ask: &Ask) -> Option<Arc<Cell>> {
         let table = self.table();
         let cells = table.service(service);
         if let [(_, only)] = cells {
@@ -63,20 +63,19 @@
         }
         let now = self.clock.now();
         let rooms: Vec<Shard> = cells.iter().map(|(_, cell)| cell.room(now)).collect();
-        let domain = self.settings.domain_id();
-        let at = shards::choose(&rooms, domain, fastrand::f64())?;
+        let at = shards::choose(&rooms, ask.domain, fastrand::f64())?;
         Some(cells[at].1.clone())
     }
 
     /// Asks a shard of the service, and another one if the first has no room.
     async fn acquire_any(&self, service: ServiceId, ask: Ask) -> Result<Permit, Refused> {
-        let cell = self.cell(service).ok_or_else(removed)?;
+        let cell = self.cell(service, &ask).ok_or_else(removed)?;
         let refused = match self.acquire_home(cell.clone(), ask.clone()).await {
             Err(refused) if refused.reason.is_for_want_of_room() => refused,
             answer => return answer,
         };
         cell.note_full(refused.after, self.clock.now());
-        match self.cell(service) {
+        match self.cell(service, &ask) {
             Some(other) if other.shard != cell.shard => self.acquire_home(other, ask).await,
             _ => Err(refused),
         }
@@ -151,7 +150,7 @@
             if self.settings.policy == Policy::Home {
                 return self.acquire_any(service, ask).await;
             }
-            let cell = self.cell(service).ok_or_else(removed)?;
+            let cell = self.cell(service, &ask).ok_or_else(removed)?;
             self.acquire_local(&cell, &ask)
         })
     }
--- a/crates/node/src/registry.rs
+++ b/crates/node/src/registry.rs
@@ -36,8 +36,8 @@
 const BACKOFF_MIN: Duration = Duration::from_millis(100);
 /// The longest wait after failures, short of [`STALE`].
 const BACKOFF_MAX: Duration = Duration::from_millis(800);
-/// VMs that may wait no longer than that. In a larger fleet all wait longer, as
-/// one that succeeds tells the others.
+/// VMs that wait no longer than that while nobody can read. In a larger fleet all
+/// wait longer then, as one that succeeds tells the others.
 const TRYING: u32 = 12;
 /// Failures from which on a topic waits until the servers can be read again.
 const FAILURES_MAX: u32 = 2;
@@ -46,8 +46,8 @@
 /// The time after an outage within which servers that are alive are listed
 /// again; the platform's operators promise two seconds.
 const RETURN: Duration = Duration::from_millis(2200);
-/// Entries up to which each change of one answer has a line in the log; of a whole
-/// list their number is enough.
+/// Entries up to which each change of one answer has a line in the log; of more,
+/// such as a whole list, their number is enough.
 const LOGGED_MAX: usize = 40;
 /// The time between two looks for entry VMs that no peer has told of.
 const VMS_PERIOD: Duration = Duration::from_secs(20);
@@ -148,8 +148,8 @@
         }
     }
 
-    /// Waits for `rest`, or until a peer has read, but [`BACKOFF_MAX`] at least:
-    /// others read only now and then, and this VM may be one of those that should.
+    /// Waits for `rest`; after [`BACKOFF_MAX`] no longer than until a peer has read,
+    /// as peers read only now and then, and this VM may be one that should.
     async fn wait_out(&self, rest: Duration) {
         let mut left = rest;
         while !left.is_zero() {
@@ -272,7 +272,11 @@
 
     /// Takes entries; returns how many changed what this VM knows.
     fn take_items(&self, reading: &mut Reading, items: Vec<Item>) -> usize {
-        let listed = items.len() > LOGGED_MAX;
+        let level = if items.len() > LOGGED_MAX {
+            log::Level::Debug
+        } else {
+            log::Level::Info
+        };
         let now = self.clock.now();
         let away = Duration::from_millis(self.away.load(Ordering::Relaxed));
         let returned = !away.is_zero() && now < away + RETURN;
@@ -294,14 +298,7 @@
             if !ends {
                 reading.endings.retain(|ending| ending.name != item.name);
             }
-            let name = item.name.clone();
-            let revision = item.revision;
-            if self.take_item(reading.topic, item, now) {
-                changed += 1;
-                if !listed {
-                    log_change(reading.topic, &name, revision);
-                }
-            }
+            changed += usize::from(self.take_item(reading.topic, item, now, level));
         }
         if changed > 0 {
             self.put_in_force();
@@ -329,22 +326,23 @@
                 revision: read.max(ending.revision),
                 value: None,
             };
-            log_change(Topic::Servers, &item.name, item.revision);
-            changed |= self.take_item(Topic::Servers, item, now);
+            changed |= self.take_item(Topic::Servers, item, now, log::Level::Info);
         }
         if changed {
             self.put_in_force();
         }
     }
 
-    fn take_item(&self, topic: Topic, item: Item, now: Time) -> bool {
+    /// Takes an entry; returns whether it changed what this VM knows, and logs it at
+    /// `level` if so.
+    fn take_item(&self, topic: Topic, item: Item, now: Time, level: log::Level) -> bool {
         let Item {
             name,
             revision,
             value,
         } = item;
         let mut catalog = lock(&self.catalog);
-        match (topic, value) {
+        let changed = match (topic, value) {
             (_, Some(Value::Unreadable(reason))) => {
                 log::warn!(
                     "registry: {} {name} at revision {revision} cannot be read: {reason}",
@@ -365,7 +363,15 @@
             (Topic::Outs, value) => catalog.set_out(&name, revision, value.is_some(), now),
             // The layout is never deleted, and other kinds do not come here.
             _ => false,
+        };
+        if changed {
+            log::log!(
+                level,
+                "registry: {} {name} changed at revision {revision}",
+                topic.name()
+            );
         }
+        changed
     }
 
     /// Writes where peers reach this VM while it is a reader, and looks for VMs
@@ -411,13 +417,6 @@
     }
 }
 
-fn log_change(topic: Topic, name: &str, revision: Revision) {
-    log::info!(
-        "registry: {} {name} changed at revision {revision}",
-        topic.name()
-    );
-}
-
 /// Reads all pages of a list; the revision is that of the first page, as what
 /// was deleted later may stand on it.
 async fn list(registry: &dyn Registry, topic: Topic) -> plat::Result<(Vec<Item>, Revision)> {
--- a/crates/route/src/ledger/mod.rs
+++ b/crates/route/src/ledger/mod.rs
@@ -140,9 +140,8 @@
     crowded: f64,
     /// How much longer work takes on the hosts on average.
     slowness: f64,
-    /// Whether a health answer has been had, and whether any told of warmth.
-    asked_warmth: bool,
-    tells_warmth: bool,
+    /// Whether health answers tell of warmth; none before the first.
+    tells_warmth: Option<bool>,
     gap: f64,
     changed: bool,
     sent: Time,
@@ -174,8 +173,7 @@
             alone: 0.0,
             crowded: 0.0,
             slowness: 1.0,
-            asked_warmth: false,
-            tells_warmth: false,
+            tells_warmth: None,
             gap: 0.0,
             changed: true,
             sent: Time::ZERO,
--- a/crates/route/src/ledger/servers.rs
+++ b/crates/route/src/ledger/servers.rs
@@ -102,8 +102,10 @@
     pub fn probed(&mut self, server: ServerId, report: Report, now: Time) {
         self.note_load(server, report.load, now);
         let spec = self.spec.clone();
-        self.tells_warmth |= report.warm.is_some();
-        self.asked_warmth |= report.ok;
+        if report.ok {
+            let told = self.tells_warmth.unwrap_or(false);
+            self.tells_warmth = Some(told || report.warm.is_some());
+        }
         if let Some(at) = self.find(server) {
             let server = &mut self.servers[at];
             server.probing = false;
@@ -150,13 +152,12 @@
         let before = server.limit.warmth(&spec);
         let slots = spec.server(release.server).map_or(0, |s| s.slots);
         let idle = release.load.is_some_and(|load| load.busy < slots);
-        if release.outcome == Outcome::Shed && idle {
-            server.limit.refused_idle(now);
-        } else {
-            server
-                .limit
-                .note(release.outcome, took, typical, &spec, now);
-        }
+        let outcome = match release.outcome {
+            // It fails rather than that it is full, so its limit stays.
+            Outcome::Shed if idle => Outcome::Failed,
+            other => other,
+        };
+        server.limit.note(outcome, took, typical, &spec, now);
         if server.limit.warmth(&spec) != before {
             self.changed = true;
             self.send_snapshots(now);
@@ -254,7 +255,7 @@
             return;
         }
         // Until a first health answer nobody knows whether it tells.
-        let tells = self.tells_warmth || !self.asked_warmth;
+        let tells = self.tells_warmth.unwrap_or(true);
         for server in &mut self.servers {
             let Some(known) = spec.server(server.id).filter(|s| s.open) else {
                 continue;
--- a/crates/route/src/limit.rs
+++ b/crates/route/src/limit.rs
@@ -224,7 +224,13 @@
                 self.errors -= self.errors * ERROR_WEIGHT;
                 self.done(took, typical, spec, now);
             }
-            Outcome::Failed => self.err(now),
+            Outcome::Failed => {
+                self.failures = 0;
+                self.silent = 0;
+                self.heard = now;
+                self.erred = now;
+                self.errors += (1.0 - self.errors) * ERROR_WEIGHT;
+            }
             Outcome::Shed => self.shed(spec, now),
             Outcome::Unreachable | Outcome::Broken => self.fail(spec, now),
             Outcome::Late => self.late(took, typical, spec, now),
@@ -295,20 +301,6 @@
         self.pace = 1.0;
     }
 
-    /// Notes that the server refused a call although it runs fewer than it has
-    /// slots: it fails rather than that it is full, so its limit stays.
-    pub fn refused_idle(&mut self, now: Time) {
-        self.err(now);
-    }
-
-    fn err(&mut self, now: Time) {
-        self.failures = 0;
-        self.silent = 0;
-        self.heard = now;
-        self.erred = now;
-        self.errors += (1.0 - self.errors) * ERROR_WEIGHT;
-    }
-
     fn shed(&mut self, spec: &Spec, now: Time) {
         self.sheds = true;
         self.lowered = false;
--- a/crates/route/src/spec.rs
+++ b/crates/route/src/spec.rs
@@ -117,16 +117,17 @@
     /// A server's part follows from its id, so that adding one moves no other
     /// unless the number of parts changes. Each shard gets its part of the slack
     /// of second attempts, which is the whole service's.
-    pub fn shards(self) -> Vec<Self> {
+    pub fn shards(mut self) -> Vec<Self> {
         if self.servers.len() <= SHARD_SERVERS {
             return vec![self];
         }
-        let mut domains: Vec<DomainId> = self.servers.iter().map(|s| s.domain).collect();
+        let servers = std::mem::take(&mut self.servers);
+        let mut domains: Vec<DomainId> = servers.iter().map(|s| s.domain).collect();
         domains.sort_unstable();
         domains.dedup();
         let mut shards = Vec::new();
         for domain in domains {
-            let all = self.servers.iter().filter(|s| s.domain == domain);
+            let all = servers.iter().filter(|s| s.domain == domain);
             let count = all.clone().count().div_ceil(PART_SERVERS) as u32;
             for n in 0..count {
                 let part = all
--- a/crates/soak/src/caller.rs
+++ b/crates/soak/src/caller.rs
@@ -204,20 +204,12 @@
         }
         let (vm, address) = self.rotation.pick(&mut self.rng)?;
         let opened = async { TcpStream::connect(address).await.ok() };
-        let stream = within(CONNECT, opened).await.flatten()?;
+        let stream = net::timeout(CONNECT, opened).await.flatten()?;
         let reader = Reader::new(stream.clone());
         Some(Connection { vm, stream, reader })
     }
 }
 
-async fn within<T>(time: Duration, work: impl std::future::Future<Output = T>) -> Option<T> {
-    let late = async {
-        Timer::after(time).await;
-        None
-    };
-    futures_lite::future::or(async { Some(work.await) }, late).await
-}
-
 fn text(id: CallId, route: Route, connection: &str) -> String {
     let method = if route.idempotent { "GET" } else { "POST" };
     let body = if route.idempotent { "" } else { "activate" };
@@ -234,7 +226,7 @@
 
 /// Reads an answer; returns what became of the request.
 async fn read(reader: &mut Reader) -> (End, Option<Message>) {
-    match within(LIMIT + PATIENCE, reader.answer()).await {
+    match net::timeout(LIMIT + PATIENCE, reader.answer()).await {
         None => (End::Silence, None),
         Some(Ok(Some(answer))) => (judge(&answer), Some(answer)),
         Some(Ok(None) | Err(_)) => (End::Closed, None),
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -127,11 +127,8 @@
     directory: &Path,
 ) -> anyhow::Result<Outcome> {
     let limit = size.time + RUN_MAX;
-    let late = async {
-        Timer::after(limit).await;
-        anyhow::bail!("the run did not end within {limit:?}")
-    };
-    futures_lite::future::or(play(seed, size, net, program, directory), late).await
+    let played = net::timeout(limit, play(seed, size, net, program, directory)).await;
+    played.with_context(|| format!("the run did not end within {limit:?}"))?
 }
 
 async fn play(
@@ -298,11 +295,12 @@
         }
         loop {
             for (at, (ready, _)) in ways.iter().enumerate() {
-                let answer = futures_lite::future::or(is_ready(*ready), async {
-                    Timer::after(READY_PERIOD / 2).await;
-                    false
-                });
-                misses[at] = if answer.await { 0 } else { misses[at] + 1 };
+                let answer = net::timeout(READY_PERIOD / 2, is_ready(*ready)).await;
+                misses[at] = if answer == Some(true) {
+                    0
+                } else {
+                    misses[at] + 1
+                };
             }
             let all = ways
                 .iter()
