Bound the connections of the load tool's callers

Cause: three tests of load/tests/fleet.rs ran out of 20,000 descriptors beside other load. Counting established connections by listener while it happened: a few listeners held 500 to 611 each, 10,400 in all. Servers accept 220, so these are the VMs' listeners for callers: the load tool opens a connection for each call that finds none idle, without a limit. Ruled out: the VMs' pools to servers, which stay below their share.

Change: at most 200 connections to one VM; a call that finds none free waits, and its latency, measured from when it was due, includes the wait.

--- a/crates/load/src/callers.rs
+++ b/crates/load/src/callers.rs
@@ -27,6 +27,8 @@
 use net::exec::Handle;
 use net::Body;
 use net::ThreadPool;
+use smol::lock::Semaphore;
+use smol::lock::SemaphoreGuardArc;
 use smol::Timer;
 use standin::backend::CALL_ID;
 use standin::record::CallId;
@@ -48,25 +50,53 @@
 const RESPONSE_MAX_BYTES: usize = 1 << 20;
 /// Number of threads that run the callers.
 const CALLER_THREADS: usize = 2;
+/// Maximum number of connections that the callers have open to one VM. A call that
+/// finds none free waits, and its latency includes the wait.
+pub const CONNECTIONS_PER_VM_MAX: usize = 200;
 
 /// Picks entry VMs for callers at random and keeps idle connections to them.
 ///
 /// Stands in for the platform's balancer in front of the entry VMs.
 pub struct Balancer {
-    vms: Mutex<Vec<SocketAddr>>,
+    vms: Mutex<Vec<Target>>,
     idle: Mutex<Vec<(SocketAddr, Sender)>>,
     load_factor: Mutex<f64>,
 }
 
+/// A VM that accepts callers.
+#[derive(Clone)]
+struct Target {
+    address: SocketAddr,
+    /// Limits the connections in use. A connection is opened only if none is idle, so
+    /// this limits the open connections too.
+    slots: Arc<Semaphore>,
+}
+
+/// A connection in use by one call.
+struct Conn {
+    vm: SocketAddr,
+    sender: Sender,
+    _slot: SemaphoreGuardArc,
+}
+
 fn lock<T>(mutex: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
+impl Target {
+    fn new(address: SocketAddr) -> Self {
+        Self {
+            address,
+            slots: Arc::new(Semaphore::new(CONNECTIONS_PER_VM_MAX)),
+        }
+    }
+}
+
 impl Balancer {
     /// Returns a balancer over the VMs that accept callers at the addresses `vms`.
     pub fn new(vms: Vec<SocketAddr>) -> Self {
         Self {
-            vms: Mutex::new(vms),
+            vms: Mutex::new(vms.into_iter().map(Target::new).collect()),
             idle: Mutex::default(),
             load_factor: Mutex::new(1.0),
         }
@@ -75,7 +105,7 @@
     /// Removes the VM at address `vm`, as the platform does with a VM that is not
     /// ready, and closes the idle connections to it.
     pub fn remove(&self, vm: SocketAddr) {
-        lock(&self.vms).retain(|known| *known != vm);
+        lock(&self.vms).retain(|known| known.address != vm);
         lock(&self.idle).retain(|(known, _)| *known != vm);
     }
 
@@ -84,15 +114,30 @@
         *lock(&self.load_factor) = factor;
     }
 
-    fn pick(&self) -> Option<SocketAddr> {
+    fn pick(&self) -> Option<Target> {
         let vms = lock(&self.vms);
         if vms.is_empty() {
             return None;
         }
-        Some(vms[fastrand::usize(..vms.len())])
+        Some(vms[fastrand::usize(..vms.len())].clone())
+    }
+
+    async fn connect(&self, target: Target, handle: &Handle) -> Result<Conn, client::Error> {
+        let slot = target.slots.acquire_arc().await;
+        let vm = target.address;
+        let sender = self.take_idle_or_open(vm, handle).await?;
+        Ok(Conn {
+            vm,
+            sender,
+            _slot: slot,
+        })
     }
 
-    async fn connect(&self, vm: SocketAddr, handle: &Handle) -> Result<Sender, client::Error> {
+    async fn take_idle_or_open(
+        &self,
+        vm: SocketAddr,
+        handle: &Handle,
+    ) -> Result<Sender, client::Error> {
         loop {
             let idle = {
                 let mut idle = lock(&self.idle);
@@ -107,8 +152,8 @@
         }
     }
 
-    fn put_idle(&self, vm: SocketAddr, sender: Sender) {
-        lock(&self.idle).push((vm, sender));
+    fn put_idle(&self, conn: Conn) {
+        lock(&self.idle).push((conn.vm, conn.sender));
     }
 }
 
@@ -257,14 +302,14 @@
             let Some(vm) = self.balancer.pick() else {
                 break;
             };
-            let Ok(mut sender) = self.balancer.connect(vm, &self.pool.handle()).await else {
+            let Ok(mut conn) = self.balancer.connect(vm, &self.pool.handle()).await else {
                 continue;
             };
             let Some(sent) = request.take() else {
                 break;
             };
-            match sender.send(sent).await {
-                Ok(response) => return self.read_response(vm, sender, response).await,
+            match conn.sender.send(sent).await {
+                Ok(response) => return self.read_response(conn, response).await,
                 Err(failed) => request = failed.unsent,
             }
             if request.is_none() {
@@ -276,15 +321,14 @@
 
     async fn read_response(
         &self,
-        vm: SocketAddr,
-        sender: Sender,
+        conn: Conn,
         response: http::Response<hyper::body::Incoming>,
     ) -> CallResult {
         let (parts, incoming) = response.into_parts();
         let Ok(bytes) = body::collect(incoming, RESPONSE_MAX_BYTES).await else {
             return CallResult::default();
         };
-        self.balancer.put_idle(vm, sender);
+        self.balancer.put_idle(conn);
         let outcome = header_text(&parts.headers, &headers::OUTCOME);
         let end = match outcome {
             Some("served") if bytes.len() == standin::Model::default().response_bytes => {
