--- a/crates/conf/src/layout.rs
+++ b/crates/conf/src/layout.rs
@@ -77,6 +77,22 @@
 }
 
 impl Mapping {
+    /// Creates the mapping of calls that cannot be served, because the configuration
+    /// does not say how in a way that this version can read.
+    pub fn unusable(name: &str, host: &str, prefix: &str) -> Self {
+        Self {
+            name: name.into(),
+            host: host.into(),
+            prefix: prefix.into(),
+            shares: Vec::new(),
+            idempotent: false,
+            timeout: Duration::ZERO,
+            target: Duration::ZERO,
+            attempts: 0,
+            class: Class::Deferrable,
+        }
+    }
+
     /// Returns how the mapping's calls are treated.
     pub fn rule(&self) -> CallRule {
         CallRule {
--- a/crates/conf/src/state.rs
+++ b/crates/conf/src/state.rs
@@ -165,6 +165,12 @@
         })
     }
 
+    /// Returns whether the configuration has a service or mapping for a call to `host`
+    /// and `path`, even if that mapping has no service that could serve the call.
+    pub fn is_mapped(&self, host: &str, path: &str) -> bool {
+        self.find_index(host, path).is_some()
+    }
+
     /// Returns the service with `id`.
     pub fn service(&self, id: ServiceId) -> Option<&Service> {
         let index = self.service_ids.binary_search(&id).ok()?;
--- a/crates/entry/src/proxy.rs
+++ b/crates/entry/src/proxy.rs
@@ -72,6 +72,10 @@
 /// configuration within a fraction of a second of their start.
 const UNCONFIGURED_RETRY_AFTER: Duration = Duration::from_millis(300);
 
+/// The retry delay sent to callers of a route that cannot be used. It takes a new
+/// configuration to change that.
+const UNUSABLE_RETRY_AFTER: Duration = Duration::from_secs(5);
+
 /// The properties of this VM that the proxy needs.
 #[derive(Clone, Debug)]
 pub struct Identity {
@@ -160,6 +164,12 @@
                 "this VM has just started and knows no services yet; try again",
             )
             .with_retry_after(UNCONFIGURED_RETRY_AFTER)),
+            None if state.is_mapped(&summary.host, &summary.path) => Err(LocalResponse::not_run(
+                StatusCode::SERVICE_UNAVAILABLE,
+                "unusable-route",
+                "the route of this path names no known service; correct the configuration",
+            )
+            .with_retry_after(UNUSABLE_RETRY_AFTER)),
             None => Err(LocalResponse::not_run(
                 StatusCode::NOT_FOUND,
                 "no-service",
