Serve pipelined requests of a connection side by side

Change: net::lookahead reads ahead and starts up to eight idempotent requests of a connection before their turn; responses stay in order.

--- a/crates/entry/src/proxy.rs
+++ b/crates/entry/src/proxy.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use base::DomainId;
+use bytes::Bytes;
 use conf::service::CallRule;
 use conf::state::RouteMatch;
 use conf::Service;
@@ -16,6 +17,7 @@
 use http::Request;
 use http::Response;
 use http::StatusCode;
+use http_body_util::Empty;
 use hyper::body::Incoming;
 use net::body;
 use net::server::Handler;
@@ -57,8 +59,10 @@
 use crate::pool::Pools;
 use crate::ports::Permit;
 use crate::ports::Ports;
+use crate::record;
 use crate::record::RequestSummary;
 use crate::record::ServedBy;
+use crate::request::CallBody;
 use crate::request::OutgoingRequest;
 use crate::tracked_body::TrackedBody;
 
@@ -107,6 +111,22 @@
     ) -> BoxFuture<'static, Response<Body>> {
         Box::pin(async move { self.respond(request, peer).await })
     }
+
+    fn call_early(
+        self: Arc<Self>,
+        request: Request<()>,
+        peer: SocketAddr,
+    ) -> Option<BoxFuture<'static, Response<Body>>> {
+        let state = self.ports.state();
+        let path = request.uri().path();
+        let method = request.method().as_str();
+        let route = state.route(record::host_of(&request), path, method, 0.0)?;
+        if !route.rule.idempotent {
+            return None;
+        }
+        let request = request.map(|()| Empty::<Bytes>::new());
+        Some(Box::pin(async move { self.respond(request, peer).await }))
+    }
 }
 
 impl Proxy {
@@ -139,7 +159,7 @@
 
     /// Returns the response to a request, and records the call in the metrics, the log and
     /// the list of calls.
-    async fn respond(&self, request: Request<Incoming>, peer: SocketAddr) -> Response<Body> {
+    async fn respond(&self, request: Request<impl CallBody>, peer: SocketAddr) -> Response<Body> {
         let began = self.ports.now();
         let parent = self.spans.extract(request.headers());
         let span = self.spans.start("call", SpanKind::Server, &parent);
@@ -214,7 +234,7 @@
     async fn serve(
         &self,
         route: RouteMatch<'_>,
-        request: Request<Incoming>,
+        request: Request<impl CallBody>,
         peer: SocketAddr,
         max_body: usize,
         span: &ActiveSpan,
--- a/crates/entry/src/record.rs
+++ b/crates/entry/src/record.rs
@@ -38,18 +38,24 @@
     id: String,
 }
 
+/// Returns the host from the URI of `request` or its `host` field, empty if there is
+/// none.
+pub(crate) fn host_of<B>(request: &Request<B>) -> &str {
+    let field = request.headers().get(header::HOST);
+    let field = field.and_then(|value| value.to_str().ok());
+    let authority = request
+        .uri()
+        .authority()
+        .map(|authority| authority.as_str());
+    authority.or(field).unwrap_or_default()
+}
+
 impl RequestSummary {
     /// Copies the properties from `request`, which is consumed before the record is
     /// created. `id` is the caller's id of the call.
     pub fn new<B>(request: &Request<B>, span: &ActiveSpan, id: Option<&HeaderValue>) -> Self {
-        let field = request.headers().get(header::HOST);
-        let field = field.and_then(|value| value.to_str().ok());
-        let authority = request
-            .uri()
-            .authority()
-            .map(|authority| authority.as_str());
         Self {
-            host: authority.or(field).unwrap_or_default().to_owned(),
+            host: host_of(request).to_owned(),
             path: request.uri().path().to_owned(),
             method: request.method().to_string(),
             trace: span.trace_id(),
--- a/crates/entry/src/request.rs
+++ b/crates/entry/src/request.rs
@@ -13,9 +13,8 @@
 use http::StatusCode;
 use http::Uri;
 use http_body_util::Limited;
-use hyper::body::Body as _;
-use hyper::body::Incoming;
 use net::body;
+use net::body::BoxError;
 use net::Body;
 
 use crate::headers;
@@ -27,6 +26,17 @@
 
 const FORWARDED_FOR: HeaderName = HeaderName::from_static("x-forwarded-for");
 
+/// The body of a caller's request.
+pub trait CallBody:
+    hyper::body::Body<Data = Bytes, Error: Into<BoxError>> + Send + Sync + Unpin + 'static
+{
+}
+
+impl<B> CallBody for B where
+    B: hyper::body::Body<Data = Bytes, Error: Into<BoxError>> + Send + Sync + Unpin + 'static
+{
+}
+
 enum RequestBody {
     /// A complete body, which can be sent again.
     Buffered(Bytes),
@@ -56,7 +66,7 @@
     /// be larger than `max_body`, or a buffered body is truncated.
     pub async fn new(
         parts: Parts,
-        incoming: Incoming,
+        incoming: impl CallBody,
         peer: SocketAddr,
         max_body: usize,
     ) -> Result<Self, LocalResponse> {
@@ -127,7 +137,7 @@
 
 /// Reads a small body completely, and wraps a larger one or one of unknown length into a
 /// stream limited to `max_body` bytes.
-async fn read_body(incoming: Incoming, max_body: usize) -> Result<RequestBody, LocalResponse> {
+async fn read_body(incoming: impl CallBody, max_body: usize) -> Result<RequestBody, LocalResponse> {
     let hint = incoming.size_hint();
     if hint.lower() > max_body as u64 {
         return Err(too_large(max_body));
--- a/crates/net/src/deferred.rs
+++ b/crates/net/src/deferred.rs
@@ -16,6 +16,7 @@
 use hyper::body::SizeHint;
 
 use crate::body::BoxError;
+use crate::lookahead::TurnGuard;
 use crate::Body;
 
 /// A wrapper around a body that defers the error of the body by one poll.
@@ -23,12 +24,24 @@
     inner: Body,
     /// The error that the next poll returns.
     error: Option<BoxError>,
+    /// Dropped with the body, which ends the turn of its request.
+    _turn: Option<TurnGuard>,
 }
 
 impl DeferredErrorBody {
     /// Wraps `inner`.
     pub fn new(inner: Body) -> Self {
-        Self { inner, error: None }
+        Self {
+            inner,
+            error: None,
+            _turn: None,
+        }
+    }
+
+    /// Ends the turn of the request when the body is dropped.
+    pub(crate) fn with_turn(mut self, turn: TurnGuard) -> Self {
+        self._turn = Some(turn);
+        self
     }
 }
 
--- a/crates/net/src/exec.rs
+++ b/crates/net/src/exec.rs
@@ -155,6 +155,14 @@
 }
 
 impl Handle {
+    /// Runs `future` on the pool. Dropping the returned task cancels it.
+    pub fn spawn<T: Send + 'static>(
+        &self,
+        future: impl Future<Output = T> + Send + 'static,
+    ) -> Task<T> {
+        self.0.spawn(future)
+    }
+
     /// Runs `future` to its end on the pool. The task cannot be cancelled.
     pub fn spawn_detached(&self, future: impl Future<Output = ()> + Send + 'static) {
         self.0.spawn(future).detach();
--- /dev/null
+++ b/crates/net/src/lookahead.rs
@@ -0,0 +1,486 @@
+//! Reads ahead on an HTTP/1.1 connection, and starts pipelined requests before their
+//! turn.
+//!
+//! hyper serves the requests of a connection one after the other. [`Lookahead`] is the
+//! stream that hyper reads from. It passes on one request at a time, and meanwhile
+//! reads the requests behind it. Those that [`Handler::call_early`] accepts are started
+//! at once, up to [`EARLY_MAX`] of them. When hyper reaches such a request, it gets the
+//! response that was started, so the responses stay in order and hyper alone decides how
+//! they are framed. A caller that closes the connection is noticed while its requests
+//! wait, and what was started is cancelled. See `docs/design/call-path.md`.
+
+use std::collections::VecDeque;
+use std::io;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::task::ready;
+use std::task::Context;
+use std::task::Poll;
+use std::task::Waker;
+
+use bytes::Buf;
+use bytes::BytesMut;
+use futures_lite::AsyncRead;
+use futures_lite::AsyncWrite;
+use http::header;
+use http::HeaderName;
+use http::HeaderValue;
+use http::Method;
+use http::Request;
+use http::Response;
+use http::Version;
+use smol::Task;
+
+use crate::exec::Handle;
+use crate::server::Handler;
+use crate::Body;
+
+/// The maximum number of requests of one connection that are started before their turn.
+pub const EARLY_MAX: usize = 8;
+/// The size of a read from the connection.
+const READ_BYTES: usize = 8 << 10;
+
+/// A request that has been read and not yet passed on to hyper.
+struct Waiting {
+    /// The length of its head in bytes.
+    head_len: usize,
+    early: EarlyResponse,
+}
+
+/// The response to a request that was started before its turn.
+struct EarlyResponse {
+    method: Method,
+    target: String,
+    response: Task<Response<Body>>,
+}
+
+/// What the next unparsed bytes of the connection are.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Next {
+    /// The head of a request.
+    Head,
+    /// This many bytes of a body.
+    Body(u64),
+    /// Bytes that only hyper parses, up to the end of the connection.
+    Opaque,
+}
+
+/// The part of the state that hyper's side and the stream share.
+#[derive(Default)]
+struct Progress {
+    /// Whether hyper has a request that it has not completely responded to.
+    busy: bool,
+    /// The started response to the request that hyper is about to serve.
+    current: Option<EarlyResponse>,
+    /// The number of started requests that hyper has not reached.
+    early: usize,
+    /// Whether no further requests may be started early.
+    stopping: bool,
+    /// Wakes the connection, which may wait for hyper to finish a request.
+    waker: Option<Waker>,
+}
+
+/// The state of a connection that is shared with the code that serves its requests.
+#[derive(Clone, Default)]
+pub(crate) struct Turns(Arc<Mutex<Progress>>);
+
+/// Held while hyper serves a request, until the response has been written.
+pub(crate) struct TurnGuard(Turns);
+
+/// A stream for hyper that reads ahead.
+pub(crate) struct Lookahead<S> {
+    stream: S,
+    handler: Arc<dyn Handler>,
+    handle: Handle,
+    peer: SocketAddr,
+    turns: Turns,
+    /// The bytes that hyper has not read.
+    buffer: BytesMut,
+    /// The number of bytes at the front of `buffer` that hyper may read now.
+    released: usize,
+    /// The number of bytes at the front of `buffer` that have been parsed.
+    parsed: usize,
+    waiting: VecDeque<Waiting>,
+    next: Next,
+    header_fields: usize,
+    head_bytes: usize,
+    /// Whether the requests behind the last one have to wait for their turn.
+    blocked: bool,
+    ended: bool,
+}
+
+impl Turns {
+    fn lock(&self) -> MutexGuard<'_, Progress> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Returns the response to `request` that was started early, if there is one.
+    pub(crate) fn take_early<B>(&self, request: &Request<B>) -> Option<Task<Response<Body>>> {
+        let early = self.lock().current.take()?;
+        let same = early.method == *request.method() && *request.uri() == *early.target;
+        same.then_some(early.response)
+    }
+
+    /// Returns a guard that ends the turn of the current request when it is dropped.
+    pub(crate) fn guard(&self) -> TurnGuard {
+        TurnGuard(self.clone())
+    }
+
+    /// Starts no further requests early. Returns whether hyper has reached all that
+    /// were started, so that the connection may close after the current response.
+    pub(crate) fn stop(&self) -> bool {
+        let mut progress = self.lock();
+        progress.stopping = true;
+        progress.early == 0
+    }
+}
+
+impl Drop for TurnGuard {
+    fn drop(&mut self) {
+        let mut progress = self.0.lock();
+        progress.busy = false;
+        if let Some(waker) = progress.waker.take() {
+            waker.wake();
+        }
+    }
+}
+
+impl<S> Lookahead<S> {
+    /// Wraps `stream`. Heads of more than `head_bytes` bytes or `header_fields` fields
+    /// are left to hyper, which refuses them.
+    pub(crate) fn new(
+        stream: S,
+        handler: Arc<dyn Handler>,
+        handle: Handle,
+        peer: SocketAddr,
+    ) -> Self {
+        Self {
+            stream,
+            handler,
+            handle,
+            peer,
+            turns: Turns::default(),
+            buffer: BytesMut::new(),
+            released: 0,
+            parsed: 0,
+            waiting: VecDeque::new(),
+            next: Next::Head,
+            header_fields: 0,
+            head_bytes: 0,
+            blocked: false,
+            ended: false,
+        }
+    }
+
+    /// Sets the limits of a head: its size in bytes and the number of its fields. A
+    /// larger head is left to hyper, which refuses it.
+    pub(crate) fn with_limits(mut self, head_bytes: usize, header_fields: usize) -> Self {
+        self.head_bytes = head_bytes;
+        self.header_fields = header_fields;
+        self
+    }
+
+    /// Returns the state to be shared with the code that serves the requests.
+    pub(crate) fn turns(&self) -> Turns {
+        self.turns.clone()
+    }
+
+    /// Parses what has been received, and releases what hyper may read now.
+    fn advance(&mut self) {
+        self.release_waiting();
+        while self.parsed < self.buffer.len() {
+            let unparsed = self.buffer.len() - self.parsed;
+            match self.next {
+                Next::Opaque => {
+                    self.parsed = self.buffer.len();
+                    self.released = self.parsed;
+                }
+                Next::Body(left) => {
+                    let length = usize::try_from(left).unwrap_or(usize::MAX).min(unparsed);
+                    self.parsed += length;
+                    self.released = self.parsed;
+                    self.next = match left - length as u64 {
+                        0 => Next::Head,
+                        left => Next::Body(left),
+                    };
+                }
+                Next::Head => {
+                    let parsed = self.parse_head();
+                    if !parsed {
+                        return;
+                    }
+                }
+            }
+        }
+    }
+
+    /// Lets hyper read the first request that waits, if hyper has finished the one
+    /// before.
+    fn release_waiting(&mut self) {
+        let mut progress = self.turns.lock();
+        if progress.busy {
+            return;
+        }
+        if let Some(first) = self.waiting.pop_front() {
+            self.released += first.head_len;
+            progress.busy = true;
+            progress.current = Some(first.early);
+            progress.early = self.waiting.len();
+        } else {
+            self.blocked = false;
+        }
+    }
+
+    /// Parses the head at `parsed`. Returns false if it is not complete or has to wait
+    /// for its turn.
+    fn parse_head(&mut self) -> bool {
+        let busy = self.turns.lock().busy;
+        if busy && self.blocked {
+            return false;
+        }
+        let mut fields = vec![httparse::EMPTY_HEADER; self.header_fields];
+        let mut head = httparse::Request::new(&mut fields);
+        let head_len = match head.parse(&self.buffer[self.parsed..]) {
+            Ok(httparse::Status::Complete(length)) => length,
+            Ok(httparse::Status::Partial) => {
+                if self.buffer.len() - self.parsed < self.head_bytes {
+                    return false;
+                }
+                return self.leave_to_hyper(busy);
+            }
+            Err(_) => return self.leave_to_hyper(busy),
+        };
+        let body = body_length(&head);
+        if !busy {
+            self.parsed += head_len;
+            self.released = self.parsed;
+            self.next = match body {
+                Some(0) => Next::Head,
+                Some(length) => Next::Body(length),
+                None => Next::Opaque,
+            };
+            self.turns.lock().busy = true;
+            self.blocked = closes(&head) || !is_safe(&head);
+            return true;
+        }
+        let last = closes(&head);
+        let may_start = body == Some(0) && is_safe(&head) && self.waiting.len() < EARLY_MAX;
+        let started = may_start
+            .then(|| to_request(&head))
+            .flatten()
+            .filter(|_| !self.turns.lock().stopping)
+            .and_then(|request| self.start(request));
+        let Some(early) = started else {
+            self.blocked = true;
+            return false;
+        };
+        self.blocked = last;
+        self.waiting.push_back(Waiting { head_len, early });
+        self.parsed += head_len;
+        self.turns.lock().early = self.waiting.len();
+        true
+    }
+
+    /// Passes on all further bytes unparsed, once hyper has finished its request.
+    /// Returns whether that is so now.
+    fn leave_to_hyper(&mut self, busy: bool) -> bool {
+        if busy {
+            self.blocked = true;
+        } else {
+            self.next = Next::Opaque;
+        }
+        !busy
+    }
+
+    fn start(&self, request: Request<()>) -> Option<EarlyResponse> {
+        let method = request.method().clone();
+        let target = request.uri().to_string();
+        let response = self.handler.clone().call_early(request, self.peer)?;
+        Some(EarlyResponse {
+            method,
+            target,
+            response: self.handle.spawn(response),
+        })
+    }
+
+    /// Drops what was read ahead, and cancels what was started.
+    fn discard(&mut self) {
+        self.waiting.clear();
+        self.turns.lock().early = 0;
+        self.buffer.clear();
+        (self.parsed, self.released) = (0, 0);
+    }
+
+    /// Frees the memory of the buffer while it is empty, since most connections are
+    /// idle.
+    fn free_buffer(&mut self) {
+        if self.buffer.is_empty() {
+            self.buffer = BytesMut::new();
+        }
+    }
+
+    /// Returns whether more may be read while hyper does not take what there is.
+    fn has_room(&self) -> bool {
+        self.buffer.len() < self.head_bytes
+    }
+}
+
+impl<S: AsyncRead + Unpin> Lookahead<S> {
+    /// Reads from the stream into the buffer; returns the number of bytes.
+    fn poll_fill(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<usize>> {
+        let mut bytes = [0; READ_BYTES];
+        let length = ready!(Pin::new(&mut self.stream).poll_read(cx, &mut bytes))?;
+        self.buffer.extend_from_slice(&bytes[..length]);
+        Poll::Ready(Ok(length))
+    }
+
+    /// Reads a part of a body, or of what only hyper parses, directly into `out`.
+    /// Returns none if the buffer has to be used.
+    fn poll_body(
+        &mut self,
+        cx: &mut Context<'_>,
+        out: &mut [u8],
+    ) -> Option<Poll<io::Result<usize>>> {
+        let left = match self.next {
+            _ if !self.buffer.is_empty() || self.ended => return None,
+            Next::Head => return None,
+            Next::Body(left) => usize::try_from(left).unwrap_or(usize::MAX),
+            Next::Opaque => usize::MAX,
+        };
+        let limit = left.min(out.len());
+        let polled = Pin::new(&mut self.stream).poll_read(cx, &mut out[..limit]);
+        if let (Poll::Ready(Ok(length)), Next::Body(left)) = (&polled, self.next) {
+            self.next = match left - *length as u64 {
+                0 => Next::Head,
+                left => Next::Body(left),
+            };
+        }
+        Some(polled)
+    }
+}
+
+impl<S: AsyncRead + Unpin> AsyncRead for Lookahead<S> {
+    fn poll_read(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        out: &mut [u8],
+    ) -> Poll<io::Result<usize>> {
+        let this = self.get_mut();
+        this.turns.lock().waker = Some(cx.waker().clone());
+        if let Some(polled) = this.poll_body(cx, out) {
+            return polled;
+        }
+        loop {
+            this.advance();
+            if this.released > 0 {
+                let length = this.released.min(out.len());
+                this.buffer.copy_to_slice(&mut out[..length]);
+                this.released -= length;
+                this.parsed -= length;
+                this.free_buffer();
+                return Poll::Ready(Ok(length));
+            }
+            if this.ended {
+                // What is left is not a whole request.
+                let length = this.buffer.len().min(out.len());
+                this.buffer.copy_to_slice(&mut out[..length]);
+                this.parsed = this.parsed.saturating_sub(length);
+                return Poll::Ready(Ok(length));
+            }
+            if !this.has_room() {
+                // Woken by the guard of the current request.
+                return Poll::Pending;
+            }
+            let length = ready!(this.poll_fill(cx))?;
+            this.ended = length == 0;
+            if this.ended && this.turns.lock().busy {
+                // The caller has left: what is waiting must not be served.
+                this.discard();
+            }
+        }
+    }
+}
+
+impl<S: AsyncWrite + Unpin> AsyncWrite for Lookahead<S> {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write(cx, bytes)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        parts: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write_vectored(cx, parts)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_close(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_close(cx)
+    }
+}
+
+/// Returns the length of the body of the request with this head, or none if only its
+/// end shows the length, or if the connection changes its protocol.
+fn body_length(head: &httparse::Request<'_, '_>) -> Option<u64> {
+    let mut length = None;
+    for field in head.headers.iter() {
+        let name = field.name;
+        if name.eq_ignore_ascii_case(header::TRANSFER_ENCODING.as_str())
+            || name.eq_ignore_ascii_case(header::UPGRADE.as_str())
+            || name.eq_ignore_ascii_case(header::EXPECT.as_str())
+        {
+            return None;
+        }
+        if name.eq_ignore_ascii_case(header::CONTENT_LENGTH.as_str()) {
+            let text = std::str::from_utf8(field.value).ok()?.trim();
+            let digits = text.bytes().all(|byte| byte.is_ascii_digit());
+            let value: u64 = text.parse().ok().filter(|_| digits)?;
+            if length.replace(value).is_some_and(|other| other != value) {
+                return None;
+            }
+        }
+    }
+    (head.method != Some(Method::CONNECT.as_str())).then(|| length.unwrap_or(0))
+}
+
+/// Returns whether the method of the request with this head is safe. Requests with safe
+/// methods may be processed in parallel (RFC 9112, section 9.3.2).
+fn is_safe(head: &httparse::Request<'_, '_>) -> bool {
+    let method = head.method.map(str::as_bytes).map(Method::from_bytes);
+    method.is_some_and(|method| method.is_ok_and(|method| method.is_safe()))
+}
+
+/// Returns whether no request can follow the one with this head on its connection.
+fn closes(head: &httparse::Request<'_, '_>) -> bool {
+    let asks_close = |field: &httparse::Header<'_>| {
+        field.name.eq_ignore_ascii_case(header::CONNECTION.as_str())
+            && field.value.to_ascii_lowercase().starts_with(b"close")
+    };
+    head.version != Some(1) || head.headers.iter().any(asks_close)
+}
+
+/// Converts a parsed head; returns none if it is not a proper request.
+fn to_request(head: &httparse::Request<'_, '_>) -> Option<Request<()>> {
+    let mut request = Request::new(());
+    *request.method_mut() = Method::from_bytes(head.method?.as_bytes()).ok()?;
+    *request.uri_mut() = head.path?.parse().ok()?;
+    *request.version_mut() = Version::HTTP_11;
+    for field in head.headers.iter() {
+        let name = HeaderName::from_bytes(field.name.as_bytes()).ok()?;
+        let value = HeaderValue::from_bytes(field.value).ok()?;
+        request.headers_mut().append(name, value);
+    }
+    Some(request)
+}
--- a/crates/net/src/server.rs
+++ b/crates/net/src/server.rs
@@ -31,6 +31,8 @@
 
 use crate::deferred::DeferredErrorBody;
 use crate::exec::Handle;
+use crate::lookahead::Lookahead;
+use crate::lookahead::Turns;
 use crate::stop::Stop;
 use crate::timeout;
 use crate::Body;
@@ -52,6 +54,19 @@
         request: Request<Incoming>,
         peer: SocketAddr,
     ) -> BoxFuture<'static, Response<Body>>;
+
+    /// Starts a request without a body while its caller still waits for the response to
+    /// an earlier request on the same connection.
+    ///
+    /// Returns none, which is the default, unless the request may be run more than once:
+    /// the connection may close before its turn, and its caller then sends it again.
+    fn call_early(
+        self: Arc<Self>,
+        _request: Request<()>,
+        _peer: SocketAddr,
+    ) -> Option<BoxFuture<'static, Response<Body>>> {
+        None
+    }
 }
 
 /// The limits that a server enforces on its callers.
@@ -211,23 +226,34 @@
         peeked > 0 && HTTP2_PREFACE.starts_with(&bytes[..peeked])
     }
 
-    /// Returns the function that serves the requests of one connection.
-    fn request_handler(
-        &self,
+    async fn respond(
+        handler: Arc<dyn Handler>,
+        request: Request<Incoming>,
         peer: SocketAddr,
-    ) -> impl Fn(Request<Incoming>) -> BoxFuture<'static, ServiceResult> + 'static {
-        let handler = self.handler.clone();
-        move |request| {
-            let response = handler.clone().call(request, peer);
-            Box::pin(async move { Ok(response.await.map(DeferredErrorBody::new)) })
-        }
+        turns: Turns,
+    ) -> ServiceResult {
+        let turn = turns.guard();
+        let response = match turns.take_early(&request) {
+            Some(response) => response.await,
+            None => handler.call(request, peer).await,
+        };
+        Ok(response.map(|body| DeferredErrorBody::new(body).with_turn(turn)))
     }
 
     async fn serve_http1<S>(&self, stream: S, peer: SocketAddr)
     where
         S: AsyncRead + AsyncWrite + Unpin + Send + 'static,
     {
-        let service = service_fn(self.request_handler(peer));
+        let stream = Lookahead::new(stream, self.handler.clone(), self.handle.clone(), peer)
+            .with_limits(
+                self.limits.head_bytes.max(8 << 10),
+                self.limits.header_fields,
+            );
+        let turns = stream.turns();
+        let (handler, shared) = (self.handler.clone(), turns.clone());
+        let service = service_fn(move |request| {
+            Self::respond(handler.clone(), request, peer, shared.clone())
+        });
         let connection = conn::http1::Builder::new()
             .timer(SmolTimer::new())
             .header_read_timeout(self.limits.head_timeout)
@@ -235,8 +261,13 @@
             .max_headers(self.limits.header_fields)
             .half_close(self.limits.half_close)
             .serve_connection(FuturesIo::new(stream), service);
+        // Requests that were started early are served before the connection closes.
         let shut_down = |connection: Pin<&mut conn::http1::Connection<_, _>>| {
-            connection.graceful_shutdown();
+            let may_close = turns.stop();
+            if may_close {
+                connection.graceful_shutdown();
+            }
+            may_close
         };
         run_connection(&self.stop, connection, shut_down).await;
     }
@@ -245,7 +276,11 @@
     where
         S: AsyncRead + AsyncWrite + Unpin + Send + 'static,
     {
-        let service = service_fn(self.request_handler(peer));
+        let handler = self.handler.clone();
+        let service = service_fn(move |request| {
+            let response = handler.clone().call(request, peer);
+            async move { ServiceResult::Ok(response.await.map(DeferredErrorBody::new)) }
+        });
         let connection = conn::http2::Builder::new(self.handle.clone())
             .timer(SmolTimer::new())
             .max_header_list_size(u32::try_from(self.limits.head_bytes).unwrap_or(u32::MAX))
@@ -253,20 +288,27 @@
             .serve_connection(FuturesIo::new(stream), service);
         let shut_down = |connection: Pin<&mut conn::http2::Connection<_, _, _>>| {
             connection.graceful_shutdown();
+            true
         };
         run_connection(&self.stop, connection, shut_down).await;
     }
 }
 
-/// Polls `connection` to its end. Calls `shut_down` once when `stop` is triggered.
-async fn run_connection<C: Future>(stop: &Stop, connection: C, shut_down: impl Fn(Pin<&mut C>)) {
+/// Polls `connection` to its end. Once `stop` is triggered, calls `shut_down` before each
+/// poll until it returns true.
+async fn run_connection<C: Future>(
+    stop: &Stop,
+    connection: C,
+    shut_down: impl Fn(Pin<&mut C>) -> bool,
+) {
     let mut connection = pin!(connection);
     let mut stopped = pin!(stop.wait());
+    let mut stopping = false;
     let mut shutting_down = false;
     poll_fn(|cx| {
-        if !shutting_down && stopped.as_mut().poll(cx).is_ready() {
-            shutting_down = true;
-            shut_down(connection.as_mut());
+        stopping = stopping || stopped.as_mut().poll(cx).is_ready();
+        if stopping && !shutting_down {
+            shutting_down = shut_down(connection.as_mut());
         }
         match connection.as_mut().poll(cx) {
             Poll::Ready(_) => Poll::Ready(()),
