Apply membership changes by difference and in batches

Cause: 471 idle VMs of a tenth of a core did not agree on who is alive. Each change recomputed the alive VMs and the digest from all peers (quadratic for a member list), built a new view, all shard specifications with the ids of 810 servers and, at homes, a rendezvous ranking of all VMs for each server, and logged all names. VMs late with that suspected peers whose acks they had received and not processed.

Change: - member: alive VMs and digest are updated by the difference; the wait for an ack is extended by the delay of the VM's own ticks, at most eight ack timeouts. - node: the first change after a quiet time is applied at once, changes that follow within 1 ms a VM, at most 200 ms, together (view_schedule). A new view updates the fleet of each shard, not its specification. A log line names at most 20 VMs. - route: no ranking where a server accepts more connections than there are VMs; servers and permits are matched by binary search.

tick_late_vm_does_not_suspect_peers_that_respond fails before.

--- a/crates/member/src/membership/gossip.rs
+++ b/crates/member/src/membership/gossip.rs
@@ -148,14 +148,13 @@
             health: update.health,
             since: now,
         };
-        match self.find(vm) {
+        let index = self.find(vm);
+        match index {
             Ok(i) if !self.peers[i].is_superseded_by(update.incarnation, update.health) => return,
-            Ok(i) => self.peers[i] = peer,
             Err(_) if update.health >= Health::Dead => return,
-            Err(i) => self.peers.insert(i, peer),
+            _ => self.put_peer(index, peer),
         }
         self.gossip_queue.add(vm);
-        self.recompute();
     }
 
     /// Refutes an update about this VM that reports it as not alive or has a higher
@@ -187,10 +186,12 @@
     /// refutes it, which it does as soon as it receives an update that it is suspected.
     pub(super) fn clear_suspicion(&mut self, now: Time, vm: VmId) {
         if let Ok(i) = self.find(vm) {
-            let peer = &mut self.peers[i];
-            peer.health = Health::Alive;
-            peer.since = now;
-            self.recompute();
+            let peer = Peer {
+                health: Health::Alive,
+                since: now,
+                ..self.peers[i].clone()
+            };
+            self.put_peer(Ok(i), peer);
         }
     }
 }
--- a/crates/member/src/membership/mod.rs
+++ b/crates/member/src/membership/mod.rs
@@ -36,6 +36,11 @@
 /// Maximum number of updates in a member list message, so that the message fits a
 /// datagram.
 const MEMBER_LIST_UPDATES: usize = 12;
+/// The delay of a tick from which on this VM counts as late itself.
+const LATE_TICK_MIN: Duration = Duration::from_millis(10);
+/// The limit, in ack timeouts, by which the delays of this VM extend the wait for one
+/// ack. It bounds how much later a VM that is always late detects a failure.
+const LATENESS_MAX_TIMEOUTS: u32 = 8;
 /// Probe periods between two attempts to reconnect to a dead peer or a seed, which
 /// end a partition once the network is back.
 const RECONNECT_PERIODS: u32 = 5;
@@ -98,10 +103,20 @@
     vm: VmId,
     id: ProbeId,
     sent: Time,
+    /// For how long this VM was late itself meanwhile; the ack may have been received
+    /// and not been processed.
+    lateness: Duration,
     /// Whether other peers have been requested to ping the VM.
     relayed: bool,
 }
 
+impl Probe {
+    /// Returns when the wait for the ack has lasted `timeout`.
+    fn expiry(&self, timeout: Duration) -> Time {
+        self.sent + self.lateness + timeout
+    }
+}
+
 /// A ping that was sent on behalf of another VM and has not been acked yet.
 #[derive(Clone, Debug)]
 struct Relay {
@@ -131,6 +146,8 @@
     probe_round: Vec<VmId>,
     last_probe: ProbeId,
     next_period: Time,
+    /// When the next tick is due, as of the end of the last one.
+    next_tick: Option<Time>,
     period_count: u32,
     revisions: Revisions,
     digest: Digest,
@@ -164,6 +181,7 @@
             probe_round: Vec::new(),
             last_probe: 0,
             next_period: Time::ZERO,
+            next_tick: None,
             period_count: 0,
             revisions: Revisions::default(),
             digest: 0,
@@ -247,7 +265,7 @@
         let timeout = self.config.ack_timeout;
         let probes = self.probes.iter().map(|probe| {
             let timeouts = if probe.relayed { 2 } else { 1 };
-            probe.sent + timeout * timeouts
+            probe.expiry(timeout * timeouts)
         });
         let suspects = self.peers.iter().filter(|p| p.health == Health::Suspect);
         let expiries = suspects.map(|peer| peer.since + self.config.suspicion_timeout);
@@ -260,6 +278,26 @@
     /// Has to be called at the time that [`Membership::due`] returns; an earlier call
     /// does no harm.
     pub fn tick(&mut self, now: Time) {
+        self.extend_probes(now);
+        self.run_due(now);
+        self.next_tick = Some(self.due());
+    }
+
+    /// Extends the wait for acks by the delay of this tick. A VM that is late itself
+    /// would otherwise suspect peers whose acks it has not processed yet.
+    fn extend_probes(&mut self, now: Time) {
+        let planned = self.next_tick.unwrap_or(now);
+        let late = now.saturating_sub(planned);
+        if late < LATE_TICK_MIN {
+            return;
+        }
+        let longest = self.config.ack_timeout * LATENESS_MAX_TIMEOUTS;
+        for probe in &mut self.probes {
+            probe.lateness = (probe.lateness + late).min(longest);
+        }
+    }
+
+    fn run_due(&mut self, now: Time) {
         self.check_probes(now);
         self.check_suspects(now);
         let relay_timeout = self.config.probe_period * 5;
@@ -419,20 +457,37 @@
 
     /// Recomputes what is derived from the peers: the alive VMs and the digest.
     fn recompute(&mut self) {
-        let mut alive: Vec<VmId> = self
-            .peers
-            .iter()
-            .filter(|peer| peer.health == Health::Alive)
-            .map(|peer| peer.profile.vm)
-            .collect();
-        alive.push(self.profile.vm);
-        alive.sort_unstable();
-        self.alive = alive;
+        let alive = self.peers.iter().filter(|p| p.health == Health::Alive);
+        self.alive = alive.map(|peer| peer.profile.vm).collect();
+        self.alive.push(self.profile.vm);
+        self.alive.sort_unstable();
         self.version += 1;
-        let present = self.peers.iter().filter(|peer| peer.health < Health::Dead);
-        let hashes = present.map(|peer| hash::mix(peer.profile.vm, peer.incarnation));
         let own = hash::mix(self.profile.vm, self.incarnation);
-        self.digest = hashes.fold(own, |all, hash| all ^ hash);
+        self.digest = self.peers.iter().map(digest_of).fold(own, |a, b| a ^ b);
+    }
+
+    /// Replaces the peer at `index`, or inserts a new one there, and updates what is
+    /// derived from the peers by the difference. A change thus costs the same in a large
+    /// fleet as in a small one, apart from moving the elements of sorted vectors.
+    fn put_peer(&mut self, index: Result<usize, usize>, peer: Peer) {
+        let vm = peer.profile.vm;
+        self.digest ^= digest_of(&peer);
+        let alive = peer.health == Health::Alive;
+        match index {
+            Ok(i) => {
+                self.digest ^= digest_of(&self.peers[i]);
+                self.peers[i] = peer;
+            }
+            Err(i) => self.peers.insert(i, peer),
+        }
+        match (self.alive.binary_search(&vm), alive) {
+            (Ok(i), false) => {
+                self.alive.remove(i);
+            }
+            (Err(i), true) => self.alive.insert(i, vm),
+            _ => {}
+        }
+        self.version += 1;
     }
 
     fn address(&self, vm: VmId) -> Option<SocketAddr> {
@@ -444,3 +499,12 @@
         self.peers.binary_search_by_key(&vm, |peer| peer.profile.vm)
     }
 }
+
+/// Returns the contribution of `peer` to the digest: 0 if it is not in the fleet.
+fn digest_of(peer: &Peer) -> Digest {
+    if peer.health < Health::Dead {
+        hash::mix(peer.profile.vm, peer.incarnation)
+    } else {
+        0
+    }
+}
--- a/crates/member/src/membership/probes.rs
+++ b/crates/member/src/membership/probes.rs
@@ -16,6 +16,7 @@
 use base::Time;
 use base::VmId;
 use std::net::SocketAddr;
+use std::time::Duration;
 
 impl Membership {
     /// Probes `vm` at once, because it was found unresponsive by other means.
@@ -90,9 +91,9 @@
         let mut unresponsive = Vec::new();
         let mut relay = Vec::new();
         for probe in &mut self.probes {
-            if now >= probe.sent + 2 * timeout {
+            if now >= probe.expiry(2 * timeout) {
                 unresponsive.push(probe.vm);
-            } else if !probe.relayed && now >= probe.sent + timeout {
+            } else if !probe.relayed && now >= probe.expiry(timeout) {
                 probe.relayed = true;
                 relay.push((probe.vm, probe.id));
             }
@@ -183,6 +184,7 @@
             vm,
             id,
             sent: now,
+            lateness: Duration::ZERO,
             relayed: false,
         });
     }
--- a/crates/member/src/update.rs
+++ b/crates/member/src/update.rs
@@ -58,8 +58,10 @@
     pub fn pick(&mut self, fleet: usize) -> Vec<VmId> {
         let limit = RETRANSMIT_FACTOR * (fleet + 1).ilog2().max(1);
         let mut order: Vec<usize> = (0..self.0.len()).collect();
-        order.sort_by_key(|&i| self.0[i].sent);
-        order.truncate(PIGGYBACK_MAX);
+        if order.len() > PIGGYBACK_MAX {
+            order.select_nth_unstable_by_key(PIGGYBACK_MAX, |&i| self.0[i].sent);
+            order.truncate(PIGGYBACK_MAX);
+        }
         let mut picked = Vec::with_capacity(order.len());
         for i in order {
             self.0[i].sent += 1;
--- a/crates/member/tests/swim.rs
+++ b/crates/member/tests/swim.rs
@@ -103,6 +103,46 @@
         }
     }
 
+    /// Delivers messages as [`Self::exchange`] does, but returns those to VM `late` with
+    /// their senders instead of delivering them.
+    fn exchange_except(&mut self, late: usize) -> Vec<(usize, Msg)> {
+        let mut kept = Vec::new();
+        loop {
+            let mut sent = Vec::new();
+            for from in (0..self.vms.len()).filter(|from| *from != late) {
+                for action in self.vms[from].take_actions() {
+                    if let Action::Send { to, msg } = action {
+                        sent.push((from, usize::from(to.port() - 7000), msg));
+                    }
+                }
+            }
+            if sent.is_empty() {
+                return kept;
+            }
+            for (from, to, msg) in sent {
+                if to == late {
+                    kept.push((from, msg));
+                } else if !self.down[from] && !self.down[to] {
+                    let vm = self.vms[from].profile().vm;
+                    self.vms[to].receive(self.now, vm, address(from), msg);
+                }
+            }
+        }
+    }
+
+    /// Delivers the messages that VM `from` has to send.
+    fn deliver_from(&mut self, from: usize) {
+        let vm = self.vms[from].profile().vm;
+        for action in self.vms[from].take_actions() {
+            if let Action::Send { to, msg } = action {
+                let to = usize::from(to.port() - 7000);
+                if !self.down[to] {
+                    self.vms[to].receive(self.now, vm, address(from), msg);
+                }
+            }
+        }
+    }
+
     /// Returns the number of VMs that VM `i` sees as alive, itself included.
     fn alive(&self, i: usize) -> usize {
         self.vms[i].alive().len()
@@ -298,3 +338,50 @@
             assert!((0..6).all(|i| net.alive(i) == 6), "{}", net.describe());
         });
 }
+
+#[test]
+fn tick_late_vm_does_not_suspect_peers_that_respond() {
+    let mut net = Net::new(12);
+    net.run(Duration::from_secs(3));
+    assert_eq!(net.alive(0), 12);
+    // VM 0 gets the processor only now and then. Its ticks come before it has processed
+    // the acks that have arrived meanwhile.
+    net.down[0] = true;
+    for _ in 0..40 {
+        let mut received = Vec::new();
+        for _ in 0..30 {
+            net.now += STEP;
+            for from in 1..net.vms.len() {
+                net.vms[from].tick(net.now);
+            }
+            received.extend(net.exchange_except(0));
+        }
+        net.vms[0].tick(net.now);
+        for (from, msg) in received {
+            let vm = net.vms[from].profile().vm;
+            let now = net.now;
+            net.vms[0].receive(now, vm, address(from), msg);
+        }
+        assert_eq!(net.alive(0), 12, "{}", net.describe());
+        net.deliver_from(0);
+    }
+}
+
+#[test]
+fn tick_late_vm_still_finds_a_failed_peer() {
+    let mut net = Net::new(12);
+    net.run(Duration::from_secs(3));
+    net.down[0] = true;
+    net.down[5] = true;
+    for _ in 0..60 {
+        net.now += Duration::from_millis(150);
+        net.vms[0].tick(net.now);
+        net.deliver_from(0);
+        for (from, msg) in net.exchange_except(0) {
+            let vm = net.vms[from].profile().vm;
+            let now = net.now;
+            net.vms[0].receive(now, vm, address(from), msg);
+        }
+    }
+    assert_eq!(net.health(0, 5), Some(Health::Dead), "{}", net.describe());
+}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod status;
 pub mod sync;
 pub mod view;
+pub mod view_schedule;
 
 pub use node::Node;
 pub use node::Options;
--- a/crates/node/src/shard.rs
+++ b/crates/node/src/shard.rs
@@ -148,16 +148,25 @@
         self.local.as_ref().map(|local| f(&mut lock(local)))
     }
 
-    /// Applies a change of the configuration or of the membership.
+    /// Applies a change of the configuration, and the latest view of the membership.
     pub fn update(&self, spec: Arc<ShardSpec>, view: &View, now: Time) -> Effects {
         *lock(&self.spec) = spec.clone();
         self.with_local(|local| local.set_spec(&spec));
+        let mut effects = self.update_coordinator(now, |coordinator| {
+            coordinator.set_spec(spec, now);
+        });
+        effects.add(self.update_fleet(view, now));
+        effects
+    }
+
+    /// Applies a change of the membership.
+    pub fn update_fleet(&self, view: &View, now: Time) -> Effects {
+        let spec = self.spec();
         let mut effects = self.update_follower(|side| {
             let homes = view.home_candidates(spec.domain);
             side.follower.set_fleet(&view.alive, homes, &spec, now);
         });
         effects.add(self.update_coordinator(now, |coordinator| {
-            coordinator.set_spec(spec, now);
             coordinator.set_fleet(view.fleet(), now);
         }));
         effects
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -54,6 +54,7 @@
 use crate::shard_table::ShardTable;
 use crate::specs;
 use crate::view::View;
+use crate::view_schedule::ViewSchedule;
 
 /// The shortest gap between two checks after which this VM counts as paused.
 const PAUSE_MIN: Duration = Duration::from_secs(1);
@@ -62,6 +63,9 @@
 /// The longest interval between two ticks of the followers.
 const FOLLOWER_TICK_MAX: Duration = Duration::from_millis(250);
 
+/// The most VMs that a line about a change of the membership names.
+const LOGGED_NAMES_MAX: usize = 20;
+
 /// The state that the tasks of one VM share.
 ///
 /// Fields ending in `_ms` hold times of [`Self::clock`] in milliseconds.
@@ -123,8 +127,8 @@
     pub(crate) in_force_since: RwLock<Time>,
     /// The random number that this process drew at its start.
     pub(crate) boot_id: u32,
-    /// The version of the membership ([`Membership::version`]) that `view` was made of.
-    view_version: AtomicU64,
+    /// When `view` is replaced.
+    view_schedule: Mutex<ViewSchedule>,
     /// The configuration in force.
     pub(crate) state: RwLock<Arc<State>>,
     view: RwLock<Arc<View>>,
@@ -236,7 +240,7 @@
             claims: PendingClaims::default(),
             in_force_since: RwLock::new(now),
             boot_id: parts.boot_id,
-            view_version: AtomicU64::new(0),
+            view_schedule: Mutex::default(),
             state: RwLock::default(),
             table: RwLock::default(),
             refresh_lock: Mutex::new(()),
@@ -271,14 +275,14 @@
     }
 
     /// Runs `f` on the membership, then carries out the actions that follow from it
-    /// and applies the new view if there is one.
+    /// and applies the new view if one is due.
     pub(crate) fn with_members<T>(&self, f: impl FnOnce(&mut Membership) -> T) -> T {
         let mut members = lock(&self.members);
         let result = f(&mut members);
         let actions = members.take_actions();
-        let version = members.version();
-        let changed = self.view_version.swap(version, Ordering::SeqCst) != version;
-        let view = changed.then(|| Arc::new(View::new(&members)));
+        let (version, fleet) = (members.version(), members.peers().len());
+        let due = lock(&self.view_schedule).take_due(version, fleet, self.clock.now());
+        let view = due.then(|| Arc::new(View::new(&members)));
         drop(members);
         for action in actions {
             self.run_member_action(action);
@@ -306,11 +310,20 @@
         lock(&self.remembered_keys).set_view(&view.vms, complete, self.clock.now());
         write(&self.view, view);
         let refresh_guard = lock(&self.refresh_lock);
-        let pending = self.refresh(read(&self.state));
+        let pending = self.update_fleet();
         drop(refresh_guard);
         self.run_all_effects(pending);
     }
 
+    /// Updates all shards to the latest view of the membership. The caller holds
+    /// `refresh_lock`, and runs the returned effects after it has released the lock.
+    fn update_fleet(&self) -> Vec<(Arc<ShardState>, Effects)> {
+        let now = self.clock.now();
+        let view = self.view();
+        let update = |shard: &Arc<ShardState>| (shard.clone(), shard.update_fleet(&view, now));
+        self.table().shards().iter().map(update).collect()
+    }
+
     /// Logs which VMs newly count as alive and which no longer do.
     fn log_view(&self, view: &View) {
         let old = self.view();
@@ -318,7 +331,12 @@
             let members = lock(&self.members);
             let new = from.iter().filter(|vm| except.binary_search(vm).is_err());
             let name = |vm: &VmId| members.peer(*vm).map(|peer| peer.profile.name.clone());
-            let names: Vec<String> = new.filter_map(name).collect();
+            let mut names: Vec<String> = new.filter_map(name).collect();
+            let count = names.len();
+            if count > LOGGED_NAMES_MAX {
+                names.truncate(LOGGED_NAMES_MAX);
+                names.push(format!("and {} more", count - LOGGED_NAMES_MAX));
+            }
             names.join(" ")
         };
         log::info!(
@@ -460,7 +478,10 @@
     pub(crate) async fn next_tick(&self) {
         let permit_requested = self.permit_requested.listen();
         if self.waiting_calls.load(Ordering::Relaxed) == 0 {
-            let due = lock(&self.members).due();
+            let mut due = lock(&self.members).due();
+            if let Some(view_due) = lock(&self.view_schedule).due() {
+                due = due.min(view_due);
+            }
             let delay = due.saturating_sub(self.clock.now());
             net::timeout(
                 delay.clamp(FOLLOWER_TICK, FOLLOWER_TICK_MAX),
--- a/crates/node/tests/view.rs
+++ b/crates/node/tests/view.rs
@@ -1,6 +1,13 @@
-//! Tests which VMs are eligible as homes and readers.
+//! Tests which VMs are eligible as homes and readers, and when views are replaced.
 
+use std::time::Duration;
+
+use base::Time;
 use node::view::eligible;
+use node::view_schedule::ViewSchedule;
+
+/// The size of the largest fleet in these tests.
+const LARGE_FLEET: usize = 1000;
 
 /// Gives the VMs 1 and 2 five times the capacity of the others.
 fn capacity(vm: u64) -> u32 {
@@ -21,3 +28,39 @@
     assert_eq!(eligible(&[3, 4, 5], capacity), [3, 4, 5]);
     assert_eq!(eligible(&[], capacity), [0; 0]);
 }
+
+#[test]
+fn take_due_single_change_is_applied_at_once() {
+    let now = Time::from_secs(1);
+    for fleet in [2, 30, 120, 471, LARGE_FLEET] {
+        let mut schedule = ViewSchedule::default();
+        assert!(schedule.take_due(1, fleet, now));
+        assert!(!schedule.take_due(1, fleet, now));
+        assert_eq!(schedule.due(), None);
+    }
+}
+
+#[test]
+fn take_due_many_changes_are_applied_together_and_in_time() {
+    for fleet in [2, 30, 120, 471, LARGE_FLEET] {
+        let mut schedule = ViewSchedule::default();
+        let mut now = Time::from_secs(1);
+        let end = now + Duration::from_secs(2);
+        let (mut version, mut applied, mut last) = (0, 0, now);
+        while now < end {
+            now += Duration::from_millis(1);
+            version += 1;
+            if schedule.take_due(version, fleet, now) {
+                applied += 1;
+                last = now;
+            }
+            // A home that failed has to be replaced soon, in any fleet.
+            assert!(now < last + Duration::from_millis(250), "{fleet} VMs");
+        }
+        let views_max = 2000 / fleet.min(200) + 1;
+        assert!(applied <= views_max, "{fleet} VMs: {applied} views");
+        // The last change is applied too, without a further one.
+        let due = schedule.due().unwrap_or(now);
+        assert!(schedule.take_due(version, fleet, due) || last == now);
+    }
+}
--- a/crates/route/src/ledger/servers.rs
+++ b/crates/route/src/ledger/servers.rs
@@ -305,10 +305,11 @@
         let spec = self.spec.clone();
         let old = std::mem::take(&mut self.servers);
         for server_spec in &spec.servers {
-            let kept = old.iter().find(|server| server.id == server_spec.id);
-            let mut server = kept
-                .cloned()
-                .unwrap_or_else(|| Server::new(server_spec, &spec));
+            let kept = old.binary_search_by_key(&server_spec.id, |server| server.id);
+            let mut server = match kept {
+                Ok(index) => old[index].clone(),
+                Err(_) => Server::new(server_spec, &spec),
+            };
             server.limit.set_slots(server_spec.slots);
             if server_spec.open && !server.open {
                 // The server may have been restarted while it got no calls.
@@ -325,10 +326,14 @@
             }
             self.servers.push(server);
         }
-        for index in 0..self.servers.len() {
-            let id = self.servers[index].id;
-            let permits = self.permits.list().iter();
-            self.servers[index].busy = permits.filter(|p| p.server == id).count() as u32;
+        for server in &mut self.servers {
+            server.busy = 0;
+        }
+        for permit in self.permits.list() {
+            let found = self.servers.binary_search_by_key(&permit.server, |s| s.id);
+            if let Ok(index) = found {
+                self.servers[index].busy += 1;
+            }
         }
     }
 
--- a/crates/route/src/spec.rs
+++ b/crates/route/src/spec.rs
@@ -173,12 +173,15 @@
 }
 
 impl ServerSpec {
-    /// Returns the VMs of `fleet` that may connect to the server, sorted.
+    /// Returns the VMs of `fleet`, which is sorted, that may connect to the server, sorted.
     ///
     /// If there are more VMs than the server accepts connections, only some of them
     /// may. They are chosen by rendezvous hash, so that few change when a VM joins or
     /// leaves.
     pub fn admitted_vms(&self, fleet: &[VmId]) -> Vec<VmId> {
+        if fleet.len() <= usable_connections(self.connections) {
+            return fleet.to_vec();
+        }
         let mut vms = rendezvous::top(self.id, fleet, usable_connections(self.connections));
         vms.sort_unstable();
         vms
