Send nothing to servers that say they leave or ask for quiet

Cause: a server that leaves says so in its answers, also while a VM cannot reach the store, and a server may ask for no calls in a 503 with Retry-After. Neither was read.

Change: route::notices keeps what the servers asked this VM for. A VM sends such a server nothing, whoever granted the permit: the check stands right before the send, after the wait for a connection, so attempts, retries, hedges, rescues and fallback are covered, and probes. Permit requests name these servers as to be avoided. If all servers of a service rest, calls are refused at once with the earliest time. One log line a change, a gauge servers_denied.

Found by the tests while writing: NaN as a delay became the maximum, since f64::min prefers the number.

--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -21,6 +21,7 @@
 use net::Body;
 use route::attempts::Failure;
 use route::msg::Load;
+use route::notices::Notice;
 use route::spec;
 
 use crate::dialect::Dialect;
@@ -135,6 +136,12 @@
                 return Err(FailedAttempt::new(Failure::Unsent, Some(request), detail));
             }
         };
+        if !self.ports.allows_server(self.permit.server) {
+            guard.end(Outcome::Unused);
+            self.pools.keep(conn, self.ports.now());
+            let detail = "the server leaves or asked for no calls";
+            return Err(FailedAttempt::new(Failure::Unsent, Some(request), detail));
+        }
         let Some(sender) = conn.sender() else {
             guard.end(Outcome::Unreachable);
             return Err(FailedAttempt::new(
@@ -172,6 +179,7 @@
         let (parts, incoming) = response.into_parts();
         let load = self.dialect.load(&parts.headers);
         guard.set_load(load);
+        self.note_server(&parts);
         match self.dialect.classify(self.call_id.as_ref(), &parts) {
             ResponseKind::Valid => {}
             ResponseKind::Refused => {
@@ -203,6 +211,17 @@
         })
     }
 
+    /// Records what the server asks for in its response.
+    fn note_server(&self, parts: &Parts) {
+        let server = self.permit.server;
+        if self.dialect.leaving(&parts.headers) {
+            self.ports.note_server(server, Notice::Leaving);
+        }
+        if let Some(delay) = self.dialect.rest(parts) {
+            self.ports.note_server(server, Notice::Rest(delay));
+        }
+    }
+
     /// Returns the connection of a refusal to the pool if the body arrives within
     /// [`REFUSAL_BODY_TIMEOUT`]; otherwise closes the connection, so that the call does
     /// not wait for the body.
--- a/crates/entry/src/dialect.rs
+++ b/crates/entry/src/dialect.rs
@@ -15,6 +15,7 @@
 use http::StatusCode;
 use route::msg::Load;
 use route::msg::USUAL_SLOWDOWN_PERCENT;
+use route::notices::REST_MAX;
 
 use crate::headers;
 
@@ -55,6 +56,25 @@
     /// `None` if such responses don't report it.
     fn warm(&self, fields: &HeaderMap) -> Option<bool>;
 
+    /// Returns whether a server says in a response that it leaves.
+    fn leaving(&self, fields: &HeaderMap) -> bool;
+
+    /// Returns for how long a server wants no calls, if its response asks for that.
+    ///
+    /// Status 503 with `retry-after` does, in seconds. Other forms of the field count as
+    /// missing: a date because the clocks of VMs may be wrong, and a negative number or
+    /// one that cannot be read because it says nothing.
+    fn rest(&self, response: &Parts) -> Option<Duration> {
+        if response.status != StatusCode::SERVICE_UNAVAILABLE {
+            return None;
+        }
+        let text = response.headers.get(header::RETRY_AFTER)?.to_str().ok()?;
+        let seconds: f64 = text.trim().parse().ok()?;
+        // `min` would turn a number that is none into the maximum.
+        let bounded = (!seconds.is_nan()).then(|| seconds.min(REST_MAX.as_secs_f64()))?;
+        Duration::try_from_secs_f64(bounded).ok()
+    }
+
     /// Removes the fields of a server's response that are not intended for callers.
     fn strip_server_fields(&self, fields: &mut HeaderMap);
 
@@ -109,8 +129,13 @@
         None
     }
 
+    fn leaving(&self, fields: &HeaderMap) -> bool {
+        fields.contains_key(headers::LEAVING)
+    }
+
     fn strip_server_fields(&self, fields: &mut HeaderMap) {
         fields.remove(headers::LOAD);
+        fields.remove(headers::LEAVING);
     }
 
     fn set_retry_after(&self, fields: &mut HeaderMap, delay: Duration) {
--- a/crates/entry/src/headers.rs
+++ b/crates/entry/src/headers.rs
@@ -28,6 +28,8 @@
 /// A server's load: the calls that it runs and those that it has queued, such as
 /// `busy=2, waiting=1`.
 pub const LOAD: HeaderName = HeaderName::from_static("snipepaddle-load");
+/// Present in all responses of a server that leaves.
+pub const LEAVING: HeaderName = HeaderName::from_static("snipepaddle-leaving");
 /// The caller's key for a call that must not run twice.
 pub const IDEMPOTENCY_KEY: HeaderName = HeaderName::from_static("idempotency-key");
 
--- a/crates/entry/src/ports.rs
+++ b/crates/entry/src/ports.rs
@@ -10,6 +10,7 @@
 use base::ServiceId;
 use base::ShardId;
 use base::Time;
+use conf::Service;
 use conf::State;
 use net::BoxFuture;
 use route::keys::ClaimDecision;
@@ -18,6 +19,7 @@
 use route::msg::Load;
 use route::msg::PermitRequest;
 use route::msg::RefusalReason;
+use route::notices::Notice;
 use route::AttemptId;
 
 /// The right to send one attempt to one server.
@@ -68,6 +70,20 @@
     /// reported about itself in the response.
     fn release(&self, permit: Permit, outcome: Outcome, took: Duration, load: Option<Load>);
 
+    /// Records what a server asked for in a response.
+    fn note_server(&self, server: ServerId, notice: Notice);
+
+    /// Returns whether `server` may be sent a call, as far as the server itself is
+    /// concerned. It has to be asked right before a call is sent.
+    fn allows_server(&self, server: ServerId) -> bool;
+
+    /// Returns the servers that may not be sent a call because of their notices, sorted.
+    fn denied_servers(&self) -> Vec<ServerId>;
+
+    /// Returns the delay until a server of `service` may be sent a call, if all servers
+    /// in service have asked for none; none if one may be sent a call now.
+    fn rest_left(&self, service: &Service) -> Option<Duration>;
+
     /// Returns the usual processing time of calls to `service`, if known.
     fn usual_time(&self, service: ServiceId) -> Option<Duration>;
 
--- a/crates/entry/src/proxy.rs
+++ b/crates/entry/src/proxy.rs
@@ -36,6 +36,7 @@
 use route::keys::KeyHash;
 use route::msg::AttemptKind;
 use route::msg::PermitRequest;
+use route::msg::RefusalReason;
 use smol::Timer;
 
 use crate::attempt::Attempt;
@@ -59,6 +60,7 @@
 use crate::pool::Pools;
 use crate::ports::Permit;
 use crate::ports::Ports;
+use crate::ports::Refusal;
 use crate::record;
 use crate::record::RequestSummary;
 use crate::record::ServedBy;
@@ -400,13 +402,21 @@
         kind: AttemptKind,
     ) -> Result<Granted, AttemptError> {
         let began = self.ports.now();
+        if let Some(retry_after) = self.ports.rest_left(call.service) {
+            return Err(AttemptError::Refused(Refusal {
+                reason: RefusalReason::NoServer,
+                retry_after,
+            }));
+        }
+        let mut avoid = call.tried.clone();
+        avoid.extend(self.ports.denied_servers());
         let permit_request = PermitRequest {
             class: call.rule.class,
             left: self.time_left(call),
             goal: call.target_time.saturating_sub(self.ports.now()),
             late_wait: call.rule.target.mul_f64(LATE_WAIT_SHARE),
             kind,
-            avoid: call.tried.clone(),
+            avoid,
             domain: self.identity.domain,
         };
         let span = self
--- a/crates/node/src/gauges.rs
+++ b/crates/node/src/gauges.rs
@@ -40,6 +40,13 @@
         "Restores of the registry from a copy that were noticed",
         |s| s.registry_restores.load(Ordering::Relaxed),
     );
+    gauge(
+        &meter,
+        &weak,
+        "servers_denied",
+        "Servers that leave or asked this VM for no calls",
+        |s| s.denied_servers().len() as u64,
+    );
     gauge(
         &meter,
         &weak,
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -7,9 +7,11 @@
 use std::time::Duration;
 
 use base::ServerId;
+use entry::Ports;
 use http::Request;
 use route::msg::Load;
 use route::msg::ProbeResult;
+use route::notices::Notice;
 use route::spec;
 use smol::net::TcpListener;
 use smol::net::TcpStream;
@@ -140,7 +142,13 @@
         };
         let shard = shard.clone();
         self.handle.spawn_detached(async move {
-            let result = probe.run(&shared).await;
+            // A probe of a server that wants no calls fails without being sent.
+            let allowed = shared.allows_server(server);
+            let result = if allowed {
+                probe.run(&shared).await
+            } else {
+                ProbeResult::default()
+            };
             let now = shared.clock.now();
             let effects = shard.record_probe(server, result, now);
             shared.run_effects(&shard, effects);
@@ -191,6 +199,12 @@
             waiting: 0,
             slowdown_percent: route::msg::USUAL_SLOWDOWN_PERCENT,
         };
+        if shared.dialect.leaving(&parts.headers) {
+            shared.note_server(self.id, Notice::Leaving);
+        }
+        if let Some(delay) = shared.dialect.rest(&parts) {
+            shared.note_server(self.id, Notice::Rest(delay));
+        }
         let load = shared.dialect.load(&parts.headers);
         parts.status.is_success().then(|| ProbeResult {
             ok: true,
--- a/crates/node/src/ports.rs
+++ b/crates/node/src/ports.rs
@@ -6,9 +6,11 @@
 use std::time::Duration;
 
 use base::Outcome;
+use base::ServerId;
 use base::ServiceId;
 use base::Time;
 use conf::settings::Policy;
+use conf::Service;
 use conf::State;
 use entry::Permit;
 use entry::Ports;
@@ -22,6 +24,7 @@
 use route::msg::PermitRequest;
 use route::msg::RefusalReason;
 use route::msg::Release;
+use route::notices::Notice;
 use route::shards;
 use route::shards::ShardCapacity;
 use route::AttemptId;
@@ -59,6 +62,23 @@
 }
 
 impl Shared {
+    fn log_notice(&self, server: ServerId, notice: Notice) {
+        let state = read(&self.state);
+        let services = state.services.iter();
+        let found = services.filter_map(|service| state.server(service.id(), server));
+        let name = found.map(|server| server.name.clone()).next();
+        let rest = match notice {
+            Notice::Leaving => None,
+            Notice::Rest(delay) => Some(delay.as_millis() as u64),
+        };
+        log::info!(
+            server = name.unwrap_or_else(|| format!("{server:x}")),
+            leaves = rest.is_none(),
+            rest_ms = rest.unwrap_or(0);
+            "server: asked for no further calls"
+        );
+    }
+
     /// Returns the shard to which a call of `service` should go; none if the service
     /// has no shard.
     fn choose_shard(&self, service: ServiceId, request: &PermitRequest) -> Option<Arc<ShardState>> {
@@ -208,6 +228,33 @@
         self.run_effects(shard, effects);
     }
 
+    fn note_server(&self, server: ServerId, notice: Notice) {
+        let changed = lock(&self.notices).record(server, notice, self.clock.now());
+        if changed {
+            self.log_notice(server, notice);
+        }
+    }
+
+    fn allows_server(&self, server: ServerId) -> bool {
+        lock(&self.notices).allows(server, self.clock.now())
+    }
+
+    fn denied_servers(&self) -> Vec<ServerId> {
+        lock(&self.notices).denied(self.clock.now())
+    }
+
+    fn rest_left(&self, service: &Service) -> Option<Duration> {
+        let now = self.clock.now();
+        if lock(&self.notices).denied(now).is_empty() {
+            return None;
+        }
+        let state = read(&self.state);
+        let servers = service.servers.iter();
+        let open = servers.filter(|server| state.accepts_calls(server));
+        let ids = open.map(|server| server.id(&service.name));
+        lock(&self.notices).delay(ids, NO_SERVER_RETRY_AFTER, now)
+    }
+
     fn usual_time(&self, service: ServiceId) -> Option<Duration> {
         let now = self.clock.now();
         let table = self.table();
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -40,6 +40,7 @@
 use plat::Store;
 use route::keys::ClaimTable;
 use route::msg::Body;
+use route::notices::Notices;
 use route::policy;
 use route::policy::LocalPolicy;
 use route::ShardSpec;
@@ -139,6 +140,8 @@
     pub(crate) state: RwLock<Arc<State>>,
     view: RwLock<Arc<View>>,
     table: RwLock<Arc<ShardTable>>,
+    /// What servers asked this VM for.
+    pub(crate) notices: Mutex<Notices>,
     /// Serializes changes of `state` and `table`.
     pub(crate) refresh_lock: Mutex<()>,
     /// The idempotency keys that this VM remembers as an owner.
@@ -252,6 +255,7 @@
             view_schedule: Mutex::default(),
             state: RwLock::default(),
             table: RwLock::default(),
+            notices: Mutex::default(),
             refresh_lock: Mutex::new(()),
             remembered_keys: Mutex::new(remembered_keys),
             last_active_ms: AtomicU64::new(now.as_millis() as u64),
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod ledger;
 pub mod limit;
 pub mod msg;
+pub mod notices;
 pub mod permits;
 pub mod policy;
 pub mod queue;
