Read the registry at a start by the seeds first

Ruled out: readers reading twice (each VM lists each topic once).

Change: the seeds read at once. Other VMs wait 600 ms for a catalog from a peer, then about eight VMs of the fleet begin to read, twice as many each 300 ms. Neither depends on the size of the fleet. The delay at the first start of a deployment is not needed any more.

--- a/crates/node/src/readers.rs
+++ b/crates/node/src/readers.rs
@@ -26,21 +26,40 @@
 /// The span over which VMs with a stale catalog begin to read, for each VM of the
 /// fleet. The VMs that begin late find that others have read meanwhile.
 const STALE_SPREAD_PER_VM: Duration = Duration::from_millis(20);
-/// The shortest span over which VMs that restart together begin to read.
-const START_SPREAD_MIN: Duration = Duration::from_millis(300);
-/// The span over which VMs that restart together begin to read, for each VM that is
-/// known. Most VMs get the catalog from a peer before their turn.
-const START_SPREAD_PER_VM: Duration = Duration::from_millis(8);
-/// The delay before the first read when a deployment starts for the first time. In it
-/// the VMs discover each other, so that only [`READERS`] of them read. It delays no
-/// caller, as callers come long after the first start.
-const FIRST_START_DELAY: Duration = Duration::from_secs(1);
+/// How long a VM that has just started waits for the catalog from a peer before it may
+/// read itself.
+const START_WAIT: Duration = Duration::from_millis(600);
+/// About how many VMs begin to read after [`START_WAIT`] if no VM has the catalog.
+const START_READERS: f64 = 8.0;
+/// The time in which the number of VMs doubles that read because they have no catalog.
+const START_DOUBLING: Duration = Duration::from_millis(300);
+/// The least size of the fleet that a VM assumes, since it knows few peers at its start.
+const START_FLEET_MIN: u32 = 64;
 /// The shortest delay after which a VM that does not read checks whether it should.
 const CHECK_DELAY_MIN: Duration = Duration::from_millis(50);
 /// The longest delay after which a VM that does not read checks whether it should. A VM
 /// that has become a reader begins to read within this time.
 const CHECK_DELAY_MAX: Duration = Duration::from_millis(500);
 
+/// Decides whether a VM without a catalog reads the registry, `up` after its start.
+///
+/// The load that this answers is a fleet that starts as a whole: read by each VM, the
+/// lists of a large fleet would cost thousands of calls. The seeds, which all VMs know,
+/// read at once; the others get the catalog through them. In case the seeds are down, the
+/// others begin to read after a fixed time, few at first. `position`, from 0 to 1, says
+/// which ones. Neither the wait nor the number of VMs that begin grows with the fleet.
+pub fn reads_at_start(is_seed: bool, position: f64, fleet: u32, up: Duration) -> bool {
+    if is_seed {
+        return true;
+    }
+    let Some(waited) = up.checked_sub(START_WAIT) else {
+        return false;
+    };
+    let doublings = waited.as_secs_f64() / START_DOUBLING.as_secs_f64();
+    let share = START_READERS / f64::from(fleet.max(START_FLEET_MIN));
+    position < share * doublings.exp2()
+}
+
 impl Shared {
     /// Returns how long ago this VM's catalog was last found to be up to date, in
     /// milliseconds.
@@ -98,15 +117,14 @@
     /// Returns whether this VM should read now.
     pub(crate) fn should_read(&self) -> bool {
         let now = self.clock.now();
-        if self.settings.first && now < FIRST_START_DELAY {
-            return false;
-        }
-        let spread = START_SPREAD_MIN.max(START_SPREAD_PER_VM * self.fleet_size());
-        if now < spread {
-            // During the spread after a start, too little of the membership is known
-            // to choose readers.
-            let start = spread.mul_f64(self.spread_position());
-            return now >= start && !lock(&self.catalog).is_populated();
+        if !lock(&self.catalog).is_populated() {
+            // Too little of the membership is known to choose readers.
+            let is_seed = self
+                .settings
+                .peers
+                .seeds
+                .contains(&self.settings.peers.listen);
+            return reads_at_start(is_seed, self.spread_position(), self.fleet_size(), now);
         }
         if self.readers().contains(&self.self_id) {
             return true;
