--- a/crates/conf/src/settings.rs
+++ b/crates/conf/src/settings.rs
@@ -311,11 +311,6 @@
     /// service sets.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub second_attempts: Option<SecondAttempts>,
-    /// Whether the whole deployment starts for the first time. The VM then waits for a
-    /// moment to discover the other VMs before it reads the service registry, so
-    /// that only a few VMs read it.
-    #[serde(default)]
-    pub first: bool,
     /// How long the VM continues to accept calls after it reports that it is not
     /// ready, so that the load balancer in front of it notices.
     #[serde_as(as = "Span")]
--- a/crates/load/src/fleet.rs
+++ b/crates/load/src/fleet.rs
@@ -415,7 +415,6 @@
         watch: None,
         second_attempts: None,
         capacity: Capacity::default(),
-        first: false,
         notice: Duration::from_millis(500),
         forget: Duration::from_secs(3600),
         policy: options.policy,
