Buffer uploads within a budget, so that refused ones are sent again

Cause: bodies over 64 KiB were streamed, so an upload that a server refused without running it could not be sent to another one, and a slow caller held a slot of a server for as long as it sent.

Change: bodies up to 512 KiB, with a length or in chunks, are read before a permit is requested. callers.buffer bounds and a gauge counts the memory of all of them; what does not fit is streamed.

Tests: an upload that the first server refuses arrives whole at the second one; over the budget, and in chunks with and without budget, bodies arrive whole.

--- a/crates/conf/src/settings.rs
+++ b/crates/conf/src/settings.rs
@@ -60,6 +60,11 @@
     #[serde_as(as = "Size")]
     #[serde(default = "body_size")]
     pub body: usize,
+    /// The memory for request bodies that are read before they are sent on, in bytes.
+    /// Bodies that do not fit are forwarded while they are received.
+    #[serde_as(as = "Size")]
+    #[serde(default = "buffer_size")]
+    pub buffer: usize,
     /// The time limit for the TLS handshake and for a caller to send a request head.
     #[serde_as(as = "Span")]
     #[serde(default = "patience")]
@@ -89,6 +94,10 @@
     16 << 20
 }
 
+fn buffer_size() -> usize {
+    16 << 20
+}
+
 fn patience() -> Duration {
     Duration::from_secs(10)
 }
--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -31,13 +31,11 @@
 use crate::pool::Pools;
 use crate::ports::Permit;
 use crate::ports::Ports;
-use crate::request::BUFFERED_MAX_BYTES;
 use crate::tracked_body::Completion;
 
 /// The largest response that is read completely before its head is forwarded, so that
-/// the call can be retried if the response is truncated. Buffered request bodies have the
-/// same limit, see [`crate::request`].
-const BUFFERED_RESPONSE_MAX_BYTES: usize = BUFFERED_MAX_BYTES;
+/// the call can be retried if the response is truncated.
+const BUFFERED_RESPONSE_MAX_BYTES: usize = 64 << 10;
 /// The time limit for the body of a refusal, which servers send together with its head.
 const REFUSAL_BODY_TIMEOUT: Duration = Duration::from_millis(20);
 
--- a/crates/entry/src/proxy.rs
+++ b/crates/entry/src/proxy.rs
@@ -43,6 +43,7 @@
 use crate::attempt::FailedAttempt;
 use crate::attempt::ResponseBody;
 use crate::attempt::ServerResponse;
+use crate::body_budget::BodyBudget;
 use crate::call::failure_response;
 use crate::call::log_attempt;
 use crate::call::log_call;
@@ -91,6 +92,8 @@
     pub domain: DomainId,
     /// The limit of request bodies in bytes; the configuration may set a lower one.
     pub max_body: usize,
+    /// The memory for buffered request bodies.
+    pub bodies: BodyBudget,
 }
 
 /// Forwards the calls that one VM receives to backend servers.
@@ -253,7 +256,7 @@
         });
         let key = idempotency_key(service, &rule, request.headers());
         let (parts, incoming) = request.into_parts();
-        let reading = OutgoingRequest::new(parts, incoming, peer, max_body);
+        let reading = OutgoingRequest::new(parts, incoming, peer, max_body, &self.identity.bodies);
         let outgoing = net::timeout(limit, reading).await.unwrap_or_else(|| {
             Err(LocalResponse::not_run(
                 StatusCode::REQUEST_TIMEOUT,
--- a/crates/entry/src/request.rs
+++ b/crates/entry/src/request.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 
 use bytes::Bytes;
+use bytes::BytesMut;
 use http::header;
 use http::header::HeaderName;
 use http::request::Parts;
@@ -12,17 +13,21 @@
 use http::Request;
 use http::StatusCode;
 use http::Uri;
+use http_body_util::BodyExt;
 use http_body_util::Limited;
 use net::body;
 use net::body::BoxError;
 use net::Body;
 
+use crate::body_budget::BodyBudget;
+use crate::body_budget::Reservation;
 use crate::headers;
 use crate::local_response::LocalResponse;
 
 /// The largest request body that is buffered: it is read completely before a permit is
-/// requested, and kept for further attempts.
-pub const BUFFERED_MAX_BYTES: usize = 64 << 10;
+/// requested, and kept for further attempts. Larger ones are streamed, and so are those
+/// that do not fit the VM's budget.
+pub const BUFFERED_MAX_BYTES: usize = 512 << 10;
 
 const FORWARDED_FOR: HeaderName = HeaderName::from_static("x-forwarded-for");
 
@@ -39,7 +44,11 @@
 
 enum RequestBody {
     /// A complete body, which can be sent again.
-    Buffered(Bytes),
+    Buffered {
+        bytes: Bytes,
+        /// Returns the memory to the budget with the body.
+        _memory: Reservation,
+    },
     /// A body that is forwarded while it is received; `None` once an attempt has taken
     /// the body.
     Streamed(Option<Body>),
@@ -57,7 +66,7 @@
     /// Creates the request to servers from the parts of a caller's request.
     ///
     /// `peer` is the caller's address, and `max_body` the limit of the body in bytes. A
-    /// body whose known length is at most [`BUFFERED_MAX_BYTES`] is read here, before a
+    /// body of at most [`BUFFERED_MAX_BYTES`] is read here if `budget` allows it, before a
     /// permit is requested, so that a slow caller does not occupy a slot of a server.
     ///
     /// # Errors
@@ -69,6 +78,7 @@
         incoming: impl CallBody,
         peer: SocketAddr,
         max_body: usize,
+        budget: &BodyBudget,
     ) -> Result<Self, LocalResponse> {
         let mut fields = parts.headers;
         headers::strip_hop_by_hop(&mut fields);
@@ -82,7 +92,7 @@
         }
         let path = parts.uri.path_and_query().map_or("/", |path| path.as_str());
         let uri = path.parse().map_err(|_| bad_path())?;
-        let body = read_body(incoming, max_body).await?;
+        let body = read_body(incoming, max_body, budget).await?;
         Ok(Self {
             method: parts.method,
             uri,
@@ -93,15 +103,15 @@
 
     /// Returns whether the request can be sent again after some of it has been sent.
     pub fn is_repeatable(&self) -> bool {
-        matches!(self.body, RequestBody::Buffered(_))
+        matches!(self.body, RequestBody::Buffered { .. })
     }
 
     /// Builds the request for one attempt; `None` if an earlier attempt has taken the
     /// streamed body.
     pub fn build(&mut self) -> Option<Request<Body>> {
         let attempt_body = match &mut self.body {
-            RequestBody::Buffered(bytes) if bytes.is_empty() => body::empty(),
-            RequestBody::Buffered(bytes) => body::full(bytes.clone()),
+            RequestBody::Buffered { bytes, .. } if bytes.is_empty() => body::empty(),
+            RequestBody::Buffered { bytes, .. } => body::full(bytes.clone()),
             RequestBody::Streamed(body) => body.take()?,
         };
         let mut request = Request::new(attempt_body);
@@ -135,33 +145,59 @@
     )
 }
 
-/// Reads a small body completely, and wraps a larger one or one of unknown length into a
-/// stream limited to `max_body` bytes.
-async fn read_body(incoming: impl CallBody, max_body: usize) -> Result<RequestBody, LocalResponse> {
+/// Reads a small body completely, and wraps a larger one into a stream limited to
+/// `max_body` bytes. What of a larger one has been read becomes the start of the stream.
+async fn read_body(
+    mut incoming: impl CallBody,
+    max_body: usize,
+    budget: &BodyBudget,
+) -> Result<RequestBody, LocalResponse> {
     let hint = incoming.size_hint();
     if hint.lower() > max_body as u64 {
         return Err(too_large(max_body));
     }
-    let small = hint
-        .upper()
-        .is_some_and(|upper| upper <= BUFFERED_MAX_BYTES as u64);
-    if !small {
+    let mut reservation = budget.empty();
+    if incoming.is_end_stream() {
+        return Ok(RequestBody::Buffered {
+            bytes: Bytes::new(),
+            _memory: reservation,
+        });
+    }
+    let max_buffered = BUFFERED_MAX_BYTES.min(max_body);
+    let known = usize::try_from(hint.lower()).unwrap_or(usize::MAX);
+    if known > max_buffered || !budget.grow(&mut reservation, known) {
         let limited = Limited::new(incoming, max_body);
         return Ok(RequestBody::Streamed(Some(body::boxed(limited))));
     }
-    if incoming.is_end_stream() {
-        return Ok(RequestBody::Buffered(Bytes::new()));
+    let mut buffered = BytesMut::with_capacity(known);
+    let mut reserved = known;
+    while let Some(frame) = incoming.frame().await {
+        let frame = frame.map_err(|_| cut_body())?;
+        let Ok(data) = frame.into_data() else {
+            continue;
+        };
+        buffered.extend_from_slice(&data);
+        let more = buffered.len().saturating_sub(reserved);
+        if buffered.len() > max_buffered || !budget.grow(&mut reservation, more) {
+            let left = max_body.saturating_sub(buffered.len());
+            let rest = Limited::new(incoming, left);
+            let streamed = body::prefixed(buffered.freeze(), rest);
+            return Ok(RequestBody::Streamed(Some(streamed)));
+        }
+        reserved += more;
     }
-    let bytes = body::collect(incoming, BUFFERED_MAX_BYTES)
-        .await
-        .map_err(|_| {
-            LocalResponse::not_run(
-                StatusCode::BAD_REQUEST,
-                "cut-body",
-                "the body ended before its end; send it whole",
-            )
-        })?;
-    Ok(RequestBody::Buffered(bytes))
+    Ok(RequestBody::Buffered {
+        bytes: buffered.freeze(),
+        _memory: reservation,
+    })
+}
+
+fn cut_body() -> LocalResponse {
+    LocalResponse::not_run(
+        StatusCode::BAD_REQUEST,
+        "cut-body",
+        "the body ended before its end; send it whole",
+    )
 }
 
 /// Appends the caller's IP address to `x-forwarded-for`.
--- a/crates/load/src/fleet.rs
+++ b/crates/load/src/fleet.rs
@@ -393,6 +393,7 @@
             listen: vec![any],
             connections: 10_000,
             head: 16 << 10,
+            buffer: 16 << 20,
             body: 16 << 20,
             patience: Duration::from_secs(10),
             half_close: true,
--- a/crates/load/tests/calls.rs
+++ b/crates/load/tests/calls.rs
@@ -45,6 +45,31 @@
     let _ = stream.write_all(answer.as_bytes());
 }
 
+/// Responds with the length of the request's body.
+fn echo_length(stream: &mut TcpStream, message: &str) {
+    let (_, body) = message.split_once("\r\n\r\n").unwrap_or_default();
+    respond_length(stream, body.len());
+}
+
+/// Responds with the length of the request's body, which may come in chunks.
+fn echo_chunks(stream: &mut TcpStream, message: &str) {
+    if contains(message, "content-length") {
+        return echo_length(stream, message);
+    }
+    let mut body = Vec::new();
+    let mut byte = [0];
+    while !body.ends_with(b"0\r\n\r\n") && stream.read_exact(&mut byte).is_ok() {
+        body.push(byte[0]);
+    }
+    respond_length(stream, body.iter().filter(|byte| **byte == b'x').count());
+}
+
+fn respond_length(stream: &mut TcpStream, length: usize) {
+    let text = length.to_string();
+    let head = format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n", text.len());
+    let _ = stream.write_all((head + &text).as_bytes());
+}
+
 fn send_trailers(stream: &mut TcpStream, _head: &str) {
     let _ = stream.write_all(
         b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\ntrailer: x-sum\r\n\r\n\
@@ -364,6 +389,55 @@
     assert!(answer.ends_with(&body), "{} bytes came back", answer.len());
 }
 
+#[test]
+fn call_upload_refused_by_one_server_is_sent_whole_to_another() {
+    static REFUSED: AtomicBool = AtomicBool::new(false);
+    let refuse_first = |stream: &mut TcpStream, message: &str| {
+        if REFUSED.swap(true, Ordering::SeqCst) {
+            echo_length(stream, message);
+        } else {
+            refuse_call(stream, message);
+        }
+    };
+    let servers = [Scripted::new(refuse_first), Scripted::new(refuse_first)];
+    let addresses = servers.each_ref().map(|server| server.address);
+    let harness = Harness::new(&addresses);
+    let body = "x".repeat(200_000);
+    let answer = harness.call("POST", "/upload", "", &body);
+    assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+    assert!(answer.ends_with("\r\n\r\n200000"), "{answer}");
+    assert_eq!(servers.each_ref().map(Scripted::count), [1, 1]);
+}
+
+#[test]
+fn call_upload_over_the_budget_is_streamed() {
+    let server = Scripted::new(echo_length);
+    let harness = Harness::with_settings(&[server.address], |settings| {
+        settings.callers.buffer = 1000;
+    });
+    let body = "x".repeat(200_000);
+    let answer = harness.call("POST", "/upload", "", &body);
+    assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+    assert!(answer.ends_with("\r\n\r\n200000"), "{answer}");
+}
+
+#[test]
+fn call_upload_in_chunks_arrives_whole() {
+    let server = Scripted::new(echo_chunks);
+    for buffer in [16 << 20, 1000] {
+        let harness = Harness::with_settings(&[server.address], |settings| {
+            settings.callers.buffer = buffer;
+        });
+        let chunk = format!("3e8\r\n{}\r\n", "x".repeat(1000)).repeat(100);
+        let request = format!(
+            "POST /upload HTTP/1.1\r\nhost: s\r\nconnection: close\r\n\
+             transfer-encoding: chunked\r\n\r\n{chunk}0\r\n\r\n"
+        );
+        let answer = harness.raw(request.as_bytes());
+        assert!(answer.ends_with("\r\n\r\n100000"), "{answer}");
+    }
+}
+
 #[test]
 fn call_unknown_service_is_not_found() {
     let server = Scripted::new(respond_whole);
--- a/crates/net/src/body.rs
+++ b/crates/net/src/body.rs
@@ -2,9 +2,11 @@
 
 use bytes::Bytes;
 use futures_lite::stream;
+use futures_lite::StreamExt;
 use http::HeaderMap;
 use http_body_util::combinators::BoxBody;
 use http_body_util::BodyExt;
+use http_body_util::BodyStream;
 use http_body_util::Empty;
 use http_body_util::Full;
 use http_body_util::Limited;
@@ -38,6 +40,17 @@
     )))
 }
 
+/// Returns a body that consists of `prefix`, followed by `rest`.
+pub fn prefixed<B>(prefix: Bytes, rest: B) -> Body
+where
+    B: hyper::body::Body<Data = Bytes> + Send + Sync + Unpin + 'static,
+    B::Error: Into<BoxError>,
+{
+    let first = stream::once(Ok(Frame::data(prefix)));
+    let rest = BodyStream::new(rest.map_err(Into::into));
+    boxed(StreamBody::new(first.chain(rest)))
+}
+
 /// Boxes `body` to erase its type.
 pub fn boxed<B>(body: B) -> Body
 where
--- a/crates/node/src/gauges.rs
+++ b/crates/node/src/gauges.rs
@@ -40,6 +40,13 @@
         "Restores of the registry from a copy that were noticed",
         |s| s.registry_restores.load(Ordering::Relaxed),
     );
+    gauge(
+        &meter,
+        &weak,
+        "body_bytes",
+        "Bytes of request bodies that are buffered",
+        |s| s.bodies.used() as u64,
+    );
     gauge(
         &meter,
         &weak,
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -274,6 +274,7 @@
                 .context("vm cannot be sent as a header value")?,
             domain: shared.settings.domain_id(),
             max_body: callers.body,
+            bodies: shared.bodies.clone(),
         };
         let proxy = Proxy::new(
             ports,
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -27,6 +27,7 @@
 use conf::Registry;
 use conf::Settings;
 use conf::State;
+use entry::body_budget::BodyBudget;
 use entry::Dialect;
 use entry::Pools;
 use event_listener::Event;
@@ -140,6 +141,8 @@
     pub(crate) state: RwLock<Arc<State>>,
     view: RwLock<Arc<View>>,
     table: RwLock<Arc<ShardTable>>,
+    /// The memory for buffered request bodies.
+    pub(crate) bodies: BodyBudget,
     /// What servers asked this VM for.
     pub(crate) notices: Mutex<Notices>,
     /// Serializes changes of `state` and `table`.
@@ -211,6 +214,7 @@
     pub fn new(parts: Parts) -> Self {
         let now = parts.clock.now();
         let self_id = parts.settings.vm_id();
+        let buffer = parts.settings.callers.buffer;
         let view = View::new(&parts.members);
         let mut remembered_keys = ClaimTable::new(self_id, now);
         remembered_keys.set_view(&view.vms, view.undiscovered == 0, now);
@@ -255,6 +259,7 @@
             view_schedule: Mutex::default(),
             state: RwLock::default(),
             table: RwLock::default(),
+            bodies: BodyBudget::new(buffer),
             notices: Mutex::default(),
             refresh_lock: Mutex::new(()),
             remembered_keys: Mutex::new(remembered_keys),
