--- a/crates/cli/src/cmd/status.rs
+++ b/crates/cli/src/cmd/status.rs
@@ -48,6 +48,9 @@
                 ""
             }
         );
+        if registry.restores > 0 {
+            println!("the store was restored {} times", registry.restores);
+        }
     }
     if status.pauses > 0 {
         println!("this VM was paused {} times", status.pauses);
