--- a/crates/route/src/ledger/grants.rs
+++ b/crates/route/src/ledger/grants.rs
@@ -19,6 +19,7 @@
 use super::PERMIT_GRACE;
 use super::RETRY_AFTER_MIN;
 use crate::msg::AttemptId;
+use crate::msg::AttemptKind;
 use crate::msg::RefusalReason;
 use crate::msg::Warmth;
 use crate::permits::Permit;
@@ -30,6 +31,12 @@
         let left = waiter.deadline.saturating_sub(now);
         self.add_permit(waiter.vm, waiter.call, server, left, now);
         self.counts.granted += 1;
+        if waiter.request.kind == AttemptKind::First {
+            // A call that one shard refuses asks another one, so a request that is not
+            // granted must not count, or the call would raise the budget twice.
+            self.retry_budget.record_first(now);
+            self.hedge_budget.record_first(now);
+        }
         let choice = &self.servers[index];
         self.decisions.push(Decision::Granted {
             vm: waiter.vm,
--- a/crates/route/src/ledger/mod.rs
+++ b/crates/route/src/ledger/mod.rs
@@ -385,10 +385,6 @@
             self.send_queued(from, call);
             return;
         }
-        if request.kind == AttemptKind::First {
-            self.retry_budget.record_first(now);
-            self.hedge_budget.record_first(now);
-        }
         let uses_retry_budget = matches!(request.kind, AttemptKind::Retry | AttemptKind::Rescue);
         if uses_retry_budget && !self.retry_budget.try_spend(now) {
             self.refuse(from, call, RefusalReason::Budget, BUDGET_RETRY_AFTER);
--- a/crates/route/tests/load.rs
+++ b/crates/route/tests/load.rs
@@ -19,6 +19,7 @@
 use route::msg::Load;
 use route::msg::PermitRequest;
 use route::msg::ProbeResult;
+use route::msg::RefusalReason;
 use route::msg::Release;
 use route::spec::Announcement;
 use route::spec::ServerSpec;
@@ -530,3 +531,52 @@
         );
     }
 }
+
+/// Load: a burst of many times what the servers can run, whose refused calls ask other
+/// shards too. Second attempts have to stay within the budget of the calls that got a
+/// permit: a call that two shards count would raise the budget of the service twice.
+#[test]
+fn refused_calls_do_not_raise_the_budget_of_retries() {
+    let spec = ShardSpec {
+        retry_percent: 10,
+        retry_slack: 5,
+        ..spec(4, 2, Announcement::Warm)
+    };
+    let mut sim = Sim::new(spec, 0.0);
+    sim.run(Duration::from_secs(4), 800.0);
+    let granted = sim.granted.len() as u32;
+    assert!(sim.counts.refused > 4 * granted, "{:?}", sim.counts);
+    let mut allowed = 0;
+    for _ in 0..2000 {
+        sim.last_id += 1;
+        let request = PermitRequest {
+            class: base::Class::Interactive,
+            left: Duration::from_millis(1200),
+            goal: Duration::ZERO,
+            late_wait: Duration::ZERO,
+            kind: AttemptKind::Retry,
+            avoid: Vec::new(),
+            domain: 0,
+        };
+        let epoch = sim.ledger.epoch();
+        let body = Body::Acquire {
+            epoch,
+            call: sim.last_id,
+            ask: request,
+        };
+        sim.ledger.receive(VM, body, sim.now);
+        for action in sim.ledger.take_actions() {
+            if let Action::Send(envelope) = action {
+                let spent = match envelope.msg.body {
+                    Body::Refuse { reason, .. } => reason != RefusalReason::Budget,
+                    Body::Grant { .. } | Body::Queued { .. } => true,
+                    _ => false,
+                };
+                allowed += u32::from(spent);
+            }
+        }
+    }
+    assert!(allowed > 0);
+    let most = granted / 10 + 5;
+    assert!(allowed <= most, "{allowed} of at most {most}");
+}
