Name the server and the domain where a call may have run

Change: these responses and the line name the server of the last attempt that may have run. A refusal, which says that the call was not run, names none.

--- a/crates/entry/src/call.rs
+++ b/crates/entry/src/call.rs
@@ -2,6 +2,9 @@
 
 use std::sync::atomic::AtomicU32;
 use std::sync::atomic::Ordering;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
 use std::time::Duration;
 
 use base::ServerId;
@@ -42,6 +45,8 @@
     pub(crate) tried: Vec<ServerId>,
     /// The number of attempts that may have run, including those in progress.
     pub(crate) sends: AtomicU32,
+    /// The server of the last attempt that failed and may have run.
+    pub(crate) may_have_run: Mutex<Option<ServedBy>>,
 }
 
 /// A server's response to a call.
@@ -70,6 +75,22 @@
 }
 
 impl Call<'_> {
+    /// Records that the attempt at `server` failed and may have run.
+    pub(crate) fn set_may_have_run(&self, server: ServedBy) {
+        *self.lock_may_have_run() = Some(server);
+    }
+
+    /// Returns the server of the last attempt that failed and may have run.
+    pub(crate) fn take_may_have_run(&self) -> Option<ServedBy> {
+        self.lock_may_have_run().take()
+    }
+
+    fn lock_may_have_run(&self) -> MutexGuard<'_, Option<ServedBy>> {
+        self.may_have_run
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Returns whether the call may be sent to another server under its rule's limit of
     /// attempts.
     pub(crate) fn may_send(&self) -> bool {
@@ -159,9 +180,14 @@
 /// its call, and in how many attempts.
 pub(crate) fn set_served_fields(fields: &mut HeaderMap, vm: &HeaderValue, served_by: &ServedBy) {
     fields.insert(headers::VM, vm.clone());
-    fields.insert(headers::ATTEMPTS, served_by.attempts.into());
     let disposition = HeaderValue::from_static(Disposition::Served.name());
     fields.insert(headers::OUTCOME, disposition);
+    set_server_fields(fields, served_by);
+}
+
+/// Sets the fields that name a server, its failure domain, and the number of attempts.
+pub(crate) fn set_server_fields(fields: &mut HeaderMap, served_by: &ServedBy) {
+    fields.insert(headers::ATTEMPTS, served_by.attempts.into());
     if let Ok(domain) = HeaderValue::from_str(&served_by.domain) {
         fields.insert(headers::DOMAIN, domain);
     }
--- a/crates/entry/src/local_response.rs
+++ b/crates/entry/src/local_response.rs
@@ -9,8 +9,10 @@
 use net::body;
 use net::Body;
 
+use crate::call::set_server_fields;
 use crate::dialect::Dialect;
 use crate::headers;
+use crate::record::ServedBy;
 
 /// What became of a call, as reported to the caller.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -51,6 +53,9 @@
     /// How long the caller should wait before it sends the call again; `None` if
     /// no delay is recommended.
     pub retry_after: Option<Duration>,
+    /// The server that may have run the call; `None` if none may have, or if it is not
+    /// known.
+    pub may_have_run: Option<ServedBy>,
 }
 
 /// The body of a [`LocalResponse`]: a problem document (RFC 9457).
@@ -71,6 +76,7 @@
             reason,
             detail: detail.into(),
             retry_after: None,
+            may_have_run: None,
         }
     }
 
@@ -88,6 +94,15 @@
         self
     }
 
+    /// Sets the server that may have run the call. A response that says that the call was
+    /// not run names no server.
+    pub fn with_may_have_run(mut self, server: Option<ServedBy>) -> Self {
+        if self.disposition == Disposition::Unknown {
+            self.may_have_run = server;
+        }
+        self
+    }
+
     /// Converts this into an HTTP response that names the entry VM `vm`. `dialect` sets
     /// the header fields for the retry delay.
     pub fn into_response(self, vm: &HeaderValue, dialect: &dyn Dialect) -> Response<Body> {
@@ -111,6 +126,9 @@
             HeaderValue::from_static(self.disposition.name()),
         );
         fields.insert(headers::REASON, HeaderValue::from_static(self.reason));
+        if let Some(server) = &self.may_have_run {
+            set_server_fields(fields, server);
+        }
         if let Some(delay) = self.retry_after {
             dialect.set_retry_after(fields, delay);
         }
--- a/crates/entry/src/proxy.rs
+++ b/crates/entry/src/proxy.rs
@@ -5,6 +5,7 @@
 use std::sync::atomic::AtomicU32;
 use std::sync::atomic::Ordering;
 use std::sync::Arc;
+use std::sync::Mutex;
 use std::time::Duration;
 
 use base::DomainId;
@@ -277,6 +278,7 @@
             id,
             tried: Vec::new(),
             sends: AtomicU32::new(0),
+            may_have_run: Mutex::default(),
         };
         let result = self.attempt_with_retries(call, outgoing).await;
         if let (Some(claim), Err(response)) = (claim, &result) {
@@ -366,7 +368,8 @@
             };
             let verdict = attempts.record_failure(failure, intact);
             if verdict != Verdict::Retry || !call.may_send() || self.ports.now() >= call.deadline {
-                return Err(failure_response(attempts.verdict(), &error));
+                let response = failure_response(attempts.verdict(), &error);
+                return Err(response.with_may_have_run(call.take_may_have_run()));
             }
             if let AttemptError::Failed(FailedAttempt {
                 unsent: Some(request),
@@ -490,14 +493,14 @@
         let began = self.ports.now();
         let result = attempt.run(request).await;
         log_attempt(call, &permit, server, &result, self.ports.now() - began);
+        let served_by = ServedBy {
+            server: server.name.clone(),
+            domain: server.domain.clone(),
+            attempts: call.tried.len() as u32,
+        };
         match result {
             Ok(response) => {
                 self.metrics.record_attempt(&call.service.name, "answered");
-                let served_by = ServedBy {
-                    server: server.name.clone(),
-                    domain: server.domain.clone(),
-                    attempts: call.tried.len() as u32,
-                };
                 Ok(Served {
                     response,
                     served_by,
@@ -508,6 +511,8 @@
             Err(failed) => {
                 if failed.failure.proves_not_run() {
                     call.sends.fetch_sub(1, Ordering::Relaxed);
+                } else {
+                    call.set_may_have_run(served_by);
                 }
                 self.metrics
                     .record_attempt(&call.service.name, failed.failure.name());
--- a/crates/entry/src/record.rs
+++ b/crates/entry/src/record.rs
@@ -84,7 +84,16 @@
 
     /// Creates the record of a call to which the load balancer responded itself.
     pub fn refused(self, service: &str, response: &LocalResponse, took: Duration) -> CallRecord {
-        self.record(service, response.status, response.disposition, took)
+        let record = self.record(service, response.status, response.disposition, took);
+        match &response.may_have_run {
+            None => record,
+            Some(server) => CallRecord {
+                domain: server.domain.clone(),
+                server: server.server.clone(),
+                attempts: server.attempts,
+                ..record
+            },
+        }
     }
 
     fn record(
