Notice a restore that this VM reads first

Cause, found by reading the change: a VM that had its catalog from peers only, and then read the restored registry as the first one, took the era for the first it saw. It removed servers that the copy lacked at once instead of giving them time to return.

Change: such a VM compares the era with that of its catalog. The new test failed without the comparison (the server was removed at once).

--- a/crates/node/src/registry.rs
+++ b/crates/node/src/registry.rs
@@ -302,7 +302,10 @@
     fn note_era(&self, revision: Revision) {
         // 0 stands for no era, so the eras are counted from 1 here.
         let count = revisions::era(revision) + 1;
-        let before = self.registry_eras.fetch_max(count, Ordering::SeqCst);
+        let before = match self.registry_eras.fetch_max(count, Ordering::SeqCst) {
+            0 => self.eras_of_catalog(),
+            before => before,
+        };
         if before == 0 || before >= count {
             return;
         }
@@ -317,6 +320,19 @@
         self.registry_restores.fetch_add(1, Ordering::Relaxed);
     }
 
+    /// Returns the latest era in the catalog of a VM that has not read the registry itself,
+    /// counted from 1; 0 if the catalog is empty.
+    fn eras_of_catalog(&self) -> u64 {
+        let catalog = lock(&self.catalog);
+        let known = catalog.revisions();
+        let latest = revisions::era(known.servers.max(known.outs));
+        if catalog.is_populated() {
+            latest + 1
+        } else {
+            0
+        }
+    }
+
     /// Holds back `removal`, by which a list lacks the order that a domain is out, if the
     /// registry has just been restored. Returns whether it did.
     fn hold_order(&self, reader: &mut TopicReader, removal: &RegistryEntry) -> bool {
