Join the seeds again in each period while no peer is known

After all VMs lost power, twelve of 15 start before the seeds, ask them once, and ask again a second later; until then they know no peer and no home.

The membership test failed before.

--- a/crates/member/src/membership/mod.rs
+++ b/crates/member/src/membership/mod.rs
@@ -307,7 +307,9 @@
         }
         self.next_period = now + self.config.probe_period;
         self.period_count = self.period_count.wrapping_add(1);
-        if self.period_count % RECONNECT_PERIODS == 1 {
+        // Without a peer, this VM can do nothing else, and waits for its seeds to start.
+        let isolated = self.alive.len() == 1;
+        if isolated || self.period_count % RECONNECT_PERIODS == 1 {
             self.reconnect();
         }
         if let Some(vm) = self.next_target() {
--- a/crates/member/tests/swim.rs
+++ b/crates/member/tests/swim.rs
@@ -339,6 +339,20 @@
         });
 }
 
+#[test]
+fn tick_vm_that_started_before_its_seeds_joins_soon_after_them() {
+    let mut net = Net::new(6);
+    net.down[0] = true;
+    net.down[1] = true;
+    net.run(Duration::from_millis(350));
+    net.down[0] = false;
+    net.down[1] = false;
+    net.run(Duration::from_millis(300));
+    for i in 0..6 {
+        assert!(net.alive(i) >= 3, "{}", net.describe());
+    }
+}
+
 #[test]
 fn tick_late_vm_does_not_suspect_peers_that_respond() {
     let mut net = Net::new(12);
--- a/crates/node/src/readers.rs
+++ b/crates/node/src/readers.rs
@@ -26,8 +26,10 @@
 /// The span over which VMs with a stale catalog begin to read, for each VM of the
 /// fleet. The VMs that begin late find that others have read meanwhile.
 const STALE_SPREAD_PER_VM: Duration = Duration::from_millis(20);
-/// How long a VM that has just started waits for the catalog from a peer before it may
-/// read itself.
+/// The span over which VMs that know no other VM begin to read after their start.
+const ISOLATED_SPREAD: Duration = Duration::from_secs(1);
+/// How long a VM that has just started and knows others waits for the catalog from a peer
+/// before it may read itself.
 const START_WAIT: Duration = Duration::from_millis(600);
 /// About how many VMs begin to read after [`START_WAIT`] if no VM has the catalog.
 const START_READERS: f64 = 8.0;
@@ -45,13 +47,17 @@
 ///
 /// The load that this answers is a fleet that starts as a whole: read by each VM, the
 /// lists of a large fleet would cost thousands of calls. The seeds, which all VMs know,
-/// read at once; the others get the catalog through them. In case the seeds are down, the
-/// others begin to read after a fixed time, few at first. `position`, from 0 to 1, says
-/// which ones. Neither the wait nor the number of VMs that begin grows with the fleet.
+/// read at once; the others get the catalog through them. A VM that knows only itself, as
+/// if `fleet` is 1, can get it from nobody and reads within a second. The others begin to
+/// read after a fixed time, few at first. `position`, from 0 to 1, says which ones. Neither
+/// the wait nor the number of VMs that begin grows with the fleet.
 pub fn reads_at_start(is_seed: bool, position: f64, fleet: u32, up: Duration) -> bool {
     if is_seed {
         return true;
     }
+    if fleet <= 1 {
+        return position < up.as_secs_f64() / ISOLATED_SPREAD.as_secs_f64();
+    }
     let Some(waited) = up.checked_sub(START_WAIT) else {
         return false;
     };
--- a/crates/node/tests/readers.rs
+++ b/crates/node/tests/readers.rs
@@ -22,6 +22,14 @@
     }
 }
 
+#[test]
+fn reads_at_start_vms_without_peers_read_within_a_second() {
+    for fleet in [13, 30, 120, 471, 1000] {
+        assert_eq!(readers(fleet, 1, Duration::from_secs(1)), fleet);
+        assert!(readers(fleet, 1, Duration::from_millis(250)) < fleet / 3 + 3);
+    }
+}
+
 #[test]
 fn reads_at_start_few_begin_in_any_fleet() {
     for fleet in [13, 30, 120, 471, 1000] {
