--- a/crates/conf/src/catalog.rs
+++ b/crates/conf/src/catalog.rs
@@ -344,8 +344,8 @@
 }
 
 impl CatalogEntry<Instance> {
-    /// Returns whether `next`, an entry of the server at `revision`, is known to be out
-    /// of date although its revision is newer.
+    /// Returns whether what is known of the server holds on against `next`, its entry at
+    /// `revision`, which is out of date although its revision is newer.
     ///
     /// It is if it belongs to an earlier start of the server. It also is if the server
     /// has left or drains, and the entry comes from a copy from which the registry was
--- a/crates/net/src/lookahead.rs
+++ b/crates/net/src/lookahead.rs
@@ -69,7 +69,7 @@
     Opaque,
 }
 
-/// The part of the state that hyper's side and the stream share.
+/// What the stream and the code that serves the requests have to know of each other.
 #[derive(Default)]
 struct Progress {
     /// Whether hyper has a request that it has not completely responded to.
@@ -150,8 +150,9 @@
 }
 
 impl<S> Lookahead<S> {
-    /// Wraps `stream`. Heads of more than `head_bytes` bytes or `header_fields` fields
-    /// are left to hyper, which refuses them.
+    /// Wraps `stream`, which comes from `peer`. Requests that are started early are passed
+    /// to `handler` and run on `handle`. [`Self::with_limits`] has to follow: without it,
+    /// every head counts as too large and is left to hyper.
     pub(crate) fn new(
         stream: S,
         handler: Arc<dyn Handler>,
--- a/crates/net/src/server.rs
+++ b/crates/net/src/server.rs
@@ -226,6 +226,8 @@
         peeked > 0 && HTTP2_PREFACE.starts_with(&bytes[..peeked])
     }
 
+    /// Returns the response to a request over HTTP/1.1: the one that was started early, if
+    /// there is one. The request's turn ends with the body of the response.
     async fn respond(
         handler: Arc<dyn Handler>,
         request: Request<Incoming>,
