Count requests after the last fault only while a VM accepts them

Cause: the run stops the VMs one after another while callers go on. After the last VM was asked to stop, callers connect to VMs that have exited, and each of these requests counted as unserved.

The calls that the VMs record after the last fault were all served.

Ruled out: refusals (none in the logs), the store and the move of location 8 (seconds earlier), load (the same share unserved in runs that passed).

The record now holds when the last VM is asked to stop, and the check counts the requests until then; the bound stays.

--- a/crates/soak/src/record.rs
+++ b/crates/soak/src/record.rs
@@ -196,6 +196,9 @@
     pub stalls: Vec<Span>,
     /// When the last event had ended.
     pub faults_ended: Time,
+    /// When the run asked the last running VM to stop, since when no VM accepts
+    /// requests; `None` if the run has not come to that.
+    pub last_stop: Option<Time>,
 }
 
 /// Records a run while it is in progress. Clones share one record and one clock.
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -539,9 +539,12 @@
     /// Stops all processes one after another and prevents their restart.
     async fn stop_all(&self) {
         self.finished.store(true, Ordering::SeqCst);
-        let stops = (0..self.vms.len()).map(|index| self.stop(index));
-        for stop in stops.collect::<Vec<_>>() {
-            stop.await;
+        for index in 0..self.vms.len() {
+            if index + 1 == self.vms.len() {
+                let mut record = self.recorder.lock();
+                record.last_stop = Some(self.recorder.now());
+            }
+            self.stop(index).await;
         }
     }
 }
--- a/crates/soak/src/verify.rs
+++ b/crates/soak/src/verify.rs
@@ -612,10 +612,13 @@
         }
     }
 
-    /// Checks that requests are served again after the last fault.
+    /// Checks that requests are served again after the last fault, as long as a VM
+    /// accepts requests: callers go on while the run stops the VMs, also the last one.
     fn check_recovery(&mut self) {
         let from = self.record.faults_ended + RECOVERY_TIME;
-        let late = self.record.requests.iter().filter(|r| r.at >= from);
+        let to = self.record.last_stop.unwrap_or(Time::MAX);
+        let late = self.record.requests.iter();
+        let late = late.filter(|request| (from..to).contains(&request.at));
         let ended: Vec<_> = late.filter_map(|r| r.end.as_ref()).collect();
         let counted = ended
             .iter()
--- a/crates/soak/tests/verify.rs
+++ b/crates/soak/tests/verify.rs
@@ -389,3 +389,25 @@
     add_request(&mut record, 15_000, "read", refused());
     assert_finds(&record, "served again");
 }
+
+#[test]
+fn verify_unserved_after_last_stop() {
+    let mut record = record();
+    record.faults_ended = ms(10_000);
+    for i in 0..8 {
+        add_served_request(&mut record, 14_000 + i * 100, "read", 0);
+    }
+    for i in 0..8 {
+        add_request(
+            &mut record,
+            16_000 + i * 10,
+            "read",
+            RequestEnd::ConnectionClosed,
+        );
+    }
+    assert_finds(&record, "served again");
+    record.last_stop = Some(ms(16_000));
+    assert_sound(&record);
+    add_request(&mut record, 15_000, "read", RequestEnd::ConnectionClosed);
+    assert_finds(&record, "served again");
+}
