Add notices of servers and restored stores to the soak

Servers now say in every response that they leave once they drain, some do so up to 3 s before the store has it, some refuse calls and ask for a rest, and the store comes back from a copy. Two checks with tests: a server that said that it leaves gets no request from that VM 2 s later; a server gets no more than two requests during a rest, from 0.5 s on.

--- a/crates/soak/src/record.rs
+++ b/crates/soak/src/record.rs
@@ -84,6 +84,28 @@
     pub executed: bool,
 }
 
+/// What a server asks for in a response, beside the result of the request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ServerNotice {
+    /// The server leaves and wants no new requests.
+    Leaving,
+    /// The server refuses the request and wants no others from this VM for so long.
+    Rest(Duration),
+}
+
+/// A response with which a server gave a [`ServerNotice`].
+#[derive(Clone, Copy, Debug)]
+pub struct NoticeSent {
+    /// The id of the request.
+    pub call: CallId,
+    /// When the server sent the response.
+    pub at: Time,
+    /// The server instance.
+    pub instance: InstanceIndex,
+    /// What it asked for.
+    pub notice: ServerNotice,
+}
+
 /// A server from its start until it stops or crashes.
 #[derive(Clone, Debug)]
 pub struct ServerInstance {
@@ -181,6 +203,8 @@
     pub requests: Vec<Request>,
     /// Arrivals of requests at servers, in order.
     pub arrivals: Vec<Arrival>,
+    /// Notices of servers, in the order in which they were sent.
+    pub notices: Vec<NoticeSent>,
     /// Server instances in the order in which they started.
     pub instances: Vec<ServerInstance>,
     /// Configurations in the order of their acknowledgement.
@@ -258,6 +282,17 @@
         record.arrivals.len() - 1
     }
 
+    /// Records that a server sends a notice in the response to a request.
+    pub fn record_notice(&self, call: CallId, instance: InstanceIndex, notice: ServerNotice) {
+        let at = self.now();
+        self.lock().notices.push(NoticeSent {
+            call,
+            at,
+            instance,
+            notice,
+        });
+    }
+
     /// Records that the server starts to execute the request of an arrival.
     pub fn mark_executed(&self, arrival: usize) {
         if let Some(arrival) = self.lock().arrivals.get_mut(arrival) {
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -82,6 +82,15 @@
 /// event would end before VMs have to apply the domain order, and nothing could be
 /// checked.
 const DOMAIN_OUT_EXTRA: Duration = Duration::from_secs(6);
+/// The age of the copy from which the store comes back, without the time for which it is
+/// unavailable.
+const COPY_AGE: Duration = Duration::from_secs(2);
+/// The kinds of objects that their writers write again after the store was restored.
+const WRITTEN_AGAIN: [&str; 3] = [
+    stand::CONFIG_KIND,
+    stand::SERVERS_KIND,
+    stand::EVACUATIONS_KIND,
+];
 /// The delay of responses by a slow store.
 const STORE_DELAY: Duration = Duration::from_millis(700);
 /// The time between tickets that are written in quick succession.
@@ -430,11 +439,24 @@
                 self.record_fault(FaultTarget::Store, "store fault", from);
             }
             Action::CompactStore => self.store.compact(),
+            Action::RestoreStore => {
+                let copy = self.store.copy();
+                Timer::after(COPY_AGE).await;
+                let from = self.recorder.now();
+                self.set_store_mode(Mode::Unavailable).await;
+                Timer::after(duration).await;
+                self.store.restore_except(&copy, &WRITTEN_AGAIN);
+                self.set_store_mode(Mode::Normal).await;
+                self.record_fault(FaultTarget::Store, "store restored from a copy", from);
+            }
             Action::ServerFault(index, behavior) => {
                 self.locations[index].set_behavior(behavior);
                 Timer::after(duration).await;
                 self.locations[index].set_behavior(Behavior::Normal);
-                self.record_fault(FaultTarget::Server(index), "faulty server", from);
+                // A server that refuses properly excuses nothing.
+                if !matches!(behavior, Behavior::Resting(_)) {
+                    self.record_fault(FaultTarget::Server(index), "faulty server", from);
+                }
             }
             Action::ServerLinkFault(index, fault) => {
                 let link = self.locations[index].link.clone();
@@ -461,6 +483,16 @@
                 location.remove_entry(&self.store);
                 self.restart_server(index, change_service).await;
             }
+            Action::LeaveServer(index, change_service) => {
+                let location = &self.locations[index];
+                location.start_leaving();
+                Timer::after(duration).await;
+                location.start_draining(&self.store);
+                Timer::after(DRAIN_TIME).await;
+                location.shut_down();
+                location.remove_entry(&self.store);
+                self.restart_server(index, change_service).await;
+            }
             Action::DomainOut(index) => {
                 self.take_domain_out(DOMAINS[index], duration + DOMAIN_OUT_EXTRA)
                     .await
--- a/crates/soak/src/schedule.rs
+++ b/crates/soak/src/schedule.rs
@@ -22,6 +22,14 @@
 /// The share of events that are repeated as a series of three, each on the next
 /// VM or server where the action has such a target.
 const SERIES_SHARE: f64 = 0.2;
+/// The mean of the exponentially distributed time between two events that concern
+/// notices of servers and restored stores.
+const NOTICE_GAP_MEAN: Duration = Duration::from_secs(4);
+/// Keeps the draws of these events apart from those of the others, whose schedules stay
+/// the same for each seed.
+const NOTICE_SEED: u64 = 0x6e6f_7469_6365;
+/// The longest rest that a server asks for, in seconds.
+const REST_MAX_SECS: u64 = 3;
 /// The time between the starts of two events of a series.
 const SERIES_STEP: Duration = Duration::from_millis(400);
 
@@ -103,6 +111,12 @@
     /// Drains and stops the server of a location, which later restarts cold. The
     /// flag says whether the location changes service.
     DrainServer(usize, bool),
+    /// The server of a location says in its responses that it leaves, and the store has
+    /// it only after the duration of the event. Otherwise as [`Action::DrainServer`].
+    LeaveServer(usize, bool),
+    /// The store is unavailable for the duration of the event and comes back from a
+    /// copy that was made before.
+    RestoreStore,
     /// Takes a failure domain, given by its index in [`DOMAINS`], out of service
     /// for the duration of the event and some seconds more.
     DomainOut(usize),
@@ -139,10 +153,39 @@
         }
         at += EVENT_GAP_MEAN.mul_f64(-(1.0 - rng.f64()).ln());
     }
+    events.extend(generate_notices(seed, size));
     events.sort_by_key(|event| event.at);
     events
 }
 
+/// Generates the events that concern notices of servers and restored stores.
+fn generate_notices(seed: u64, size: &Size) -> Vec<Event> {
+    let mut rng = fastrand::Rng::with_seed(seed ^ NOTICE_SEED);
+    let mut events = Vec::new();
+    let mut at = WARM_UP_TIME;
+    loop {
+        at += NOTICE_GAP_MEAN.mul_f64(-(1.0 - rng.f64()).ln());
+        if at >= WARM_UP_TIME + size.time {
+            return events;
+        }
+        let location = rng.usize(..size.locations());
+        let action = match rng.u8(..3) {
+            0 => Action::LeaveServer(location, rng.bool()),
+            1 => Action::RestoreStore,
+            _ => {
+                let rest = Behavior::Resting(rng.u64(1..=REST_MAX_SECS));
+                Action::ServerFault(location, rest)
+            }
+        };
+        let duration = FAULT_MIN + (FAULT_MAX - FAULT_MIN).mul_f64(rng.f64());
+        events.push(Event {
+            at,
+            duration,
+            action,
+        });
+    }
+}
+
 fn draw_action(rng: &mut fastrand::Rng, size: &Size) -> Action {
     let vm = rng.usize(..size.vms);
     let location = rng.usize(..size.locations());
--- a/crates/soak/src/server.rs
+++ b/crates/soak/src/server.rs
@@ -27,6 +27,7 @@
 use crate::record::InstanceIndex;
 use crate::record::Recorder;
 use crate::record::ServerInstance;
+use crate::record::ServerNotice;
 
 /// The backoff after a connection could not be accepted.
 const ACCEPT_BACKOFF: Duration = Duration::from_millis(50);
@@ -58,6 +59,8 @@
     LostResponses,
     /// Reads calls and neither executes them nor responds.
     Unresponsive,
+    /// Refuses calls and asks for a rest of this many seconds.
+    Resting(u64),
 }
 
 struct State {
@@ -65,6 +68,8 @@
     entry: ServerEntry,
     name: String,
     behavior: Behavior,
+    /// Whether all responses say that the server leaves.
+    leaving: bool,
     up: bool,
     cold_until: Time,
     running: u32,
@@ -144,6 +149,7 @@
                 entry,
                 name: String::new(),
                 behavior: Behavior::Normal,
+                leaving: false,
                 up: false,
                 cold_until: Time::ZERO,
                 running: 0,
@@ -198,6 +204,7 @@
         state.entry.cold_left = cold;
         state.entry.started_ms = unix_millis();
         state.up = true;
+        state.leaving = false;
         state.cold_until = until;
         state.running = 0;
         state.waiting = 0;
@@ -210,8 +217,14 @@
         store.put(stand::SERVERS_KIND, &state.name, state.entry.to_json());
     }
 
+    /// Makes all responses of the server say that it leaves. It still serves calls.
+    pub fn start_leaving(&self) {
+        self.lock().leaving = true;
+    }
+
     /// Announces in the store that the server drains. It still serves calls.
     pub fn start_draining(&self, store: &Store) {
+        self.start_leaving();
         self.lock().entry.draining = true;
         self.write_entry(store);
         let instance = self.lock().instance;
@@ -310,13 +323,19 @@
             .field(fields::EXPECTED_INSTANCE)
             .is_some_and(|target| target != name)
         {
-            return Some(self.refusal(421, &text));
+            return Some(self.refusal(421, &text, None));
         }
         let mut guard = {
             let mut state = self.lock();
+            if let Behavior::Resting(secs) = state.behavior {
+                drop(state);
+                let notice = ServerNotice::Rest(Duration::from_secs(secs));
+                self.recorder.record_notice(call, instance, notice);
+                return Some(self.refusal(503, &text, Some(secs)));
+            }
             if state.waiting >= QUEUE_MAX {
                 drop(state);
-                return Some(self.refusal(503, &text));
+                return Some(self.refusal(503, &text, None));
             }
             state.waiting += 1;
             AdmissionGuard {
@@ -351,6 +370,10 @@
         self.recorder.mark_executed(arrival);
         Timer::after(time).await;
         drop(guard);
+        if self.lock().leaving {
+            let notice = ServerNotice::Leaving;
+            self.recorder.record_notice(call, instance, notice);
+        }
         match behavior {
             Behavior::IntermittentErrors if faulty => Some(self.signed_response(500, &text)),
             Behavior::CorruptResponses if faulty => Some(self.corrupt_response(&text)),
@@ -362,9 +385,14 @@
     fn response_head(&self, status: u16, length: usize) -> String {
         let state = self.lock();
         let (running, waiting) = (state.running, state.waiting);
+        let leaving = if state.leaving {
+            format!("{}: 1\r\n", fields::LEAVING)
+        } else {
+            String::new()
+        };
         format!(
             "HTTP/1.1 {status} X\r\n{}: {}\r\n{}: {running},{waiting},{SLOTS},100\r\n\
-             content-length: {length}\r\n",
+             {leaving}content-length: {length}\r\n",
             fields::INSTANCE_ID,
             state.name,
             fields::LOAD,
@@ -384,11 +412,16 @@
         (self.response_head(status, 0) + &cold + "\r\n").into_bytes()
     }
 
-    /// Returns a response that says that the call did not run.
-    fn refusal(&self, status: u16, id: &str) -> Vec<u8> {
+    /// Returns a response that says that the call did not run, and for how many seconds
+    /// the server wants no others.
+    fn refusal(&self, status: u16, id: &str, rest_secs: Option<u64>) -> Vec<u8> {
         let head = self.response_head(status, 0);
+        let rest = match rest_secs {
+            Some(secs) => format!("{}: {secs}\r\n", fields::RETRY_AFTER),
+            None => String::new(),
+        };
         let text = format!(
-            "{head}{}: 1\r\n{}: {id}\r\n\r\n",
+            "{head}{rest}{}: 1\r\n{}: {id}\r\n\r\n",
             fields::NOT_RUN,
             fields::CALL_ID
         );
--- a/crates/soak/src/verify.rs
+++ b/crates/soak/src/verify.rs
@@ -9,9 +9,11 @@
 use crate::record::Arrival;
 use crate::record::CallId;
 use crate::record::FaultTarget;
+use crate::record::NoticeSent;
 use crate::record::Record;
 use crate::record::Request;
 use crate::record::RequestEnd;
+use crate::record::ServerNotice;
 use crate::record::Span;
 use crate::record::VmIndex;
 use crate::schedule::SERVICES;
@@ -54,6 +56,10 @@
 pub const RECOVERY_TIME: Duration = Duration::from_secs(3);
 /// The minimum share of requests that are served after [`RECOVERY_TIME`].
 const SERVED_SHARE_MIN: f64 = 0.9;
+/// The time after a server has asked for a rest until no more requests may reach it.
+const REST_DELAY_MAX: Duration = Duration::from_millis(500);
+/// The number of requests that may reach a server during a rest that it has asked for.
+const RESTING_REQUESTS_MAX: usize = 2;
 /// The number of requests on kept connections that may end without a response in a
 /// run.
 const CUT_REQUESTS_MAX: usize = 3;
@@ -105,6 +111,7 @@
     checker.check_executions();
     checker.check_configurations();
     checker.check_late_work();
+    checker.check_notices();
     checker.check_cold_rate();
     checker.check_second_attempts();
     checker.check_abandoned();
@@ -428,6 +435,82 @@
         }
     }
 
+    /// Checks that VMs do what servers ask them for in responses.
+    fn check_notices(&mut self) {
+        for sent in &self.record.notices {
+            match sent.notice {
+                ServerNotice::Leaving => self.check_leaving(sent),
+                ServerNotice::Rest(rest) => self.check_rest(sent, rest),
+            }
+        }
+    }
+
+    /// Returns the arrivals at the server of a notice after the notice, with their
+    /// requests, that came from the VM that got the notice.
+    fn arrivals_after<'a>(
+        &'a self,
+        sent: &'a NoticeSent,
+        vm: VmIndex,
+    ) -> impl Iterator<Item = (&'a Arrival, &'a Request)> {
+        let arrivals = self.record.arrivals.iter();
+        let later = arrivals.filter(|a| a.instance == sent.instance && a.at > sent.at);
+        let requests = &self.record.requests;
+        let with_request = later.filter_map(|a| Some((a, requests.get(a.call as usize)?)));
+        with_request.filter(move |(_, request)| request.vm == vm)
+    }
+
+    /// Checks that a server gets no new requests from a VM that has passed on a response
+    /// in which the server says that it leaves.
+    fn check_leaving(&mut self, sent: &NoticeSent) {
+        let Some(request) = self.record.requests.get(sent.call as usize) else {
+            return;
+        };
+        let Some((passed_on, RequestEnd::Response { .. })) = request.end else {
+            return;
+        };
+        // With several attempts the caller may have got the response of another server.
+        if self.arrivals(sent.call).len() != 1 {
+            return;
+        }
+        let vm = request.vm;
+        let bound = passed_on + DRAIN_MAX + self.stall_time(passed_on, passed_on + DRAIN_MAX);
+        let late = self.arrivals_after(sent, vm).find(|(arrival, request)| {
+            request.at > bound && self.is_undisturbed(vm, passed_on, arrival.at)
+        });
+        if let Some((arrival, _)) = late {
+            let name = &self.record.instances[sent.instance].name;
+            let text = format!(
+                "server {name} told vm-{vm} that it leaves and gets request {}",
+                arrival.call
+            );
+            let (at, call) = (arrival.at, Some(arrival.call));
+            self.report("nothing for what says it leaves", at, call, text);
+        }
+    }
+
+    /// Checks that a server that asked a VM for a rest gets next to no requests from it.
+    fn check_rest(&mut self, sent: &NoticeSent, rest: Duration) {
+        let Some(request) = self.record.requests.get(sent.call as usize) else {
+            return;
+        };
+        let (vm, end) = (request.vm, sent.at + rest);
+        let from = sent.at + REST_DELAY_MAX + self.stall_time(sent.at, sent.at + REST_DELAY_MAX);
+        let during = self.arrivals_after(sent, vm);
+        let count = during.filter(|(a, _)| a.at > from && a.at < end).count();
+        let instance = &self.record.instances[sent.instance];
+        let server = FaultTarget::Server(instance.location);
+        if count > RESTING_REQUESTS_MAX
+            && self.is_undisturbed(vm, sent.at, end)
+            && !self.overlaps_fault(&server, sent.at, end)
+        {
+            let text = format!(
+                "server {} asked vm-{vm} for a rest of {rest:?} and got {count} requests",
+                instance.name
+            );
+            self.report("rest of servers", end, Some(sent.call), text);
+        }
+    }
+
     /// Checks the rate of requests to cold servers in any second.
     fn check_cold_rate(&mut self) {
         let record = self.record;
--- a/crates/soak/tests/verify.rs
+++ b/crates/soak/tests/verify.rs
@@ -9,11 +9,13 @@
 use soak::record::DomainOut;
 use soak::record::Fault;
 use soak::record::FaultTarget;
+use soak::record::NoticeSent;
 use soak::record::Process;
 use soak::record::Record;
 use soak::record::Request;
 use soak::record::RequestEnd;
 use soak::record::ServerInstance;
+use soak::record::ServerNotice;
 use soak::record::Signature;
 use soak::record::Span;
 use soak::record::Ticket;
@@ -411,3 +413,51 @@
     add_request(&mut record, 15_000, "read", RequestEnd::ConnectionClosed);
     assert_finds(&record, "served again");
 }
+
+/// Adds a notice in the response to a request.
+fn add_notice(record: &mut Record, call: CallId, at: u64, instance: usize, notice: ServerNotice) {
+    record.notices.push(NoticeSent {
+        call,
+        at: ms(at),
+        instance,
+        notice,
+    });
+}
+
+#[test]
+fn verify_request_for_server_that_says_it_leaves() {
+    let mut record = record();
+    let call = add_served_request(&mut record, 10_000, "read", 0);
+    add_notice(&mut record, call, 10_040, 0, ServerNotice::Leaving);
+    // Before the time limit, and at another server.
+    add_served_request(&mut record, 11_900, "read", 0);
+    add_served_request(&mut record, 13_000, "write", 1);
+    assert_sound(&record);
+    add_served_request(&mut record, 12_200, "read", 0);
+    assert_finds(&record, "nothing for what says it leaves");
+    // The VM was paused meanwhile.
+    record.faults.push(Fault {
+        span: Span {
+            from: ms(10_500),
+            to: ms(11_000),
+        },
+        target: FaultTarget::Vm(0),
+        name: "paused",
+    });
+    assert_sound(&record);
+}
+
+#[test]
+fn verify_requests_for_resting_server() {
+    let mut record = record();
+    let call = add_request(&mut record, 10_000, "read", refused());
+    let rest = ServerNotice::Rest(Duration::from_secs(2));
+    add_notice(&mut record, call, 10_010, 0, rest);
+    // One on its way when the server asked, two during the rest, and one after it.
+    for at in [10_400, 11_000, 11_500, 12_100] {
+        add_served_request(&mut record, at, "read", 0);
+    }
+    assert_sound(&record);
+    add_served_request(&mut record, 11_700, "read", 0);
+    assert_finds(&record, "rest of servers");
+}
