--- a/crates/conf/src/catalog.rs
+++ b/crates/conf/src/catalog.rs
@@ -180,9 +180,14 @@
         now: Time,
     ) -> bool {
         let known = self.servers.binary_search_by(|e| e.name.as_str().cmp(name));
-        if let (Ok(index), Some(instance)) = (known, &value) {
+        let mut last_born = 0;
+        if let Ok(index) = known {
             let entry = &mut self.servers[index];
-            if entry.outlives(instance, revision) {
+            last_born = entry
+                .value
+                .as_ref()
+                .map_or(entry.left_born, |value| value.born);
+            if value.as_ref().is_some_and(|v| entry.outlives(v, revision)) {
                 // What is known holds at that revision too. Peers would offer it again
                 // and again otherwise.
                 entry.revision = entry.revision.max(revision);
@@ -195,16 +200,9 @@
             _ => true,
         };
         let removed = value.is_none();
-        let born = known.map_or(0, |index| {
-            let entry = &self.servers[index];
-            entry
-                .value
-                .as_ref()
-                .map_or(entry.left_born, |value| value.born)
-        });
         let changed = set_entry(&mut self.servers, name, revision, value, now, differs);
         if let (true, Ok(index)) = (changed && removed, known) {
-            self.servers[index].left_born = born;
+            self.servers[index].left_born = last_born;
         }
         self.changes += u64::from(changed);
         changed
--- a/crates/node/src/gauges.rs
+++ b/crates/node/src/gauges.rs
@@ -1,6 +1,5 @@
 //! Gauges that read their values from the VM's state whenever metrics are collected.
 
-use std::sync::atomic::Ordering;
 use std::sync::Arc;
 use std::sync::Weak;
 
@@ -38,7 +37,7 @@
         &weak,
         "registry_restores",
         "Restores of the registry from a copy that were noticed",
-        |s| s.registry_restores.load(Ordering::Relaxed),
+        |s| s.restores.count(),
     );
     gauge(
         &meter,
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod readers;
 pub mod registry;
 pub mod reload;
+pub mod restores;
 pub mod shard;
 pub mod shard_table;
 pub mod shared;
--- a/crates/node/src/registry.rs
+++ b/crates/node/src/registry.rs
@@ -10,6 +10,7 @@
 use std::time::Duration;
 
 use base::revisions;
+use base::revisions::Era;
 use base::revisions::RegistryRevisions;
 use base::Revision;
 use base::Time;
@@ -306,45 +307,37 @@
     /// Records the era of `revision`. A later era than before means that the registry was
     /// restored from a copy, so entries may be missing as after an outage.
     fn note_era(&self, revision: Revision) {
-        // 0 stands for no era, so the eras are counted from 1 here.
-        let count = revisions::era(revision) + 1;
-        let before = match self.registry_eras.fetch_max(count, Ordering::SeqCst) {
-            0 => self.eras_of_catalog(),
-            before => before,
-        };
-        if before == 0 || before >= count {
+        let now = self.clock.now();
+        let era = revisions::era(revision);
+        if !self.restores.record_era(era, self.era_of_catalog(), now) {
             return;
         }
         log::warn!(
-            era = revisions::era(revision), revision = revisions::counter(revision);
+            era, revision = revisions::counter(revision);
             "registry: restored from an earlier copy; entries that it lacks have time to \
              return"
         );
-        let now = self.clock.now().as_millis() as u64;
-        self.registry_failed_ms.fetch_max(now, Ordering::Relaxed);
-        self.restored_ms.store(now, Ordering::Relaxed);
-        self.registry_restores.fetch_add(1, Ordering::Relaxed);
+        self.registry_failed_ms
+            .fetch_max(now.as_millis() as u64, Ordering::Relaxed);
     }
 
-    /// Returns the latest era in the catalog of a VM that has not read the registry itself,
-    /// counted from 1; 0 if the catalog is empty.
-    fn eras_of_catalog(&self) -> u64 {
+    /// Returns the latest era in the catalog, which peers may have delivered; none if the
+    /// catalog is empty.
+    fn era_of_catalog(&self) -> Option<Era> {
         let catalog = lock(&self.catalog);
         let known = catalog.revisions();
         let latest = revisions::era(known.servers.max(known.outs));
-        if catalog.is_populated() {
-            latest + 1
-        } else {
-            0
-        }
+        catalog.is_populated().then_some(latest)
     }
 
     /// Holds back `removal`, by which a list lacks the order that a domain is out, if the
     /// registry has just been restored. Returns whether it did.
     fn hold_order(&self, reader: &mut TopicReader, removal: &RegistryEntry) -> bool {
-        let restored = Duration::from_millis(self.restored_ms.load(Ordering::Relaxed));
-        let due = restored + RESTORED_ORDER_DELAY;
-        if restored.is_zero() || self.clock.now() >= due {
+        let Some(noticed) = self.restores.last_noticed() else {
+            return false;
+        };
+        let due = noticed + RESTORED_ORDER_DELAY;
+        if self.clock.now() >= due {
             return false;
         }
         log::info!(
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -51,6 +51,7 @@
 use wire::Transport;
 
 use crate::claims::PendingClaims;
+use crate::restores::Restores;
 use crate::shard::Effects;
 use crate::shard::ShardState;
 use crate::shard_table::ShardTable;
@@ -118,12 +119,7 @@
     /// When the last failed read of the registry ended, or the registry was first
     /// read again after an outage for all VMs; 0 if neither has happened.
     pub(crate) registry_failed_ms: AtomicU64,
-    /// The latest known era of the registry plus one; 0 before the first list.
-    pub(crate) registry_eras: AtomicU64,
-    /// When a list first showed that the registry was restored from a copy; 0 if never.
-    pub(crate) restored_ms: AtomicU64,
-    /// How many restores of the registry this VM has noticed.
-    pub(crate) registry_restores: AtomicU64,
+    pub(crate) restores: Restores,
     /// When this VM last read the registry successfully; 0 if never.
     pub(crate) registry_read_ms: AtomicU64,
     /// Whether a fetch of newer configuration from a peer is under way.
@@ -236,9 +232,7 @@
             applied_changes: AtomicU64::new(0),
             confirmed_ms: AtomicU64::new(0),
             registry_failed_ms: AtomicU64::new(0),
-            registry_eras: AtomicU64::new(0),
-            restored_ms: AtomicU64::new(0),
-            registry_restores: AtomicU64::new(0),
+            restores: Restores::default(),
             registry_read_ms: AtomicU64::new(0),
             transport: parts.transport,
             keyring: parts.keyring,
--- a/crates/node/src/status.rs
+++ b/crates/node/src/status.rs
@@ -1,6 +1,5 @@
 //! The status of a VM, as the administration API returns it.
 
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use base::units::Span;
@@ -210,7 +209,7 @@
             reads: self.readers().contains(&self.self_id),
             away: self.is_registry_down(),
             servers: servers.filter(|server| server.value.is_some()).count(),
-            restores: self.registry_restores.load(Ordering::Relaxed),
+            restores: self.restores.count(),
         })
     }
 
