Stop sending membership updates that peers turn out to have

Cause: after a start of the whole fleet every VM has an update about every other one, and sends each 24 times, six to a message: for 471 VMs its messages are full for more than three minutes, although all agree after two seconds.

Change: a message with the same digest counts as one transmission of each update about a VM that is alive. The digest does not cover suspicions and departures, which are sent as often as before. Tests: tick_vms_that_agree_stop_sending_updates failed before (120 VMs: 7,200 updates a second, six seconds after they agreed), and a test that suspicions still reach VMs that agree.

--- a/crates/member/src/membership/gossip.rs
+++ b/crates/member/src/membership/gossip.rs
@@ -112,6 +112,7 @@
     /// guarantee that two VMs agree.
     pub(super) fn compare_digest(&mut self, address: SocketAddr, digest: Digest) {
         if digest == self.digest {
+            self.record_agreement();
             return;
         }
         self.digest_mismatches += 1;
@@ -121,6 +122,22 @@
         }
     }
 
+    /// Counts updates as sent to a peer whose digest is the same. After a start of a whole
+    /// fleet, there are updates about all VMs, and sending each one often enough would
+    /// fill all messages for minutes.
+    ///
+    /// The digest covers VMs that are alive; it does not tell a suspected VM from an alive
+    /// one, or one that has left from a dead one.
+    fn record_agreement(&mut self) {
+        let own = self.profile.vm;
+        let peers = &self.peers;
+        let is_alive = |vm| match peers.binary_search_by_key(&vm, |peer| peer.profile.vm) {
+            Ok(i) => peers[i].health == Health::Alive,
+            Err(_) => vm == own,
+        };
+        self.gossip_queue.record_known(self.alive.len(), is_alive);
+    }
+
     pub(super) fn request_member_list(&mut self, to: SocketAddr) {
         let updates = vec![self.own_update(Health::Alive)];
         let msg = Msg::Join { news: updates };
--- a/crates/member/src/update.rs
+++ b/crates/member/src/update.rs
@@ -56,7 +56,7 @@
     /// `fleet` is the number of alive VMs. A VM leaves the queue once its update has
     /// been sent often enough for a fleet of that size.
     pub fn pick(&mut self, fleet: usize) -> Vec<VmId> {
-        let limit = RETRANSMIT_FACTOR * (fleet + 1).ilog2().max(1);
+        let limit = transmissions_max(fleet);
         let mut order: Vec<usize> = (0..self.0.len()).collect();
         if order.len() > PIGGYBACK_MAX {
             order.select_nth_unstable_by_key(PIGGYBACK_MAX, |&i| self.0[i].sent);
@@ -70,4 +70,19 @@
         self.0.retain(|entry| entry.sent < limit);
         picked
     }
+
+    /// Counts the updates about VMs for which `is_known` holds as sent once more, because
+    /// a peer turned out to have them. `fleet` is as for [`GossipQueue::pick`].
+    pub fn record_known(&mut self, fleet: usize, is_known: impl Fn(VmId) -> bool) {
+        let limit = transmissions_max(fleet);
+        self.0.retain_mut(|entry| {
+            entry.sent += u32::from(is_known(entry.vm));
+            entry.sent < limit
+        });
+    }
+}
+
+/// Returns how often an update is sent in a fleet of this size.
+fn transmissions_max(fleet: usize) -> u32 {
+    RETRANSMIT_FACTOR * (fleet + 1).ilog2().max(1)
 }
--- a/crates/member/tests/swim.rs
+++ b/crates/member/tests/swim.rs
@@ -28,6 +28,8 @@
     rng: fastrand::Rng,
     /// The VMs that found newer revisions, each with the peer that has them.
     newer: Vec<(usize, VmId)>,
+    /// The number of updates that pings and acks have carried.
+    updates: usize,
 }
 
 fn address(n: usize) -> SocketAddr {
@@ -57,6 +59,7 @@
             loss: 0.0,
             rng: fastrand::Rng::with_seed(3),
             newer: Vec::new(),
+            updates: 0,
         }
     }
 
@@ -82,6 +85,9 @@
                     match action {
                         Action::Send { to, msg } => {
                             let to = usize::from(to.port() - 7000);
+                            if let Msg::Ping { news, .. } | Msg::Ack { news, .. } = &msg {
+                                self.updates += news.len();
+                            }
                             sent.push((from, to, msg));
                         }
                         Action::NewerRevisions { vm, .. } => self.newer.push((from, vm)),
@@ -399,3 +405,32 @@
     }
     assert_eq!(net.health(0, 5), Some(Health::Dead), "{}", net.describe());
 }
+
+#[test]
+fn tick_vms_that_agree_stop_sending_updates() {
+    for count in [13, 120, 300] {
+        let mut net = Net::new(count);
+        while !net.vms.iter().all(|vm| vm.alive().len() == count) {
+            assert!(net.now < Time::from_secs(10), "{count} VMs do not agree");
+            net.run(Duration::from_millis(100));
+        }
+        // Each VM sends and acknowledges ten pings a second.
+        net.run(Duration::from_secs(3));
+        let before = net.updates;
+        net.run(Duration::from_secs(1));
+        let sent = net.updates - before;
+        assert!(sent <= count, "{count} VMs sent {sent} updates in a second");
+    }
+}
+
+#[test]
+fn tick_suspicion_reaches_vms_that_agree_on_who_is_in_the_fleet() {
+    let mut net = Net::new(30);
+    net.run(Duration::from_secs(6));
+    net.down[7] = true;
+    net.run(Duration::from_secs(4));
+    let failed = net.vms[7].profile().vm;
+    for (n, vm) in net.vms.iter().enumerate().filter(|(n, _)| *n != 7) {
+        assert!(!vm.alive().contains(&failed), "VM {n} was not told");
+    }
+}
