Tell a server that resets connections when full from one that is down

A broken connection of a call that was to wait in the server now counts as a refusal: no more calls wait there, and the server stays in use. If the server is down, calls within its slots end so too, and these count as before.

--- a/crates/route/src/ledger/servers.rs
+++ b/crates/route/src/ledger/servers.rs
@@ -172,10 +172,15 @@
         let before = server.limit.warmth(&spec);
         let slots = spec.server(release.server).map_or(0, |s| s.slots);
         let has_free_slots = release.load.is_some_and(|load| load.busy < slots);
+        let was_to_wait = permit.concurrent >= slots && server.limit.allows_queueing(&spec);
         let outcome = match release.outcome {
             // A server that refuses calls while it has free slots is failing,
             // not full, so its limit stays.
             Outcome::Shed if has_free_slots => Outcome::Failed,
+            // The call was to wait in the server, which closes the connections of
+            // such calls instead of refusing them: it is full, not down. If it were
+            // down, calls within its slots would end so too.
+            Outcome::Broken if was_to_wait => Outcome::Shed,
             other => other,
         };
         server.limit.record(outcome, took, typical, &spec, now);
--- a/crates/route/tests/load.rs
+++ b/crates/route/tests/load.rs
@@ -38,6 +38,8 @@
 const TARGET_LATENCY_MS: u64 = 200;
 /// The factor by which calls take longer on a slow host.
 const SLOW_FACTOR: u64 = 5;
+/// How long it takes until a full server has closed the connection of a call.
+const RESET_TIME: Duration = Duration::from_millis(2);
 /// The time after which the slowdown of each host is drawn again.
 const SLOWDOWN_PERIOD_MS: u64 = 150;
 
@@ -67,6 +69,8 @@
     failed: u32,
     /// Calls that their server refused.
     shed: u32,
+    /// Calls whose connection their server closed without a response.
+    broken: u32,
 }
 
 /// A fault that makes a share of the calls fail.
@@ -98,6 +102,8 @@
     /// The slowdown of each server's host.
     slowdowns: Vec<u64>,
     fault: Option<Fault>,
+    /// Whether servers close the connection of a call that comes while all slots are busy.
+    resets_when_full: bool,
     /// When the servers start to report in health checks that they are warm; none if they
     /// do not report their warmth.
     warm_at: Option<Time>,
@@ -151,6 +157,7 @@
             slow_share,
             slowdowns,
             fault: None,
+            resets_when_full: false,
             warm_at: None,
             counts: Counts::default(),
             granted: Vec::new(),
@@ -214,6 +221,8 @@
                 self.counts.failed += 1;
             } else if attempt.outcome == Outcome::Shed {
                 self.counts.shed += 1;
+            } else if attempt.outcome == Outcome::Broken {
+                self.counts.broken += 1;
             } else if took <= Duration::from_millis(TARGET_LATENCY_MS) {
                 self.counts.in_time += 1;
             } else {
@@ -266,8 +275,9 @@
             Body::Grant { call, server, .. } => {
                 let requested_at = self.take_request(call);
                 let in_flight = self.running.iter().filter(|other| other.server == server);
+                let is_full = in_flight.count() as u32 >= self.slots;
                 assert!(
-                    (in_flight.count() as u32) < self.slots,
+                    !is_full || self.resets_when_full,
                     "more calls granted than the server has slots"
                 );
                 self.granted.push((server, self.now));
@@ -281,6 +291,10 @@
                         time = fault.took;
                     }
                 }
+                if is_full {
+                    outcome = Outcome::Broken;
+                    time = RESET_TIME;
+                }
                 self.running.push(Running {
                     call,
                     server,
@@ -580,3 +594,26 @@
     let most = granted / 10 + 5;
     assert!(allowed <= most, "{allowed} of at most {most}");
 }
+
+/// Load: three times what the servers can run. The service lets calls wait in its servers,
+/// but these close the connection of a call that comes while they are full. A call that
+/// ends so may have run, so its caller cannot repeat it: no more than one such call for
+/// each server may be lost. And a server that is full is not down: the others' calls have
+/// to go on at full capacity.
+#[test]
+fn servers_that_reset_when_full_lose_hardly_any_call() {
+    let queues = ShardSpec {
+        server_queues: true,
+        cold_rate: 6.0,
+        cold_duration: Duration::from_secs(3),
+        grow_after: 4,
+        ..spec(8, 2, Announcement::Warm)
+    };
+    let mut sim = Sim::new(queues, 0.0);
+    sim.resets_when_full = true;
+    let capacity = 16.0 * 1000.0 / SERVICE_TIME_MS as f64;
+    sim.run(Duration::from_secs(10), 3.0 * capacity);
+    let got = &sim.counts;
+    assert!(got.broken <= 8, "{got:?}");
+    assert!(f64::from(got.in_time) >= 0.9 * 10.0 * capacity, "{got:?}");
+}
