Close connections to servers that stop reading an upload

Dropping a connection left its driver running until everything was written. A server that stopped reading an upload thus held the VM's connection to it, the request body and the caller's connection for as long as it liked, although the caller had its 504 at the deadline, or the early response at once.

The task that drives a connection now belongs to its sender and is cancelled with it, and a connection that cannot take the next request within a second of a complete response is closed instead of pooled.

--- a/crates/entry/src/pool.rs
+++ b/crates/entry/src/pool.rs
@@ -30,6 +30,8 @@
 /// The time limit for opening a connection. A server behind a failed switch never
 /// responds, and a call that waits for it could still run on another server.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+/// The time limit, after a complete response, for the rest of the request to be sent.
+const READY_TIMEOUT: Duration = Duration::from_secs(1);
 /// The time after its last use at which an idle connection is closed.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(20);
 
@@ -195,12 +197,13 @@
     }
 
     /// Returns a connection to its pool after a complete response, as soon as it can
-    /// take another request.
+    /// take another request. Closes it if it cannot within [`READY_TIMEOUT`], since a
+    /// server that has responded early need not read the rest of the request body.
     pub fn keep(&self, conn: Conn, now: Time) {
         let returned = async move {
             let mut conn = conn;
             if let Some(sender) = &mut conn.sender {
-                if sender.ready().await.is_ok() {
+                if let Some(Ok(())) = net::timeout(READY_TIMEOUT, sender.ready()).await {
                     conn.put_back(now);
                 }
             }
--- a/crates/net/src/client.rs
+++ b/crates/net/src/client.rs
@@ -8,6 +8,7 @@
 use hyper::body::Incoming;
 use hyper::client::conn;
 use smol::net::TcpStream;
+use smol::Task;
 use smol_hyper::rt::FuturesIo;
 
 use crate::body;
@@ -31,11 +32,20 @@
     Timeout(Duration),
 }
 
-/// The request side of an HTTP/1.1 or HTTP/2 connection.
-pub enum Sender {
-    /// HTTP/1.1, which allows one exchange at a time.
+/// An HTTP/1.1 or HTTP/2 connection, on which requests are sent.
+///
+/// Dropping it closes the connection at once, also while a request body waits for a peer
+/// that does not read it.
+pub struct Sender {
+    requests: Requests,
+    /// Drives the connection. Dropping the task cancels it.
+    _driver: Task<()>,
+}
+
+enum Requests {
+    /// Allows one exchange at a time.
     Http1(conn::http1::SendRequest<Body>),
-    /// HTTP/2, which allows concurrent exchanges.
+    /// Allows concurrent exchanges.
     Http2(conn::http2::SendRequest<Body>),
 }
 
@@ -51,33 +61,33 @@
     /// Waits until the connection accepts a request. Fails if the connection has
     /// closed.
     pub async fn ready(&mut self) -> Result<(), hyper::Error> {
-        match self {
-            Self::Http1(sender) => sender.ready().await,
-            Self::Http2(sender) => sender.ready().await,
+        match &mut self.requests {
+            Requests::Http1(sender) => sender.ready().await,
+            Requests::Http2(sender) => sender.ready().await,
         }
     }
 
     /// Returns whether the connection has closed.
     pub fn is_closed(&self) -> bool {
-        match self {
-            Self::Http1(sender) => sender.is_closed(),
-            Self::Http2(sender) => sender.is_closed(),
+        match &self.requests {
+            Requests::Http1(sender) => sender.is_closed(),
+            Requests::Http2(sender) => sender.is_closed(),
         }
     }
 
     /// Returns whether the connection accepts a request now.
     pub fn is_ready(&self) -> bool {
-        match self {
-            Self::Http1(sender) => sender.is_ready(),
-            Self::Http2(sender) => sender.is_ready(),
+        match &self.requests {
+            Requests::Http1(sender) => sender.is_ready(),
+            Requests::Http2(sender) => sender.is_ready(),
         }
     }
 
     /// Sends `request` and waits for the head of the response.
     pub async fn send(&mut self, request: Request<Body>) -> Result<Response<Incoming>, SendError> {
-        let result = match self {
-            Self::Http1(sender) => sender.try_send_request(request).await,
-            Self::Http2(sender) => sender.try_send_request(request).await,
+        let result = match &mut self.requests {
+            Requests::Http1(sender) => sender.try_send_request(request).await,
+            Requests::Http2(sender) => sender.try_send_request(request).await,
         };
         result.map_err(|mut failed| SendError {
             unsent: failed.take_message(),
@@ -92,8 +102,8 @@
     connect_with_on_close(handle, address, http2, || {}).await
 }
 
-/// Opens a connection as [`connect`] does, and calls `on_close` once the connection
-/// has closed, whichever side closed it.
+/// Opens a connection as [`connect`] does, and calls `on_close` once the peer has closed
+/// the connection or it has failed.
 pub async fn connect_with_on_close(
     handle: &Handle,
     address: SocketAddr,
@@ -110,18 +120,22 @@
             .timer(smol_hyper::rt::SmolTimer::new())
             .handshake(io)
             .await?;
-        handle.spawn_detached(async move {
-            let _ = driver.await;
-            on_close();
+        return Ok(Sender {
+            requests: Requests::Http2(sender),
+            _driver: handle.spawn(async move {
+                let _ = driver.await;
+                on_close();
+            }),
         });
-        return Ok(Sender::Http2(sender));
     }
     let (sender, driver) = conn::http1::Builder::new().handshake(io).await?;
-    handle.spawn_detached(async move {
-        let _ = driver.await;
-        on_close();
-    });
-    Ok(Sender::Http1(sender))
+    Ok(Sender {
+        requests: Requests::Http1(sender),
+        _driver: handle.spawn(async move {
+            let _ = driver.await;
+            on_close();
+        }),
+    })
 }
 
 /// Sends `request` on a new HTTP/1.1 connection and reads the complete response.
