--- a/crates/node/src/readers.rs
+++ b/crates/node/src/readers.rs
@@ -69,8 +69,8 @@
 /// read at once; the others get the catalog through them. A VM that knows only itself, as
 /// if `fleet` is 1, gives the seeds time to respond, since all VMs know only themselves at
 /// first, and reads within a second. The others begin to read after a fixed time, few at
-/// first. `position`, from 0 to 1, says which ones. Neither
-/// the wait nor the number of VMs that begin grows with the fleet.
+/// first. `position`, from 0 to 1, says which ones. Neither the wait nor the number of VMs
+/// that begin grows with the fleet.
 pub fn reads_at_start(is_seed: bool, position: f64, fleet: u32, up: Duration) -> bool {
     if is_seed {
         return true;
