--- a/crates/node/src/readers.rs
+++ b/crates/node/src/readers.rs
@@ -50,8 +50,9 @@
 /// How long a VM that has just started and knows others waits for the catalog from a peer
 /// before it may read itself.
 const START_WAIT: Duration = Duration::from_millis(600);
-/// About how many VMs begin to read after [`START_WAIT`] if no VM has the catalog.
-const START_READERS: f64 = 8.0;
+/// About how many VMs begin to read at first, where their number then doubles: after
+/// [`START_WAIT`] if no VM has the catalog, and at [`STALE_AGE`] in a large fleet.
+const FIRST_READERS: f64 = 8.0;
 /// The time in which the number of VMs doubles that read because they have no catalog.
 const START_DOUBLING: Duration = Duration::from_millis(300);
 /// The least size of the fleet that a VM assumes, since it knows few peers at its start.
@@ -83,7 +84,7 @@
         return false;
     };
     let doublings = waited.as_secs_f64() / START_DOUBLING.as_secs_f64();
-    let share = START_READERS / f64::from(fleet.max(START_FLEET_MIN));
+    let share = FIRST_READERS / f64::from(fleet.max(START_FLEET_MIN));
     position < share * doublings.exp2()
 }
 
@@ -114,7 +115,7 @@
 /// doubles. `position`, from 0 to 1, is the VM's place in this order.
 pub fn stale_age(position: f64, fleet: u32) -> Duration {
     let rank = position * f64::from(fleet);
-    let doublings = (1.0 + rank / START_READERS).log2();
+    let doublings = (1.0 + rank / FIRST_READERS).log2();
     let delay = STALE_STEP
         .mul_f64(rank)
         .min(STALE_DOUBLING.mul_f64(doublings));
