--- a/crates/load/tests/harness/mod.rs
+++ b/crates/load/tests/harness/mod.rs
@@ -71,15 +71,7 @@
 /// Reads a head and the body whose length the head states; returns both. Returns
 /// `None` if the connection ends first.
 pub(crate) fn read_message(stream: &mut TcpStream) -> Option<String> {
-    let mut head = Vec::new();
-    let mut byte = [0];
-    while !head.ends_with(b"\r\n\r\n") {
-        if stream.read(&mut byte).ok()? == 0 {
-            return None;
-        }
-        head.push(byte[0]);
-    }
-    let mut text = String::from_utf8_lossy(&head).into_owned();
+    let mut text = read_head(stream)?;
     let length = text
         .to_ascii_lowercase()
         .lines()
@@ -91,6 +83,19 @@
     Some(text)
 }
 
+/// Reads a head, without the body. Returns `None` if the connection ends first.
+pub(crate) fn read_head(stream: &mut TcpStream) -> Option<String> {
+    let mut head = Vec::new();
+    let mut byte = [0];
+    while !head.ends_with(b"\r\n\r\n") {
+        if stream.read(&mut byte).ok()? == 0 {
+            return None;
+        }
+        head.push(byte[0]);
+    }
+    Some(String::from_utf8_lossy(&head).into_owned())
+}
+
 /// An entry VM with one service, `s`, at `/`, and one failure domain, `north`.
 pub(crate) struct Harness {
     pub(crate) node: Node,
--- a/crates/load/tests/uploads.rs
+++ b/crates/load/tests/uploads.rs
@@ -12,6 +12,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use harness::read_head;
 use harness::Harness;
 
 /// The size of the uploads, more than the buffers of all connections on the way hold.
@@ -46,18 +47,6 @@
     }
 }
 
-fn read_head(stream: &mut TcpStream) -> Option<String> {
-    let mut head = Vec::new();
-    let mut byte = [0];
-    while !head.ends_with(b"\r\n\r\n") {
-        if stream.read(&mut byte).ok()? == 0 {
-            return None;
-        }
-        head.push(byte[0]);
-    }
-    Some(String::from_utf8_lossy(&head).into_owned())
-}
-
 const EARLY_RESPONSE: &[u8] = b"HTTP/1.1 413 Too Large\r\ncontent-length: 5\r\n\r\nlarge";
 
 /// Responds before the body is in, and goes on reading it.
