Remove servers after an outage only if a later read confirms it

Cause: servers whose entries lapsed in an outage have 2.2 s to come back. A VM that is not a reader read the store first, held 24 removals, stopped reading when the readers went on, and applied the removals when they were due although all servers had come back meanwhile. Its tombstones were newer than the entries of the others, who took them over. No event of the store contradicts them, since heartbeats change nothing.

Now a VM goes on reading while it holds removals, and applies them only after a read that came when they were due. An entry that is back cancels its removal in that read.

--- a/crates/node/src/registry.rs
+++ b/crates/node/src/registry.rs
@@ -78,6 +78,8 @@
     topic: Topic,
     /// The revision up to which the topic was read; none if it has to be listed.
     revision: Option<Revision>,
+    /// When the topic was last read; zero before.
+    read_at: Time,
     /// The number of failures since the last success.
     failures: u32,
     held_removals: Vec<HeldRemoval>,
@@ -142,6 +144,7 @@
         let mut reader = TopicReader {
             topic,
             revision: None,
+            read_at: Time::ZERO,
             failures: 0,
             held_removals: Vec::new(),
         };
@@ -150,7 +153,9 @@
             let must_wait = reader.topic != Topic::Servers
                 && reader.failures >= TOPIC_FAILURES_MAX
                 && self.is_registry_down();
-            if must_wait || !self.should_read() {
+            // Only a later read shows whether an entry has come back.
+            let must_read = !reader.held_removals.is_empty();
+            if must_wait || !(must_read || self.should_read()) {
                 if reader.topic == Topic::Servers && !self.is_confirmed() {
                     self.with_members(Membership::exchange_revisions);
                 }
@@ -197,7 +202,8 @@
             );
         }
         reader.failures = 0;
-        let now = self.clock.now().as_millis() as u64;
+        reader.read_at = self.clock.now();
+        let now = reader.read_at.as_millis() as u64;
         self.registry_read_ms.fetch_max(now, Ordering::Relaxed);
         if reader.topic == Topic::Servers {
             self.confirm(Duration::ZERO);
@@ -398,13 +404,13 @@
         changed
     }
 
-    /// Applies the held removals that are due: their entries have not come back after an
-    /// outage.
+    /// Applies the held removals that are due and were confirmed by a read since: their
+    /// entries have not come back after an outage.
     ///
     /// The removals get the revision up to which this VM has read since. Peers that
     /// have already read past the revision of a removal would not fetch it otherwise.
     fn apply_due_removals(&self, reader: &mut TopicReader) {
-        let now = self.clock.now();
+        let (now, read_at) = (self.clock.now(), reader.read_at);
         let read = reader.revision.unwrap_or(0);
         let known = lock(&self.catalog).revisions();
         let newest = match reader.topic {
@@ -415,7 +421,7 @@
             return;
         }
         let held = std::mem::take(&mut reader.held_removals);
-        let (due, kept): (Vec<_>, Vec<_>) = held.into_iter().partition(|held| now >= held.due);
+        let (due, kept): (Vec<_>, Vec<_>) = held.into_iter().partition(|held| read_at >= held.due);
         reader.held_removals = kept;
         let mut changed = false;
         for removal in due {
