Give up a read that an outage of the store holds before the layout is late

Cause: a request that is sent while the store does not respond is given up only after its wait and 1.2 s, also when the store responds to new ones again. For a watch of the layout that is 4.2 s. All readers renew their watches after the same change, so all of them may be held at once.

Now a watch of the layout waits 1 s, and a read after a failure does not wait, so it is held for 1.2 s. A topic that waits for the servers to be readable checks that every 50 ms instead of up to every 500 ms.

--- a/crates/node/src/readers.rs
+++ b/crates/node/src/readers.rs
@@ -34,8 +34,11 @@
 /// is up to date, so they have to come often enough for all VMs to hear of one within
 /// [`STALE_AGE`].
 const SERVERS_WATCH_WAIT: Duration = Duration::from_millis(900);
-/// The longest wait of a watch of another topic. A connection may stop responding without
-/// being closed, so a watch ends long before a change would be late.
+/// The longest wait of a watch of the layout. The registry may stop responding while a
+/// watch waits, and the watch is then given up only after its wait and the time limit for
+/// a response. A layout has to be in force three seconds after such an outage.
+const LAYOUT_WATCH_WAIT: Duration = Duration::from_secs(1);
+/// The longest wait of a watch of another topic, whose changes have more time.
 const WATCH_WAIT: Duration = Duration::from_secs(3);
 /// The delay after changes of the servers were read, whose entries change with every
 /// heartbeat of a server.
@@ -58,7 +61,7 @@
 /// The least size of the fleet that a VM assumes, since it knows few peers at its start.
 const START_FLEET_MIN: u32 = 64;
 /// The shortest delay after which a VM that does not read checks whether it should.
-const CHECK_DELAY_MIN: Duration = Duration::from_millis(50);
+pub(crate) const CHECK_DELAY_MIN: Duration = Duration::from_millis(50);
 /// The longest delay after which a VM that does not read checks whether it should. A VM
 /// that has become a reader begins to read within this time.
 const CHECK_DELAY_MAX: Duration = Duration::from_millis(500);
@@ -88,11 +91,18 @@
     position < share * doublings.exp2()
 }
 
-/// Returns the longest wait of a watch of `topic`.
-pub fn watch_wait(topic: Topic) -> Duration {
+/// Returns the longest wait of a watch of `topic` after `failures` failed reads.
+///
+/// A watch after a failure does not wait, so that a registry that is still unresponsive
+/// holds it only for the time limit of a response, and its return is soon noticed.
+pub fn watch_wait(topic: Topic, failures: u32) -> Duration {
+    if failures > 0 {
+        return Duration::ZERO;
+    }
     match topic {
+        Topic::Layout => LAYOUT_WATCH_WAIT,
         Topic::Servers => SERVERS_WATCH_WAIT,
-        Topic::Layout | Topic::DomainsOut | Topic::Vms => WATCH_WAIT,
+        Topic::DomainsOut | Topic::Vms => WATCH_WAIT,
     }
 }
 
--- a/crates/node/src/registry.rs
+++ b/crates/node/src/registry.rs
@@ -24,6 +24,7 @@
 
 use crate::readers::read_delay;
 use crate::readers::watch_wait;
+use crate::readers::CHECK_DELAY_MIN;
 use crate::readers::STALE_AGE;
 use crate::shared::lock;
 use crate::shared::Shared;
@@ -153,9 +154,13 @@
             let must_wait = reader.topic != Topic::Servers
                 && reader.failures >= TOPIC_FAILURES_MAX
                 && self.is_registry_down();
+            if must_wait {
+                smol::Timer::after(CHECK_DELAY_MIN).await;
+                continue;
+            }
             // Only a later read shows whether an entry has come back.
             let must_read = !reader.held_removals.is_empty();
-            if must_wait || !(must_read || self.should_read()) {
+            if !must_read && !self.should_read() {
                 if reader.topic == Topic::Servers && !self.is_confirmed() {
                     self.with_members(Membership::exchange_revisions);
                 }
@@ -254,7 +259,7 @@
                     .watch(
                         reader.topic,
                         after,
-                        watch_wait(reader.topic),
+                        watch_wait(reader.topic, reader.failures),
                         RESPONSE_TIMEOUT,
                     )
                     .await?;
--- a/crates/node/tests/readers.rs
+++ b/crates/node/tests/readers.rs
@@ -71,7 +71,7 @@
 fn quiet_reads(fleet: usize, time: Duration) -> (usize, usize) {
     const TICK: Duration = Duration::from_millis(10);
     let mut rng = fastrand::Rng::with_seed(fleet as u64);
-    let period = watch_wait(Topic::Servers) + read_delay(Topic::Servers, false);
+    let period = watch_wait(Topic::Servers, 0) + read_delay(Topic::Servers, false);
     let mut draw = |span: Duration| span.mul_f64(rng.f64());
     let mut next_reads: Vec<Duration> = (0..READERS).map(|_| draw(period)).collect();
     let mut next_exchanges: Vec<Duration> = (0..fleet).map(|_| draw(EXCHANGE_PERIOD)).collect();
