Report the age of the registry as it is when a message is sent

Cause: messages to peers had the age as of the last tick, up to 250 ms earlier. Each VM that takes the catalog for that much younger passes its own age on in the same way, so the ages shrink from VM to VM.

Now the age is set whenever the membership is used, so that no message has an earlier one.

--- a/crates/node/src/registry.rs
+++ b/crates/node/src/registry.rs
@@ -135,7 +135,6 @@
                 registry: revisions,
                 ..members.revisions()
             });
-            self.set_registry_age(members);
             members.announce();
         });
     }
@@ -212,7 +211,6 @@
         self.registry_read_ms.fetch_max(now, Ordering::Relaxed);
         if reader.topic == Topic::Servers {
             self.confirm(Duration::ZERO);
-            self.with_members(|members| self.set_registry_age(members));
         }
         read_delay(reader.topic, has_changes)
     }
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -290,6 +290,8 @@
     /// and applies the new view if one is due.
     pub(crate) fn with_members<T>(&self, f: impl FnOnce(&mut Membership) -> T) -> T {
         let mut members = lock(&self.members);
+        // Peers pass the age on, so a message with an earlier one would make it shrink.
+        self.set_registry_age(&mut members);
         let result = f(&mut members);
         let actions = members.take_actions();
         let (version, fleet) = (members.version(), members.peers().len());
@@ -509,10 +511,7 @@
     pub(crate) fn tick_followers(&self) {
         self.check_pause();
         let now = self.clock.now();
-        self.with_members(|members| {
-            self.set_registry_age(members);
-            members.tick(now);
-        });
+        self.with_members(|members| members.tick(now));
         for shard in self.table().shards() {
             let effects = shard.tick_follower(now);
             self.run_effects(shard, effects);
