Take a catalog for up to date only if all of its topics are

Cause: a response about the servers made the whole catalog count as up to date. While the readers are refused, or held in an outage, another VM reads the servers, which confirms the catalog for all VMs within milliseconds, before it has read the layout; a peer that fetched an update from it counted the catalog as 0.7 s old whatever it was.

Class: one observation vouches for more than it shows.

Now the age is that of the topic that was read longest ago; a watch that waits counts as up to date. Updates have the sender's age. VMs that read in place of the readers read each topic once, without waiting.

--- a/crates/conf/src/catalog.rs
+++ b/crates/conf/src/catalog.rs
@@ -79,6 +79,9 @@
 /// The changes that a VM sends to a peer whose catalog is older.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Update {
+    /// How long ago the sender's catalog was up to date; `None` if that is not known.
+    #[serde(default)]
+    pub age: Option<Duration>,
     /// The layout with its registry revision; `None` if the peer has it.
     pub layout: Option<(Revision, Arc<Layout>)>,
     /// Servers that were added, changed or deleted.
@@ -242,6 +245,7 @@
             }
         }
         Update {
+            age: None,
             layout: self.layout.as_ref().filter(newer).cloned(),
             servers,
             outs: entries_after(&self.outs, known.outs),
--- a/crates/node/src/readers.rs
+++ b/crates/node/src/readers.rs
@@ -5,10 +5,13 @@
 //! delay. Readers that fail are thus replaced without waiting for the failure
 //! detector. See `docs/design/platform.md`, "Who reads".
 
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use base::rendezvous;
+use base::Time;
 use base::VmId;
 use conf::registry::Topic;
 use member::Membership;
@@ -16,6 +19,9 @@
 use crate::shared::lock;
 use crate::shared::Shared;
 
+/// The longest wait for a response, beyond the wait of a watch. Responses usually
+/// take a small fraction of this time.
+pub(crate) const RESPONSE_TIMEOUT: Duration = Duration::from_millis(1200);
 /// The number of readers in normal operation. Two of them may fail at the same moment
 /// and the third goes on reading.
 pub const READERS: usize = 3;
@@ -91,14 +97,8 @@
     position < share * doublings.exp2()
 }
 
-/// Returns the longest wait of a watch of `topic` after `failures` failed reads.
-///
-/// A watch after a failure does not wait, so that a registry that is still unresponsive
-/// holds it only for the time limit of a response, and its return is soon noticed.
-pub fn watch_wait(topic: Topic, failures: u32) -> Duration {
-    if failures > 0 {
-        return Duration::ZERO;
-    }
+/// Returns the longest wait of a watch of `topic`.
+pub fn watch_wait(topic: Topic) -> Duration {
     match topic {
         Topic::Layout => LAYOUT_WATCH_WAIT,
         Topic::Servers => SERVERS_WATCH_WAIT,
@@ -132,6 +132,85 @@
     STALE_AGE + delay
 }
 
+/// What this VM knows of one topic by its own reads.
+#[derive(Debug, Default)]
+struct TopicRead {
+    /// When the topic was last read, in milliseconds; 0 if it never was.
+    at_ms: AtomicU64,
+    /// Whether a watch waits for changes.
+    is_watched: AtomicBool,
+}
+
+impl TopicRead {
+    fn at(&self) -> Time {
+        Time::from_millis(self.at_ms.load(Ordering::Relaxed))
+    }
+
+    /// Returns up to when changes of the topic are known.
+    fn known_at(&self, now: Time) -> Time {
+        if self.is_watched.load(Ordering::Relaxed) {
+            now
+        } else {
+            self.at()
+        }
+    }
+}
+
+/// When this VM last read each topic of the catalog.
+#[derive(Debug, Default)]
+pub struct TopicReads {
+    layout: TopicRead,
+    servers: TopicRead,
+    outs: TopicRead,
+}
+
+impl TopicReads {
+    /// Records that `topic` was read at `now`.
+    pub fn record(&self, topic: Topic, now: Time) {
+        if let Some(read) = self.find(topic) {
+            read.at_ms
+                .fetch_max(now.as_millis() as u64, Ordering::Relaxed);
+        }
+    }
+
+    /// Records whether a watch of `topic` waits for changes.
+    pub fn set_watched(&self, topic: Topic, is_watched: bool) {
+        if let Some(read) = self.find(topic) {
+            read.is_watched.store(is_watched, Ordering::Relaxed);
+        }
+    }
+
+    /// Returns when `topic` was last read; zero if it never was.
+    pub fn read_at(&self, topic: Topic) -> Time {
+        self.find(topic).map_or(Time::ZERO, TopicRead::at)
+    }
+
+    /// Returns when any topic was last read; zero if none was.
+    pub fn latest(&self) -> Time {
+        let others = self.layout.at().max(self.outs.at());
+        self.servers.at().max(others)
+    }
+
+    /// Returns when all topics were up to date, as far as is known at `now`; zero if one
+    /// was never read.
+    ///
+    /// A watch that waits shows that its topic is up to date, except that of the servers:
+    /// its responses have to show that the registry still responds.
+    pub fn confirmed_at(&self, now: Time) -> Time {
+        let others = self.layout.known_at(now).min(self.outs.known_at(now));
+        self.servers.at().min(others)
+    }
+
+    fn find(&self, topic: Topic) -> Option<&TopicRead> {
+        match topic {
+            Topic::Layout => Some(&self.layout),
+            Topic::Servers => Some(&self.servers),
+            Topic::DomainsOut => Some(&self.outs),
+            Topic::Vms => None,
+        }
+    }
+}
+
 impl Shared {
     /// Returns how long ago this VM's catalog was last found to be up to date, in
     /// milliseconds; the time since the VM's start if it never was.
@@ -149,8 +228,13 @@
 
     /// Records that this VM's catalog was up to date `age` ago.
     pub(crate) fn confirm(&self, age: Duration) {
-        let at = self.clock.now().saturating_sub(age).as_millis() as u64;
-        self.confirmed_ms.fetch_max(at, Ordering::Relaxed);
+        self.confirm_at(self.clock.now().saturating_sub(age));
+    }
+
+    /// Records that this VM's catalog was up to date `at` this time.
+    pub(crate) fn confirm_at(&self, at: Time) {
+        self.confirmed_ms
+            .fetch_max(at.as_millis() as u64, Ordering::Relaxed);
     }
 
     /// Returns the VMs that should read the registry on behalf of all.
@@ -171,8 +255,8 @@
 
     /// Returns whether this VM's last attempt to read the registry failed.
     pub(crate) fn is_registry_down(&self) -> bool {
-        self.registry_failed_ms.load(Ordering::Relaxed)
-            > self.registry_read_ms.load(Ordering::Relaxed)
+        let failed_ms = self.registry_failed_ms.load(Ordering::Relaxed);
+        Time::from_millis(failed_ms) > self.topic_reads.latest()
     }
 
     /// Returns the age of the catalog at which this VM begins to read although it is
@@ -192,8 +276,13 @@
             .clamp(CHECK_DELAY_MIN, CHECK_DELAY_MAX)
     }
 
-    /// Returns whether this VM should read now.
-    pub(crate) fn should_read(&self) -> bool {
+    /// Returns whether this VM is one of those that read on behalf of all.
+    pub(crate) fn is_reader(&self) -> bool {
+        self.readers().contains(&self.self_id)
+    }
+
+    /// Returns whether this VM should read `topic` now.
+    pub(crate) fn should_read(&self, topic: Topic) -> bool {
         let now = self.clock.now();
         if !lock(&self.catalog).is_populated() {
             // Too little of the membership is known to choose readers.
@@ -209,10 +298,13 @@
             }
             return reads_at_start(is_seed, self.spread_position(), self.fleet_size(), now);
         }
-        if self.readers().contains(&self.self_id) {
+        if self.is_reader() {
             return true;
         }
-        u128::from(self.registry_age()) > self.read_age().as_millis()
+        let read_age = self.read_age();
+        let stale_since = Time::from_millis(self.confirmed_ms.load(Ordering::Relaxed)) + read_age;
+        let read_at = self.topic_reads.read_at(topic);
+        now > stale_since && (read_at <= stale_since || now > read_at + read_age)
     }
 
     /// Sets the age of this VM's catalog that the next pings report to peers.
--- a/crates/node/src/registry.rs
+++ b/crates/node/src/registry.rs
@@ -25,17 +25,14 @@
 use crate::readers::read_delay;
 use crate::readers::watch_wait;
 use crate::readers::CHECK_DELAY_MIN;
-use crate::readers::STALE_AGE;
+use crate::readers::RESPONSE_TIMEOUT;
 use crate::shared::lock;
 use crate::shared::Shared;
 use crate::sync;
 
-/// The longest wait for a response, beyond the wait of a watch. Responses usually
-/// take a small fraction of this time.
-const RESPONSE_TIMEOUT: Duration = Duration::from_millis(1200);
 /// The mean delay after the first failed read.
 const BACKOFF_MIN: Duration = Duration::from_millis(100);
-/// The upper bound of the mean delay after failed reads, shorter than [`STALE_AGE`].
+/// The upper bound of the mean delay after failed reads, shorter than [`crate::readers::STALE_AGE`].
 /// Larger fleets wait longer while no VM can read; see [`VMS_PER_BACKOFF`].
 const BACKOFF_MAX: Duration = Duration::from_millis(800);
 /// The number of VMs by which the backoff scales while no VM can read: a fleet of
@@ -100,17 +97,26 @@
     pub(crate) fn newer_registry(&self, revisions: &RegistryRevisions) -> Option<Vec<u8>> {
         let catalog = lock(&self.catalog);
         let newer = catalog.revisions().exceeds(revisions);
-        newer.then(|| sync::encode(&catalog.changes_since(revisions, self.clock.now())))
+        newer.then(|| {
+            let age = self
+                .is_confirmed()
+                .then(|| Duration::from_millis(u64::from(self.registry_age())));
+            sync::encode(&Update {
+                age,
+                ..catalog.changes_since(revisions, self.clock.now())
+            })
+        })
     }
 
     /// Merges an update from a peer into the catalog.
     pub(crate) fn apply_update(&self, update: Update) {
         let now = self.clock.now();
+        let age = update.age;
         let changed = lock(&self.catalog).merge(update, now);
+        if let Some(age) = age {
+            self.confirm(age);
+        }
         if changed {
-            // The sender's catalog is not stale: the sender would have read the
-            // registry itself otherwise.
-            self.confirm(STALE_AGE / 2);
             self.put_in_force();
         }
     }
@@ -158,8 +164,9 @@
                 continue;
             }
             // Only a later read shows whether an entry has come back.
-            let must_read = !reader.held_removals.is_empty();
-            if !must_read && !self.should_read() {
+            let now = self.clock.now();
+            let must_read = reader.held_removals.iter().any(|held| now >= held.due);
+            if !must_read && !self.should_read(topic) {
                 if reader.topic == Topic::Servers && !self.is_confirmed() {
                     self.with_members(Membership::exchange_revisions);
                 }
@@ -207,11 +214,8 @@
         }
         reader.failures = 0;
         reader.read_at = self.clock.now();
-        let now = reader.read_at.as_millis() as u64;
-        self.registry_read_ms.fetch_max(now, Ordering::Relaxed);
-        if reader.topic == Topic::Servers {
-            self.confirm(Duration::ZERO);
-        }
+        self.topic_reads.record(reader.topic, reader.read_at);
+        self.confirm_at(self.topic_reads.confirmed_at(reader.read_at));
         read_delay(reader.topic, has_changes)
     }
 
@@ -253,14 +257,7 @@
                 true
             }
             Some(after) => {
-                let page = registry
-                    .watch(
-                        reader.topic,
-                        after,
-                        watch_wait(reader.topic, reader.failures),
-                        RESPONSE_TIMEOUT,
-                    )
-                    .await?;
+                let page = self.watch_topic(registry, reader, after).await?;
                 self.note_outage_end(reader);
                 let has_changes = !page.items.is_empty();
                 self.apply_changes(reader, page);
@@ -270,6 +267,32 @@
         Ok(has_changes)
     }
 
+    /// Reads the changes of the topic after the revision `after`, and waits for some if
+    /// this VM reads on behalf of all.
+    ///
+    /// A watch after a failure does not wait, so that a registry that is still
+    /// unresponsive holds it only for the time limit of a response, and its return is soon
+    /// noticed.
+    async fn watch_topic(
+        &self,
+        registry: &dyn Registry,
+        reader: &TopicReader,
+        after: Revision,
+    ) -> plat::Result<Page> {
+        let waits = reader.failures == 0 && self.is_reader();
+        let wait = if waits {
+            watch_wait(reader.topic)
+        } else {
+            Duration::ZERO
+        };
+        self.topic_reads.set_watched(reader.topic, waits);
+        let result = registry
+            .watch(reader.topic, after, wait, RESPONSE_TIMEOUT)
+            .await;
+        self.topic_reads.set_watched(reader.topic, false);
+        result
+    }
+
     /// Records that an outage of the registry for all VMs has ended by now. Servers
     /// whose entries lapsed in the outage come back from now on. If only this VM could
     /// not read the registry, the time of its last failure is a good enough estimate of
@@ -505,7 +528,7 @@
             }
             // A registration of an earlier era may have been lost in a restore.
             let era = registry.era();
-            if registered != Some(era) && self.readers().contains(&self.self_id) {
+            if registered != Some(era) && self.is_reader() {
                 let result = registry.register_vm(&self.settings.vm, address, RESPONSE_TIMEOUT);
                 match result.await {
                     Ok(()) => registered = Some(era),
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -51,6 +51,7 @@
 use wire::Transport;
 
 use crate::claims::PendingClaims;
+use crate::readers::TopicReads;
 use crate::restores::Restores;
 use crate::shard::Effects;
 use crate::shard::ShardState;
@@ -120,8 +121,8 @@
     /// read again after an outage for all VMs; 0 if neither has happened.
     pub(crate) registry_failed_ms: AtomicU64,
     pub(crate) restores: Restores,
-    /// When this VM last read the registry successfully; 0 if never.
-    pub(crate) registry_read_ms: AtomicU64,
+    /// When this VM last read each topic of the registry.
+    pub(crate) topic_reads: TopicReads,
     /// Whether a fetch of newer configuration from a peer is under way.
     pub(crate) fetching: AtomicBool,
     /// Addresses of peers from which to fetch newer configuration.
@@ -233,7 +234,7 @@
             confirmed_ms: AtomicU64::new(0),
             registry_failed_ms: AtomicU64::new(0),
             restores: Restores::default(),
-            registry_read_ms: AtomicU64::new(0),
+            topic_reads: TopicReads::default(),
             transport: parts.transport,
             keyring: parts.keyring,
             outbox: parts.outbox,
--- a/crates/node/tests/readers.rs
+++ b/crates/node/tests/readers.rs
@@ -8,6 +8,7 @@
 use node::readers::reads_at_start;
 use node::readers::stale_age;
 use node::readers::watch_wait;
+use node::readers::TopicReads;
 use node::readers::READERS;
 use node::readers::STALE_AGE;
 
@@ -71,7 +72,7 @@
 fn quiet_reads(fleet: usize, time: Duration) -> (usize, usize) {
     const TICK: Duration = Duration::from_millis(10);
     let mut rng = fastrand::Rng::with_seed(fleet as u64);
-    let period = watch_wait(Topic::Servers, 0) + read_delay(Topic::Servers, false);
+    let period = watch_wait(Topic::Servers) + read_delay(Topic::Servers, false);
     let mut draw = |span: Duration| span.mul_f64(rng.f64());
     let mut next_reads: Vec<Duration> = (0..READERS).map(|_| draw(period)).collect();
     let mut next_exchanges: Vec<Duration> = (0..fleet).map(|_| draw(EXCHANGE_PERIOD)).collect();
@@ -141,3 +142,33 @@
         assert!(count <= 21, "{count} of {fleet}");
     }
 }
+
+#[test]
+fn confirmed_at_servers_alone_confirm_nothing() {
+    let ms = Duration::from_millis;
+    let reads = TopicReads::default();
+    reads.record(Topic::Servers, ms(100));
+    assert_eq!(reads.confirmed_at(ms(100)), Duration::ZERO);
+    reads.record(Topic::Layout, ms(120));
+    assert_eq!(reads.confirmed_at(ms(120)), Duration::ZERO);
+    reads.record(Topic::DomainsOut, ms(150));
+    assert_eq!(reads.confirmed_at(ms(150)), ms(100));
+    reads.record(Topic::Servers, ms(2000));
+    assert_eq!(reads.confirmed_at(ms(2000)), ms(120));
+}
+
+#[test]
+fn confirmed_at_watched_topics_are_up_to_date() {
+    let ms = Duration::from_millis;
+    let reads = TopicReads::default();
+    for topic in [Topic::Servers, Topic::Layout, Topic::DomainsOut] {
+        reads.record(topic, ms(100));
+        reads.set_watched(topic, true);
+    }
+    // The wait of a watch of the servers says nothing before its response.
+    assert_eq!(reads.confirmed_at(ms(900)), ms(100));
+    reads.record(Topic::Servers, ms(1000));
+    assert_eq!(reads.confirmed_at(ms(1000)), ms(1000));
+    reads.set_watched(Topic::Layout, false);
+    assert_eq!(reads.confirmed_at(ms(1000)), ms(100));
+}
