Count the delay after a read towards the wait of the next watch

After changes of the servers a reader pauses 0.8 s and then waited up to 0.9 s more, so the catalog was older than 1.4 s for most VMs, which then read for themselves.

--- a/crates/node/src/readers.rs
+++ b/crates/node/src/readers.rs
@@ -97,13 +97,16 @@
     position < share * doublings.exp2()
 }
 
-/// Returns the longest wait of a watch of `topic`.
-pub fn watch_wait(topic: Topic) -> Duration {
-    match topic {
+/// Returns the longest wait of a watch of `topic` that begins `since_last` after the last
+/// response. The delay before it counts, as the age of the catalog does not depend on
+/// whether the last response had changes.
+pub fn watch_wait(topic: Topic, since_last: Duration) -> Duration {
+    let longest = match topic {
         Topic::Layout => LAYOUT_WATCH_WAIT,
         Topic::Servers => SERVERS_WATCH_WAIT,
         Topic::DomainsOut | Topic::Vms => WATCH_WAIT,
-    }
+    };
+    (longest + READ_DELAY).saturating_sub(since_last)
 }
 
 /// Returns the delay after a response about `topic` until the next request. `has_changes`
--- a/crates/node/src/registry.rs
+++ b/crates/node/src/registry.rs
@@ -281,7 +281,8 @@
     ) -> plat::Result<Page> {
         let waits = reader.failures == 0 && self.is_reader();
         let wait = if waits {
-            watch_wait(reader.topic)
+            let since_last = self.clock.now().saturating_sub(reader.read_at);
+            watch_wait(reader.topic, since_last)
         } else {
             Duration::ZERO
         };
--- a/crates/node/tests/readers.rs
+++ b/crates/node/tests/readers.rs
@@ -4,7 +4,6 @@
 use std::time::Duration;
 
 use conf::registry::Topic;
-use node::readers::read_delay;
 use node::readers::reads_at_start;
 use node::readers::stale_age;
 use node::readers::watch_wait;
@@ -72,7 +71,7 @@
 fn quiet_reads(fleet: usize, time: Duration) -> (usize, usize) {
     const TICK: Duration = Duration::from_millis(10);
     let mut rng = fastrand::Rng::with_seed(fleet as u64);
-    let period = watch_wait(Topic::Servers) + read_delay(Topic::Servers, false);
+    let period = watch_wait(Topic::Servers, Duration::ZERO);
     let mut draw = |span: Duration| span.mul_f64(rng.f64());
     let mut next_reads: Vec<Duration> = (0..READERS).map(|_| draw(period)).collect();
     let mut next_exchanges: Vec<Duration> = (0..fleet).map(|_| draw(EXCHANGE_PERIOD)).collect();
