--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -5,6 +5,7 @@
 use std::net::SocketAddr;
 use std::path::Path;
 use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 use std::sync::Arc;
 use std::time::Duration;
@@ -85,6 +86,9 @@
 /// The age of the copy from which the store comes back, without the time for which it is
 /// unavailable.
 const COPY_AGE: Duration = Duration::from_secs(2);
+/// The time after an outage of the store within which servers write entries again that
+/// lapsed.
+const ENTRY_RETURN_TIME: Duration = Duration::from_secs(2);
 /// The kinds of objects that their writers write again after the store was restored.
 const WRITTEN_AGAIN: [&str; 3] = [
     stand::CONFIG_KIND,
@@ -133,6 +137,8 @@
     servers: usize,
     /// Held while a failure domain is out of service, so that only one is at a time.
     domain_lock: Mutex<()>,
+    /// The number of events for which the store does not serve the operators.
+    store_outages: AtomicUsize,
     /// Set when the run stops all processes, which are not restarted from then on.
     finished: AtomicBool,
 }
@@ -261,6 +267,7 @@
             rotation: Rotation::default(),
             servers: size.servers,
             domain_lock: Mutex::new(()),
+            store_outages: AtomicUsize::new(0),
             finished: AtomicBool::new(false),
         };
         harness.write_ticket();
@@ -433,20 +440,37 @@
                 );
             }
             Action::StoreFault(fault) => {
-                self.set_store_mode(store_mode(fault)).await;
+                self.begin_store_fault(fault).await;
                 Timer::after(duration).await;
-                self.set_store_mode(Mode::Normal).await;
+                self.end_store_fault(fault).await;
                 self.record_fault(FaultTarget::Store, "store fault", from);
             }
+            Action::LapseEntries(fault) => {
+                self.begin_store_fault(fault).await;
+                Timer::after(duration / 2).await;
+                for location in &self.locations {
+                    location.lapse_entry(&self.store);
+                }
+                Timer::after(duration / 2).await;
+                self.end_store_fault(fault).await;
+                self.record_fault(FaultTarget::Store, "entries lapsed in an outage", from);
+                // Operators who waited for the store go on.
+                self.write_ticket();
+                let gap = ENTRY_RETURN_TIME / self.locations.len() as u32;
+                for location in &self.locations {
+                    location.restore_entry(&self.store);
+                    Timer::after(gap).await;
+                }
+            }
             Action::CompactStore => self.store.compact(),
             Action::RestoreStore => {
                 let copy = self.store.copy();
                 Timer::after(COPY_AGE).await;
                 let from = self.recorder.now();
-                self.set_store_mode(Mode::Unavailable).await;
+                self.begin_store_fault(StoreFault::Unavailable).await;
                 Timer::after(duration).await;
                 self.store.restore_except(&copy, &WRITTEN_AGAIN);
-                self.set_store_mode(Mode::Normal).await;
+                self.end_store_fault(StoreFault::Unavailable).await;
                 self.record_fault(FaultTarget::Store, "store restored from a copy", from);
             }
             Action::ServerFault(index, behavior) => {
@@ -499,6 +523,9 @@
             }
             Action::WriteTickets(count) => {
                 for _ in 0..count {
+                    while self.store_outages.load(Ordering::SeqCst) > 0 {
+                        Timer::after(POLL_PERIOD).await;
+                    }
                     self.write_ticket();
                     Timer::after(TICKET_GAP).await;
                 }
@@ -518,6 +545,20 @@
         link.set_fault(LinkFault::None);
     }
 
+    async fn begin_store_fault(&self, fault: StoreFault) {
+        self.set_store_mode(store_mode(fault)).await;
+        if is_outage(fault) {
+            self.store_outages.fetch_add(1, Ordering::SeqCst);
+        }
+    }
+
+    async fn end_store_fault(&self, fault: StoreFault) {
+        self.set_store_mode(Mode::Normal).await;
+        if is_outage(fault) {
+            self.store_outages.fetch_sub(1, Ordering::SeqCst);
+        }
+    }
+
     async fn set_store_mode(&self, mode: Mode) {
         for vm in &self.vms {
             vm.lock().await.store_endpoint.set_mode(mode);
@@ -594,6 +635,11 @@
     response.is_ok_and(|response| response.is_some_and(|response| response.status == 200))
 }
 
+/// Returns whether the store does not serve the operators either.
+fn is_outage(fault: StoreFault) -> bool {
+    matches!(fault, StoreFault::Unavailable | StoreFault::Unresponsive)
+}
+
 fn store_mode(fault: StoreFault) -> Mode {
     match fault {
         StoreFault::Unavailable => Mode::Unavailable,
--- a/crates/soak/src/schedule.rs
+++ b/crates/soak/src/schedule.rs
@@ -28,6 +28,14 @@
 /// Keeps the draws of these events apart from those of the others, whose schedules stay
 /// the same for each seed.
 const NOTICE_SEED: u64 = 0x6e6f_7469_6365;
+/// Keeps the draws of long outages apart from those of the other events.
+const OUTAGE_SEED: u64 = 0x6f75_7461_6765;
+/// The share of runs with a long outage of the store.
+const OUTAGE_SHARE: f64 = 0.5;
+/// The minimum duration of a long outage.
+const OUTAGE_MIN: Duration = Duration::from_secs(4);
+/// The maximum duration of a long outage.
+const OUTAGE_MAX: Duration = Duration::from_secs(9);
 /// The longest rest that a server asks for, in seconds.
 const REST_MAX_SECS: u64 = 3;
 /// The time between the starts of two events of a series.
@@ -117,6 +125,9 @@
     /// The store is unavailable for the duration of the event and comes back from a
     /// copy that was made before.
     RestoreStore,
+    /// Injects a store fault that all VMs observe and in which the entries of all servers
+    /// lapse. The servers write them again soon after the end of the event.
+    LapseEntries(StoreFault),
     /// Takes a failure domain, given by its index in [`DOMAINS`], out of service
     /// for the duration of the event and some seconds more.
     DomainOut(usize),
@@ -154,6 +165,7 @@
         at += EVENT_GAP_MEAN.mul_f64(-(1.0 - rng.f64()).ln());
     }
     events.extend(generate_notices(seed, size));
+    events.extend(generate_outage(seed, size));
     events.sort_by_key(|event| event.at);
     events
 }
@@ -186,6 +198,23 @@
     }
 }
 
+/// Generates the long outage of a run, if it has one.
+fn generate_outage(seed: u64, size: &Size) -> Option<Event> {
+    let mut rng = fastrand::Rng::with_seed(seed ^ OUTAGE_SEED);
+    let has_outage = rng.f64() < OUTAGE_SHARE;
+    let fault = if rng.bool() {
+        StoreFault::Unresponsive
+    } else {
+        StoreFault::Unavailable
+    };
+    let event = Event {
+        at: WARM_UP_TIME + size.time.mul_f64(rng.f64()),
+        duration: OUTAGE_MIN + (OUTAGE_MAX - OUTAGE_MIN).mul_f64(rng.f64()),
+        action: Action::LapseEntries(fault),
+    };
+    has_outage.then_some(event)
+}
+
 fn draw_action(rng: &mut fastrand::Rng, size: &Size) -> Action {
     let vm = rng.usize(..size.vms);
     let location = rng.usize(..size.locations());
--- a/crates/soak/src/server.rs
+++ b/crates/soak/src/server.rs
@@ -71,6 +71,8 @@
     /// Whether all responses say that the server leaves.
     leaving: bool,
     up: bool,
+    /// Whether the entry in the store has lapsed although the server is up.
+    lapsed: bool,
     cold_until: Time,
     running: u32,
     waiting: u32,
@@ -151,6 +153,7 @@
                 behavior: Behavior::Normal,
                 leaving: false,
                 up: false,
+                lapsed: false,
                 cold_until: Time::ZERO,
                 running: 0,
                 waiting: 0,
@@ -213,10 +216,31 @@
 
     /// Writes the server's entry to the store.
     pub fn write_entry(&self, store: &Store) {
-        let state = self.lock();
+        let mut state = self.lock();
+        state.lapsed = false;
         store.put(stand::SERVERS_KIND, &state.name, state.entry.to_json());
     }
 
+    /// Deletes the entry of a server that is up, as after an outage of the store in which
+    /// the server could not write it.
+    pub fn lapse_entry(&self, store: &Store) {
+        let mut state = self.lock();
+        if state.up {
+            state.lapsed = true;
+            store.delete(stand::SERVERS_KIND, &state.name);
+        }
+    }
+
+    /// Writes the server's entry again if it has lapsed and the server is still up.
+    pub fn restore_entry(&self, store: &Store) {
+        let state = self.lock();
+        let is_due = state.lapsed && state.up;
+        drop(state);
+        if is_due {
+            self.write_entry(store);
+        }
+    }
+
     /// Makes all responses of the server say that it leaves. It still serves calls.
     pub fn start_leaving(&self) {
         self.lock().leaving = true;
@@ -234,7 +258,8 @@
     /// Deletes the server's entry from the store.
     pub fn remove_entry(&self, store: &Store) {
         let (name, instance) = {
-            let state = self.lock();
+            let mut state = self.lock();
+            state.lapsed = false;
             (state.name.clone(), state.instance)
         };
         store.delete(stand::SERVERS_KIND, &name);
--- a/crates/soak/src/verify.rs
+++ b/crates/soak/src/verify.rs
@@ -22,7 +22,8 @@
 
 /// The time limit for a new configuration to come into force on a VM.
 const IN_FORCE_MAX: Duration = Duration::from_secs(2);
-/// How much longer than [`IN_FORCE_MAX`] that may take after a store fault.
+/// How much longer than [`IN_FORCE_MAX`] that may take until [`SETTLE_TIME`] after a store
+/// fault.
 const OUTAGE_EXTRA: Duration = Duration::from_secs(5);
 /// The time after which a server that leaves gets no new work.
 const DRAIN_MAX: Duration = Duration::from_secs(2);
@@ -351,8 +352,9 @@
             }
             let mut bound =
                 IN_FORCE_MAX + self.stall_time(request.at.saturating_sub(IN_FORCE_MAX), arrival.at);
-            let outage = request.at.saturating_sub(bound + SETTLE_TIME);
-            if self.overlaps_fault(&FaultTarget::Store, outage, request.at) {
+            let settle = SETTLE_TIME + bound - IN_FORCE_MAX;
+            let settled = request.at.saturating_sub(settle);
+            if self.overlaps_fault(&FaultTarget::Store, settled, request.at) {
                 bound += OUTAGE_EXTRA;
             }
             let due = request.at.saturating_sub(bound);
--- a/crates/soak/tests/verify.rs
+++ b/crates/soak/tests/verify.rs
@@ -250,8 +250,10 @@
         target: FaultTarget::Store,
         name: "store fault",
     });
-    add_served_request(&mut record, 12_100, "turn", 0);
+    add_served_request(&mut record, 13_900, "turn", 0);
     assert_sound(&record);
+    add_served_request(&mut record, 14_100, "turn", 0);
+    assert_finds(&record, "configuration in time");
 }
 
 #[test]
