Keep the rate limit that a server names, over all VMs

Cause: the field was not read, and no limit on the rate of warm servers existed. Each VM alone cannot keep one, as calls of all VMs count.

Now a follower reports the limit before the release of the attempt whose response named it, and the home keeps a token bucket for each such server. A response without the field to a later call lifts it. A new home gets what the followers have noted, and slots that are used without a home are not used at such servers. The estimate of the wait counts the rate instead of the slots, so what cannot be served in time is refused at once.

A home of an earlier build does not know the report and drops the datagram that it is in.

--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -31,6 +31,7 @@
 use crate::pool::Pools;
 use crate::ports::Permit;
 use crate::ports::Ports;
+use crate::ports::ServerReport;
 use crate::tracked_body::Completion;
 
 /// The largest response that is read completely before its head is forwarded, so that
@@ -176,7 +177,10 @@
     ) -> Result<ServerResponse, FailedAttempt> {
         let (parts, incoming) = response.into_parts();
         let load = self.dialect.load(&parts.headers);
-        guard.set_load(load);
+        guard.set_report(ServerReport {
+            load,
+            interval: self.dialect.call_interval(&parts.headers),
+        });
         self.note_server(&parts);
         match self.dialect.classify(self.call_id.as_ref(), &parts) {
             ResponseKind::Valid => {}
--- a/crates/entry/src/dialect.rs
+++ b/crates/entry/src/dialect.rs
@@ -75,6 +75,10 @@
         Duration::try_from_secs_f64(bounded).ok()
     }
 
+    /// Returns the time between two calls of all VMs together that a server names as its
+    /// rate limit; none if it names none.
+    fn call_interval(&self, fields: &HeaderMap) -> Option<Duration>;
+
     /// Removes the fields of a server's response that are not intended for callers.
     fn strip_server_fields(&self, fields: &mut HeaderMap);
 
@@ -83,6 +87,15 @@
     fn set_retry_after(&self, fields: &mut HeaderMap, delay: Duration);
 }
 
+/// Returns the time between two calls at a rate of `calls` a second, which may be a
+/// decimal number; the longest time for a rate of zero. Returns none for anything else than
+/// a number that is not negative.
+pub fn parse_rate(calls: &HeaderValue) -> Option<Duration> {
+    let rate: f64 = calls.to_str().ok()?.trim().parse().ok()?;
+    let is_rate = rate >= 0.0;
+    is_rate.then(|| Duration::try_from_secs_f64(1.0 / rate).unwrap_or(Duration::MAX))
+}
+
 /// The load balancer's own header fields; see [`crate::headers`].
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Native;
@@ -133,9 +146,14 @@
         fields.contains_key(headers::LEAVING)
     }
 
+    fn call_interval(&self, fields: &HeaderMap) -> Option<Duration> {
+        parse_rate(fields.get(headers::RATE_LIMIT)?)
+    }
+
     fn strip_server_fields(&self, fields: &mut HeaderMap) {
         fields.remove(headers::LOAD);
         fields.remove(headers::LEAVING);
+        fields.remove(headers::RATE_LIMIT);
     }
 
     fn set_retry_after(&self, fields: &mut HeaderMap, delay: Duration) {
--- a/crates/entry/src/guard.rs
+++ b/crates/entry/src/guard.rs
@@ -5,17 +5,17 @@
 
 use base::Outcome;
 use base::Time;
-use route::msg::Load;
 
 use crate::ports::Permit;
 use crate::ports::Ports;
+use crate::ports::ServerReport;
 
 /// Holds a permit and releases it when the attempt ends or the guard is dropped.
 pub struct PermitGuard {
     ports: Arc<dyn Ports>,
     permit: Option<Permit>,
     started: Time,
-    load: Option<Load>,
+    report: ServerReport,
 }
 
 impl PermitGuard {
@@ -26,7 +26,7 @@
             ports,
             permit: Some(permit),
             started,
-            load: None,
+            report: ServerReport::default(),
         }
     }
 
@@ -35,9 +35,9 @@
         self.started = self.ports.now();
     }
 
-    /// Sets the load that the server reported, which is passed on with the release.
-    pub fn set_load(&mut self, load: Option<Load>) {
-        self.load = load;
+    /// Sets what the server reported about itself, which is passed on with the release.
+    pub fn set_report(&mut self, report: ServerReport) {
+        self.report = report;
     }
 
     /// Returns the time since [`Self::start`], or since the guard was created if the
@@ -49,7 +49,8 @@
     /// Releases the permit with `outcome`; any later call does nothing.
     pub fn end(&mut self, outcome: Outcome) {
         if let Some(permit) = self.permit.take() {
-            self.ports.release(permit, outcome, self.took(), self.load);
+            self.ports
+                .release(permit, outcome, self.took(), self.report);
         }
     }
 }
--- a/crates/entry/src/headers.rs
+++ b/crates/entry/src/headers.rs
@@ -30,6 +30,9 @@
 pub const LOAD: HeaderName = HeaderName::from_static("snipepaddle-load");
 /// Present in all responses of a server that leaves.
 pub const LEAVING: HeaderName = HeaderName::from_static("snipepaddle-leaving");
+/// The calls a second that a server takes from all entry VMs together, in all responses of
+/// a server that limits them.
+pub const RATE_LIMIT: HeaderName = HeaderName::from_static("snipepaddle-rate-limit");
 /// The caller's key for a call that must not run twice.
 pub const IDEMPOTENCY_KEY: HeaderName = HeaderName::from_static("idempotency-key");
 
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -27,4 +27,5 @@
 pub use ports::Permit;
 pub use ports::Ports;
 pub use ports::Refusal;
+pub use ports::ServerReport;
 pub use proxy::Proxy;
--- a/crates/entry/src/ports.rs
+++ b/crates/entry/src/ports.rs
@@ -43,6 +43,16 @@
     pub retry_after: Duration,
 }
 
+/// What a server reports about itself in a response.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ServerReport {
+    /// The load of the server, if it reports one.
+    pub load: Option<Load>,
+    /// The time between two calls of all VMs together that the server names as its rate
+    /// limit, if it names one.
+    pub interval: Option<Duration>,
+}
+
 /// What the call path requires of its VM: configuration, time, permits and idempotency
 /// keys.
 pub trait Ports: Send + Sync {
@@ -66,9 +76,9 @@
 
     /// Releases a permit; must be called exactly once for each permit.
     ///
-    /// `took` is the time since the request was sent, and `load` is what the server
+    /// `took` is the time since the request was sent, and `report` is what the server
     /// reported about itself in the response.
-    fn release(&self, permit: Permit, outcome: Outcome, took: Duration, load: Option<Load>);
+    fn release(&self, permit: Permit, outcome: Outcome, took: Duration, report: ServerReport);
 
     /// Records what a server asked for in a response.
     fn note_server(&self, server: ServerId, notice: Notice);
--- a/crates/entry/src/proxy.rs
+++ b/crates/entry/src/proxy.rs
@@ -63,6 +63,7 @@
 use crate::ports::Permit;
 use crate::ports::Ports;
 use crate::ports::Refusal;
+use crate::ports::ServerReport;
 use crate::record;
 use crate::record::RequestSummary;
 use crate::record::ServedBy;
@@ -445,7 +446,7 @@
     fn release_unused(&self, permit: Permit, detail: &str) -> AttemptError {
         let took = Duration::ZERO;
         self.ports
-            .release(permit, base::Outcome::Unused, took, None);
+            .release(permit, base::Outcome::Unused, took, ServerReport::default());
         AttemptError::unsent(detail)
     }
 
--- a/crates/node/src/ports.rs
+++ b/crates/node/src/ports.rs
@@ -15,12 +15,12 @@
 use entry::Permit;
 use entry::Ports;
 use entry::Refusal;
+use entry::ServerReport;
 use net::BoxFuture;
 use route::keys;
 use route::keys::ClaimDecision;
 use route::keys::KeyClaim;
 use route::keys::KeyHash;
-use route::msg::Load;
 use route::msg::PermitRequest;
 use route::msg::RefusalReason;
 use route::msg::Release;
@@ -205,7 +205,7 @@
         })
     }
 
-    fn release(&self, permit: Permit, outcome: Outcome, took: Duration, load: Option<Load>) {
+    fn release(&self, permit: Permit, outcome: Outcome, took: Duration, report: ServerReport) {
         let table = self.table();
         let Some(shard) = table.get(permit.shard) else {
             return;
@@ -222,9 +222,9 @@
             server: permit.server,
             outcome,
             took,
-            load,
+            load: report.load,
         };
-        let effects = shard.release(release, self.clock.now());
+        let effects = shard.release(release, report.interval, self.clock.now());
         self.run_effects(shard, effects);
     }
 
--- a/crates/node/src/shard.rs
+++ b/crates/node/src/shard.rs
@@ -9,6 +9,7 @@
 use std::sync::PoisonError;
 use std::time::Duration;
 
+use base::Outcome;
 use base::ServerId;
 use base::ServiceId;
 use base::ShardId;
@@ -194,9 +195,19 @@
         self.update_follower(|side| side.follower.connection_lost(server, now))
     }
 
-    /// Releases the permit of an attempt that has ended.
-    pub fn release(&self, release: Release, now: Time) -> Effects {
-        self.update_follower(|side| side.follower.release(release, now))
+    /// Releases the permit of an attempt that has ended. `interval` is the time between
+    /// two calls that the server named as its rate limit in the response.
+    pub fn release(&self, release: Release, interval: Option<Duration>, now: Time) -> Effects {
+        let has_responded = matches!(
+            release.outcome,
+            Outcome::Done | Outcome::Failed | Outcome::Shed
+        );
+        self.update_follower(|side| {
+            if has_responded || interval.is_some() {
+                side.follower.record_rate(release.server, interval, now);
+            }
+            side.follower.release(release, now);
+        })
     }
 
     /// Withdraws the permit request of an attempt whose caller no longer waits.
@@ -367,6 +378,12 @@
             waiting = *waiting as u64;
             "home: granted"
         ),
+        Decision::RateLimited { server, per_second } => log::info!(
+            server = format!("{server:x}"),
+            limited = per_second.is_some(),
+            per_second = per_second.unwrap_or(0.0);
+            "home: rate limit of a server changed"
+        ),
         Decision::Refused {
             vm,
             call,
--- a/crates/route/src/follower/fallback.rs
+++ b/crates/route/src/follower/fallback.rs
@@ -36,7 +36,8 @@
     }
 
     /// Returns a server that is known to be warm and on which this VM owns a
-    /// free slot; servers in `avoid` are passed over.
+    /// free slot; servers in `avoid` are passed over, and so are those that limit the
+    /// rate of their calls, since only a home counts the calls of all VMs.
     pub(super) fn fallback_server(&self, avoid: &[ServerId], now: Time) -> Option<ServerId> {
         let busy = |server: ServerId| {
             let held = self
@@ -53,6 +54,7 @@
         self.owned_slots
             .iter()
             .filter(|(server, slots)| warm(*server) && busy(*server) < *slots)
+            .filter(|(server, _)| !self.rate_notes.is_limited(*server, now))
             .map(|(server, _)| *server)
             .find(|server| !avoid.contains(server))
     }
--- a/crates/route/src/follower/home.rs
+++ b/crates/route/src/follower/home.rs
@@ -92,6 +92,10 @@
             },
         };
         self.send_home(body);
+        let limits = self.rate_notes.report(now);
+        if !limits.is_empty() {
+            self.send_home(Body::RateLimits { epoch, limits });
+        }
         if new_home {
             for index in 0..self.attempts.len() {
                 if let Stage::Waiting { .. } = self.attempts[index].stage {
--- a/crates/route/src/follower/mod.rs
+++ b/crates/route/src/follower/mod.rs
@@ -27,9 +27,11 @@
 use crate::msg::Envelope;
 use crate::msg::Msg;
 use crate::msg::PermitRequest;
+use crate::msg::RateNote;
 use crate::msg::RefusalReason;
 use crate::msg::Release;
 use crate::msg::Warmth;
+use crate::rate_limit::RateNotes;
 use crate::spec::ShardSpec;
 
 /// The first timeout after which a permit request is sent again.
@@ -145,6 +147,7 @@
     attempts: Vec<Attempt>,
     lingering: Vec<Lingering>,
     lost_connections: Vec<LostConnection>,
+    rate_notes: RateNotes,
     /// The last attempt id that was assigned; its upper half is the boot id.
     last_id: AttemptId,
     /// The summaries of the last snapshot, sorted by server.
@@ -179,6 +182,7 @@
             attempts: Vec::new(),
             lingering: Vec::new(),
             lost_connections: Vec::new(),
+            rate_notes: RateNotes::default(),
             last_id: u64::from(boot_id) << 32,
             summaries: Vec::new(),
             snapshot_epoch: Epoch::default(),
@@ -308,6 +312,23 @@
         }
     }
 
+    /// Records that a response of `server` named a rate limit of a call every `interval`,
+    /// or none, and reports the limit to the home. Has to be called before the release of
+    /// the attempt.
+    pub fn record_rate(&mut self, server: ServerId, interval: Option<Duration>, now: Time) {
+        self.rate_notes.record(server, interval, now);
+        if let (Some(interval), true) = (interval, self.following) {
+            let epoch = self.highest_epoch;
+            let note = RateNote {
+                server,
+                interval,
+                age: Duration::ZERO,
+            };
+            let limits = vec![note];
+            self.send_home(Body::RateLimits { epoch, limits });
+        }
+    }
+
     /// Gives up an attempt that was not sent to a server, whether it waits for
     /// a permit or has just been granted one.
     pub fn abandon(&mut self, call: AttemptId, now: Time) {
@@ -358,6 +379,7 @@
             | Body::Stale { .. }
             | Body::Acquire { .. }
             | Body::Lost { .. }
+            | Body::RateLimits { .. }
             | Body::Release { .. } => {}
         }
     }
--- a/crates/route/src/ledger/admission.rs
+++ b/crates/route/src/ledger/admission.rs
@@ -65,10 +65,10 @@
             );
             return;
         }
-        let mut wait = self.estimated_wait(ahead + 1);
+        let mut wait = self.estimated_wait(ahead + 1, now);
         if !waiter.late && wait.mul_f64(WAIT_MARGIN) + service_time > waiter.request.goal {
             waiter.late = true;
-            wait = self.estimated_wait(self.queue.ahead_of(&waiter) + 1);
+            wait = self.estimated_wait(self.queue.ahead_of(&waiter) + 1, now);
         }
         let until = if waiter.late {
             now + waiter.request.late_wait
--- a/crates/route/src/ledger/decision.rs
+++ b/crates/route/src/ledger/decision.rs
@@ -35,6 +35,13 @@
         /// Requests in the queue at the time of the grant.
         waiting: usize,
     },
+    /// A server began or ceased to limit the rate of its calls.
+    RateLimited {
+        /// The server.
+        server: ServerId,
+        /// The calls that it takes in a second; none if it names no limit any more.
+        per_second: Option<f64>,
+    },
     /// The home refused a request.
     Refused {
         /// The VM that requested the permit.
--- a/crates/route/src/ledger/grants.rs
+++ b/crates/route/src/ledger/grants.rs
@@ -152,7 +152,9 @@
             self.decrement_busy(&permit);
         }
         for waiter in self.queue.extract_if(|waiter| now >= waiter.expires) {
-            let wait = self.estimated_wait(self.queue.len()).max(RETRY_AFTER_MIN);
+            let wait = self
+                .estimated_wait(self.queue.len(), now)
+                .max(RETRY_AFTER_MIN);
             self.refuse(waiter.vm, waiter.call, RefusalReason::Expired, wait);
         }
         self.followers
--- a/crates/route/src/ledger/mod.rs
+++ b/crates/route/src/ledger/mod.rs
@@ -363,6 +363,11 @@
                     self.connection_lost(server, now);
                 }
             }
+            Body::RateLimits { epoch, limits } => {
+                if self.is_current(from, epoch) {
+                    self.set_rate_limits(&limits, now);
+                }
+            }
             Body::Lead { .. }
             | Body::NotHome { .. }
             | Body::Grant { .. }
--- a/crates/route/src/ledger/placement.rs
+++ b/crates/route/src/ledger/placement.rs
@@ -26,15 +26,19 @@
 
 impl Ledger {
     /// Returns the estimated wait of a request with `ahead` requests before it,
-    /// from the limits of the servers that are up and the mean time of a call.
-    pub(super) fn estimated_wait(&self, ahead: usize) -> Duration {
+    /// from the limits and rate limits of the servers that are up and the mean time of a
+    /// call.
+    pub(super) fn estimated_wait(&self, ahead: usize, now: Time) -> Duration {
         let up = self.servers.iter().filter(|server| {
             let open = self.spec.server(server.id).is_some_and(|s| s.open);
             open && server.limit.warmth(&self.spec) != Warmth::Down
         });
-        let slots: u32 = up.map(|server| server.limit.current()).sum();
-        let rounds = ahead as f64 / f64::from(slots.max(1));
-        Duration::from_secs_f64(rounds * (self.mean_time + self.idle_gap))
+        let call_secs = self.mean_time + self.idle_gap;
+        let slots: f64 = up.clone().map(|server| server.capacity(call_secs)).sum();
+        let rounds = ahead as f64 / if slots > 0.0 { slots } else { 1.0 };
+        // The rates of several servers may allow the next calls all at the same time.
+        let next = up.map(|server| server.rate_delay(now)).min();
+        Duration::from_secs_f64(rounds * call_secs).max(next.unwrap_or_default())
     }
 
     /// Returns the index of the best server for `waiter`, or none if no server
@@ -95,6 +99,9 @@
         if server.is_cold(&self.spec, now) && server.at_cold_rate(&self.spec, now) {
             return None;
         }
+        if server.at_rate_limit(now) {
+            return None;
+        }
         let limit = self.usable_limit(server, warmth);
         let free = server.busy < limit;
         if !free && server.busy >= limit + self.queue_depth(server, limit) {
--- a/crates/route/src/ledger/servers.rs
+++ b/crates/route/src/ledger/servers.rs
@@ -11,15 +11,18 @@
 use base::VmId;
 
 use super::Action;
+use super::Decision;
 use super::Ledger;
 use crate::limit::Limit;
 use crate::msg::Body;
 use crate::msg::Load;
 use crate::msg::ProbeResult;
+use crate::msg::RateNote;
 use crate::msg::Release;
 use crate::msg::ServerSummary;
 use crate::msg::Warmth;
 use crate::permits::Permit;
+use crate::rate_limit::RateLimit;
 use crate::spec::Announcement;
 use crate::spec::ServerSpec;
 use crate::spec::ShardSpec;
@@ -80,6 +83,8 @@
     pub(super) announced: Announcement,
     /// The times of the grants within the last [`RATE_WINDOW`].
     pub(super) recent_grants: Vec<Time>,
+    /// The rate limit that the server names; none if it names none.
+    pub(super) rate_limit: Option<RateLimit>,
     /// The last reported slowdown of the server's host, with the time of the
     /// report.
     pub(super) slowdown: Option<(f64, Time)>,
@@ -162,6 +167,7 @@
             self.record_contention(took, permit.concurrent, slots);
         }
         self.record_load(release.server, release.load, now);
+        self.lift_rate_limit(permit, release);
         let Some(index) = self.find(release.server) else {
             return;
         };
@@ -190,6 +196,50 @@
         }
     }
 
+    /// Applies rate limits that a follower reports.
+    pub(super) fn set_rate_limits(&mut self, limits: &[RateNote], now: Time) {
+        for note in limits {
+            let Some(index) = self.find(note.server) else {
+                continue;
+            };
+            let named_at = now.saturating_sub(note.age);
+            let server = &mut self.servers[index];
+            match &mut server.rate_limit {
+                Some(limit) => limit.renew(note.interval, named_at, now),
+                None => {
+                    let limit = RateLimit::new(note.interval, named_at, now);
+                    server.rate_limit = Some(limit);
+                    self.decisions.push(Decision::RateLimited {
+                        server: note.server,
+                        per_second: Some(limit.per_second()),
+                    });
+                }
+            }
+        }
+    }
+
+    /// Lifts the rate limit of a server that has responded without naming one to a call
+    /// that was granted after it had named the limit. A limit that the response of the
+    /// call names is reported before the release.
+    fn lift_rate_limit(&mut self, permit: &Permit, release: &Release) {
+        let has_responded = matches!(
+            release.outcome,
+            Outcome::Done | Outcome::Failed | Outcome::Shed
+        );
+        let Some(index) = self.find(release.server) else {
+            return;
+        };
+        let limit = &mut self.servers[index].rate_limit;
+        let is_older = limit.is_some_and(|limit| limit.named_at() < permit.granted_at);
+        if has_responded && is_older {
+            *limit = None;
+            self.decisions.push(Decision::RateLimited {
+                server: release.server,
+                per_second: None,
+            });
+        }
+    }
+
     /// Records that `server` closed a connection that had just been in use: the
     /// server has restarted, or is about to.
     pub(super) fn connection_lost(&mut self, server: ServerId, now: Time) {
@@ -372,11 +422,33 @@
         self.limit.suspect_restart(now);
     }
 
-    /// Records a grant for the call rate of a cold server.
+    /// Records a grant for the call rates of the server.
     pub(super) fn record_grant(&mut self, now: Time) {
         self.recent_grants
             .retain(|granted| now < *granted + RATE_WINDOW);
         self.recent_grants.push(now);
+        if let Some(limit) = &mut self.rate_limit {
+            limit.spend(now);
+        }
+    }
+
+    /// Returns whether the server has got as many calls as it takes from all VMs.
+    pub(super) fn at_rate_limit(&self, now: Time) -> bool {
+        !self.rate_delay(now).is_zero()
+    }
+
+    /// Returns the time until the rate that the server names allows a call.
+    pub(super) fn rate_delay(&self, now: Time) -> Duration {
+        self.rate_limit
+            .map_or(Duration::ZERO, |limit| limit.delay(now))
+    }
+
+    /// Returns how many calls the server can run at once, each for the time `call_secs`, as
+    /// far as its limits go.
+    pub(super) fn capacity(&self, call_secs: f64) -> f64 {
+        let slots = f64::from(self.limit.current());
+        self.rate_limit
+            .map_or(slots, |limit| slots.min(limit.per_second() * call_secs))
     }
 
     /// Returns whether the server got as many calls within [`RATE_WINDOW`] as a
@@ -417,6 +489,7 @@
             load: None,
             announced: server_spec.announced,
             recent_grants: Vec::new(),
+            rate_limit: None,
             slowdown: None,
             superseded_start: None,
             connections: Vec::new(),
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod policy;
 pub mod queue;
 pub mod quorum;
+pub mod rate_limit;
 pub mod shards;
 pub mod spec;
 pub mod verify;
--- a/crates/route/src/msg.rs
+++ b/crates/route/src/msg.rs
@@ -171,6 +171,17 @@
     pub left: Duration,
 }
 
+/// A rate limit that a server named in a response.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RateNote {
+    /// The server that named the limit.
+    pub server: ServerId,
+    /// The time between two calls of all VMs together.
+    pub interval: Duration,
+    /// The time since the response.
+    pub age: Duration,
+}
+
 /// Reports the end of an attempt, and gives its permit back.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Release {
@@ -318,6 +329,15 @@
         /// Summaries of the servers, sorted by id.
         lines: Vec<ServerSummary>,
     },
+    /// A follower reports rate limits that servers named in responses: one before the
+    /// release of each such attempt, and all that it knows to a new home. Builds from
+    /// before this message drop the datagram that it is in.
+    RateLimits {
+        /// The epoch that the follower has acknowledged.
+        epoch: Epoch,
+        /// The limits.
+        limits: Vec<RateNote>,
+    },
 }
 
 impl Body {
@@ -332,6 +352,7 @@
                 | Self::Acquire { .. }
                 | Self::Release { .. }
                 | Self::Lost { .. }
+                | Self::RateLimits { .. }
         )
     }
 }
--- a/crates/route/tests/load.rs
+++ b/crates/route/tests/load.rs
@@ -19,6 +19,7 @@
 use route::msg::Load;
 use route::msg::PermitRequest;
 use route::msg::ProbeResult;
+use route::msg::RateNote;
 use route::msg::RefusalReason;
 use route::msg::Release;
 use route::spec::Announcement;
@@ -107,6 +108,8 @@
     /// When the servers start to report in health checks that they are warm; none if they
     /// do not report their warmth.
     warm_at: Option<Time>,
+    /// The rate limit that all servers name in their responses, in calls a second.
+    rate_limit: Option<f64>,
     counts: Counts,
     /// Servers and times of all permits granted.
     granted: Vec<(ServerId, Time)>,
@@ -159,6 +162,7 @@
             fault: None,
             resets_when_full: false,
             warm_at: None,
+            rate_limit: None,
             counts: Counts::default(),
             granted: Vec::new(),
         }
@@ -236,6 +240,16 @@
                 load: Some(self.load(attempt.server)),
             };
             let epoch = self.ledger.epoch();
+            if let Some(rate) = self.rate_limit {
+                let note = RateNote {
+                    server: attempt.server,
+                    interval: Duration::from_secs_f64(1.0 / rate),
+                    age: Duration::ZERO,
+                };
+                let limits = vec![note];
+                self.ledger
+                    .receive(VM, Body::RateLimits { epoch, limits }, now);
+            }
             self.ledger
                 .receive(VM, Body::Release { epoch, release }, now);
         }
@@ -617,3 +631,54 @@
     assert!(got.broken <= 8, "{got:?}");
     assert!(f64::from(got.in_time) >= 0.9 * 10.0 * capacity, "{got:?}");
 }
+
+#[test]
+fn servers_that_limit_their_rate_get_no_more() {
+    const RATE: f64 = 3.0;
+    let window = Duration::from_secs(4);
+    let mut sim = Sim::new(spec(4, 2, Announcement::Warm), 0.0);
+    sim.run(Duration::from_secs(2), 60.0);
+    sim.rate_limit = Some(RATE);
+    sim.run(Duration::from_secs(2), 60.0);
+    let settled = sim.now;
+    sim.counts = Counts::default();
+    sim.run(Duration::from_secs(10), 60.0);
+    let allowed = (1.5 * RATE * window.as_secs_f64()) as usize + 5;
+    for server in 1..=4 {
+        let at_server = sim.granted.iter().filter(|(granted, _)| *granted == server);
+        let times = at_server.map(|(_, at)| *at).filter(|at| *at >= settled);
+        let times: Vec<Time> = times.collect();
+        let in_window = |from: &Time| {
+            let until = *from + window;
+            times
+                .iter()
+                .filter(|at| **at >= *from && **at < until)
+                .count()
+        };
+        let most = times.iter().map(in_window).max().unwrap_or(0);
+        assert!(
+            most <= allowed,
+            "server {server}: {most} calls, allowed {allowed}"
+        );
+        let used = times.len() as f64 / (RATE * 10.0);
+        assert!(used > 0.9, "server {server}: {used:.2} of its rate is used");
+    }
+    // What cannot be served is refused at once.
+    let counts = &sim.counts;
+    assert!(counts.refused > 300, "{counts:?}");
+    assert!(counts.refused_late * 20 < counts.refused, "{counts:?}");
+}
+
+#[test]
+fn servers_that_lift_their_limit_get_calls_again() {
+    let mut sim = Sim::new(spec(4, 2, Announcement::Warm), 0.0);
+    sim.rate_limit = Some(1.0);
+    sim.run(Duration::from_secs(5), 40.0);
+    sim.rate_limit = None;
+    // A server gets its next call in a second, and its response lifts the limit.
+    sim.run(Duration::from_secs(2), 40.0);
+    sim.counts = Counts::default();
+    sim.run(Duration::from_secs(5), 40.0);
+    let counts = &sim.counts;
+    assert!(counts.in_time >= 180, "{counts:?}");
+}
