Play servers that limit their rate in the soak, and check the limit

Two servers of each run name a limit of one to four calls a second for 6 to 10 s. The other events of a seed are the same as before.

--- a/crates/soak/src/record.rs
+++ b/crates/soak/src/record.rs
@@ -91,6 +91,8 @@
     Leaving,
     /// The server refuses the request and wants no others from this VM for so long.
     Rest(Duration),
+    /// The server takes so many requests a second from all VMs together.
+    RateLimit(u64),
 }
 
 /// A response with which a server gave a [`ServerNotice`].
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -517,6 +517,11 @@
                 location.remove_entry(&self.store);
                 self.restart_server(index, change_service).await;
             }
+            Action::LimitRate(index, per_second) => {
+                self.locations[index].set_rate_limit(Some(per_second));
+                Timer::after(duration).await;
+                self.locations[index].set_rate_limit(None);
+            }
             Action::DomainOut(index) => {
                 self.take_domain_out(DOMAINS[index], duration + DOMAIN_OUT_EXTRA)
                     .await
--- a/crates/soak/src/schedule.rs
+++ b/crates/soak/src/schedule.rs
@@ -36,6 +36,17 @@
 const OUTAGE_MIN: Duration = Duration::from_secs(4);
 /// The maximum duration of a long outage.
 const OUTAGE_MAX: Duration = Duration::from_secs(9);
+/// Keeps the draws of rate limits apart from those of the other events.
+const RATE_LIMIT_SEED: u64 = 0x6c69_6d69_7473;
+/// The number of servers that limit the rate of their calls for a while.
+const RATE_LIMITS: usize = 2;
+/// The minimum time for which a server limits the rate of its calls. The limit is checked
+/// only from the third second on.
+const RATE_LIMIT_TIME_MIN: Duration = Duration::from_secs(6);
+/// The maximum time for which a server limits the rate of its calls.
+const RATE_LIMIT_TIME_MAX: Duration = Duration::from_secs(10);
+/// The highest rate limit, in calls per second.
+const RATE_LIMIT_MAX: u64 = 4;
 /// The longest rest that a server asks for, in seconds.
 const REST_MAX_SECS: u64 = 3;
 /// The time between the starts of two events of a series.
@@ -122,6 +133,8 @@
     /// The server of a location says in its responses that it leaves, and the store has
     /// it only after the duration of the event. Otherwise as [`Action::DrainServer`].
     LeaveServer(usize, bool),
+    /// The server of a location says in its responses how many calls a second it takes.
+    LimitRate(usize, u64),
     /// The store is unavailable for the duration of the event and comes back from a
     /// copy that was made before.
     RestoreStore,
@@ -166,6 +179,7 @@
     }
     events.extend(generate_notices(seed, size));
     events.extend(generate_outage(seed, size));
+    events.extend(generate_rate_limits(seed, size));
     events.sort_by_key(|event| event.at);
     events
 }
@@ -215,6 +229,24 @@
     has_outage.then_some(event)
 }
 
+/// Generates the events in which servers limit the rate of their calls.
+fn generate_rate_limits(seed: u64, size: &Size) -> Vec<Event> {
+    let mut rng = fastrand::Rng::with_seed(seed ^ RATE_LIMIT_SEED);
+    // A server names one limit at most, by which its requests are counted.
+    let mut locations: Vec<usize> = (0..size.locations()).collect();
+    rng.shuffle(&mut locations);
+    let events = locations
+        .into_iter()
+        .take(RATE_LIMITS)
+        .map(|location| Event {
+            at: WARM_UP_TIME + size.time.mul_f64(rng.f64()),
+            duration: RATE_LIMIT_TIME_MIN
+                + (RATE_LIMIT_TIME_MAX - RATE_LIMIT_TIME_MIN).mul_f64(rng.f64()),
+            action: Action::LimitRate(location, rng.u64(1..=RATE_LIMIT_MAX)),
+        });
+    events.collect()
+}
+
 fn draw_action(rng: &mut fastrand::Rng, size: &Size) -> Action {
     let vm = rng.usize(..size.vms);
     let location = rng.usize(..size.locations());
--- a/crates/soak/src/server.rs
+++ b/crates/soak/src/server.rs
@@ -70,6 +70,8 @@
     behavior: Behavior,
     /// Whether all responses say that the server leaves.
     leaving: bool,
+    /// The calls a second that all responses name as a limit.
+    rate_limit: Option<u64>,
     up: bool,
     /// Whether the entry in the store has lapsed although the server is up.
     lapsed: bool,
@@ -152,6 +154,7 @@
                 name: String::new(),
                 behavior: Behavior::Normal,
                 leaving: false,
+                rate_limit: None,
                 up: false,
                 lapsed: false,
                 cold_until: Time::ZERO,
@@ -208,6 +211,7 @@
         state.entry.started_ms = unix_millis();
         state.up = true;
         state.leaving = false;
+        state.rate_limit = None;
         state.cold_until = until;
         state.running = 0;
         state.waiting = 0;
@@ -288,6 +292,11 @@
         self.lock().behavior = behavior;
     }
 
+    /// Sets the calls a second that all responses of the server name as a limit.
+    pub fn set_rate_limit(&self, per_second: Option<u64>) {
+        self.lock().rate_limit = per_second;
+    }
+
     /// Serves a connection and keeps it registered meanwhile, so that `shut_down` can
     /// close it.
     async fn serve_connection(&self, stream: TcpStream) {
@@ -395,8 +404,15 @@
         self.recorder.mark_executed(arrival);
         Timer::after(time).await;
         drop(guard);
-        if self.lock().leaving {
-            let notice = ServerNotice::Leaving;
+        let (leaving, rate_limit) = {
+            let state = self.lock();
+            (state.leaving, state.rate_limit)
+        };
+        let notices = [
+            leaving.then_some(ServerNotice::Leaving),
+            rate_limit.map(ServerNotice::RateLimit),
+        ];
+        for notice in notices.into_iter().flatten() {
             self.recorder.record_notice(call, instance, notice);
         }
         match behavior {
@@ -415,9 +431,12 @@
         } else {
             String::new()
         };
+        let rate_limit = state.rate_limit.map_or(String::new(), |per_second| {
+            format!("{}: {per_second}\r\n", fields::RATE_LIMIT)
+        });
         format!(
             "HTTP/1.1 {status} X\r\n{}: {}\r\n{}: {running},{waiting},{SLOTS},100\r\n\
-             {leaving}content-length: {length}\r\n",
+             {leaving}{rate_limit}content-length: {length}\r\n",
             fields::INSTANCE_ID,
             state.name,
             fields::LOAD,
--- a/crates/soak/src/verify.rs
+++ b/crates/soak/src/verify.rs
@@ -61,6 +61,17 @@
 const REST_DELAY_MAX: Duration = Duration::from_millis(500);
 /// The number of requests that may reach a server during a rest that it has asked for.
 const RESTING_REQUESTS_MAX: usize = 2;
+/// The time after a server has first named a rate limit from which on it is checked.
+const RATE_LIMIT_SETTLE: Duration = Duration::from_secs(3);
+/// The time window in which the requests of a server that names a rate limit are counted.
+const RATE_LIMIT_WINDOW: Duration = Duration::from_secs(4);
+/// The maximum rate of requests to such a server, in multiples of its limit.
+const RATE_LIMIT_FACTOR: f64 = 1.5;
+/// The number of requests in [`RATE_LIMIT_WINDOW`] beyond that rate.
+const RATE_LIMIT_BURST: f64 = 5.0;
+/// The time after a VM has passed on a response with a rate limit from which on the VM
+/// counts as told.
+const RATE_LIMIT_DELAY: Duration = Duration::from_millis(500);
 /// The number of requests on kept connections that may end without a response in a
 /// run.
 const CUT_REQUESTS_MAX: usize = 3;
@@ -113,6 +124,7 @@
     checker.check_configurations();
     checker.check_late_work();
     checker.check_notices();
+    checker.check_rate_limits();
     checker.check_cold_rate();
     checker.check_second_attempts();
     checker.check_abandoned();
@@ -443,6 +455,8 @@
             match sent.notice {
                 ServerNotice::Leaving => self.check_leaving(sent),
                 ServerNotice::Rest(rest) => self.check_rest(sent, rest),
+                // A limit holds for all VMs together; see `check_rate_limits`.
+                ServerNotice::RateLimit(_) => {}
             }
         }
     }
@@ -513,6 +527,57 @@
         }
     }
 
+    /// Checks that servers that name a rate limit get at most so many requests from all
+    /// VMs that they have told of it.
+    fn check_rate_limits(&mut self) {
+        for instance in 0..self.record.instances.len() {
+            let named = self.record.notices.iter().filter_map(|sent| {
+                let ServerNotice::RateLimit(per_second) = sent.notice else {
+                    return None;
+                };
+                (sent.instance == instance).then_some((sent, per_second))
+            });
+            let named: Vec<(&NoticeSent, u64)> = named.collect();
+            let (Some((first, per_second)), Some((last, _))) = (named.first(), named.last()) else {
+                continue;
+            };
+            let (from, to) = (first.at + RATE_LIMIT_SETTLE, last.at);
+            let told = named.iter().filter_map(|(sent, _)| {
+                let request = self.record.requests.get(sent.call as usize)?;
+                let (passed_on, _) = request.end.as_ref()?;
+                Some((request.vm, *passed_on + RATE_LIMIT_DELAY))
+            });
+            let told: Vec<(VmIndex, Time)> = told.collect();
+            let is_told = |vm, at| told.iter().any(|(v, since)| *v == vm && *since <= at);
+            let counted =
+                self.record.arrivals.iter().filter(|arrival| {
+                    arrival.instance == instance && (from..to).contains(&arrival.at)
+                });
+            let counted = counted.filter_map(|arrival| {
+                let vm = self.record.requests.get(arrival.call as usize)?.vm;
+                let begin = arrival.at.saturating_sub(RATE_LIMIT_WINDOW);
+                let counts = is_told(vm, arrival.at) && self.is_undisturbed(vm, begin, arrival.at);
+                counts.then_some(arrival.at)
+            });
+            let times: Vec<Time> = counted.collect();
+            let window = RATE_LIMIT_WINDOW + self.stall_time(from, to);
+            let allowed = RATE_LIMIT_FACTOR * *per_second as f64 * window.as_secs_f64();
+            let bound = (allowed + RATE_LIMIT_BURST) as usize;
+            let exceeded = times
+                .windows(bound + 1)
+                .find(|w| w[bound] - w[0] < RATE_LIMIT_WINDOW);
+            if let Some(window) = exceeded {
+                let text = format!(
+                    "server {} named a limit of {per_second} a second and got more than \
+                     {bound} requests in {RATE_LIMIT_WINDOW:?}",
+                    self.record.instances[instance].name
+                );
+                let (at, call) = (window[bound], Some(first.call));
+                self.report("rate limit of servers", at, call, text);
+            }
+        }
+    }
+
     /// Checks the rate of requests to cold servers in any second.
     fn check_cold_rate(&mut self) {
         let record = self.record;
--- a/crates/soak/tests/verify.rs
+++ b/crates/soak/tests/verify.rs
@@ -270,6 +270,27 @@
     assert_finds(&record, "no older configuration");
 }
 
+#[test]
+fn verify_rate_limited_server_gets_too_much() {
+    let mut record = record();
+    let told = add_served_request(&mut record, 10_000, "read", 0);
+    for (call, at) in [(told, 10_010), (told, 20_000)] {
+        record.notices.push(NoticeSent {
+            call,
+            at: ms(at),
+            instance: 0,
+            notice: ServerNotice::RateLimit(2),
+        });
+    }
+    // 1.5 times 2 requests a second in 4 s, and 5 more.
+    for n in 0..17 {
+        add_served_request(&mut record, 14_000 + 200 * n, "read", 0);
+    }
+    assert_sound(&record);
+    add_served_request(&mut record, 17_500, "read", 0);
+    assert_finds(&record, "rate limit of servers");
+}
+
 #[test]
 fn verify_leaving_server_gets_work() {
     let mut record = record();
