Fetch from another peer while one does not reply

Now another fetch may begin after 500 ms; the first one goes on until its time limit.

Suspected and not changed: a watch of the product's own object store waits for 10 s and is given up after 12 s (node::sync), so an outage of that store may delay a ticket so long.

--- a/crates/node/src/sync.rs
+++ b/crates/node/src/sync.rs
@@ -36,6 +36,9 @@
 const WATCH_CHECK_DELAY: Duration = Duration::from_millis(500);
 /// The delay between two watches of an object.
 const WATCH_DELAY: Duration = Duration::from_millis(100);
+/// The time after which newer configuration may be fetched from another peer although a
+/// fetch is under way.
+const FETCH_PATIENCE: Duration = Duration::from_millis(500);
 /// The constant part of the mean interval at which a VM reads the platform's list of
 /// VMs.
 const VM_LIST_INTERVAL: Duration = Duration::from_secs(5);
@@ -189,13 +192,22 @@
 
     /// Fetches newer configuration from the peers whose addresses `sources` delivers.
     /// Runs until the task is cancelled.
+    ///
+    /// A peer that does not reply within [`FETCH_PATIENCE`] holds up no fetch from another
+    /// one, and may still reply.
     pub(crate) async fn fetch_from_peers(
         self: Arc<Self>,
         sources: async_channel::Receiver<std::net::SocketAddr>,
     ) {
         while let Ok(from) = sources.recv().await {
-            if let Err(error) = self.fetch(from).await {
-                log::debug!("conf: fetch from {from} failed: {error}");
+            let shared = self.clone();
+            let mut fetch = self.handle.spawn(async move {
+                if let Err(error) = shared.fetch(from).await {
+                    log::debug!("conf: fetch from {from} failed: {error}");
+                }
+            });
+            if net::timeout(FETCH_PATIENCE, &mut fetch).await.is_none() {
+                fetch.detach();
             }
             self.fetching.store(false, Ordering::SeqCst);
         }
