--- a/crates/node/src/gauges.rs
+++ b/crates/node/src/gauges.rs
@@ -84,6 +84,25 @@
         "Calls that wait at this VM's homes",
         |s| s.home_counts().iter().map(|home| home.waiting as u64).sum(),
     );
+    gauge(
+        &meter,
+        &weak,
+        "servers_rate_limited",
+        "Servers of this VM's homes that limit the rate of their calls",
+        |s| {
+            s.home_counts()
+                .iter()
+                .map(|home| home.rate_limited as u64)
+                .sum()
+        },
+    );
+    gauge(
+        &meter,
+        &weak,
+        "registry_age_ms",
+        "Time since the copy of the registry was known to be up to date",
+        |s| u64::from(s.registry_age()),
+    );
     gauge(
         &meter,
         &weak,
--- a/crates/node/src/status.rs
+++ b/crates/node/src/status.rs
@@ -133,6 +133,8 @@
     pub counts: Counts,
     /// The permit requests in the queue.
     pub waiting: usize,
+    /// The servers that limit the rate of their calls.
+    pub rate_limited: usize,
 }
 
 fn health_name(health: Health) -> &'static str {
@@ -168,6 +170,7 @@
                 coordinator.ledger().map(|ledger| HomeCounts {
                     counts: ledger.counts(),
                     waiting: ledger.waiting(),
+                    rate_limited: ledger.rate_limited(),
                 })
             })
         });
--- a/crates/route/src/ledger/servers.rs
+++ b/crates/route/src/ledger/servers.rs
@@ -116,6 +116,12 @@
             .map_or(0, |index| self.servers[index].busy)
     }
 
+    /// Returns the number of servers that limit the rate of their calls.
+    pub fn rate_limited(&self) -> usize {
+        let servers = self.servers.iter();
+        servers.filter(|server| server.rate_limit.is_some()).count()
+    }
+
     /// Returns the load that `server` last reported, if any.
     pub fn load(&self, server: ServerId) -> Option<Load> {
         self.find(server).and_then(|index| self.servers[index].load)
