--- a/crates/base/src/call.rs
+++ b/crates/base/src/call.rs
@@ -61,3 +61,10 @@
     /// The permit was released without sending the attempt.
     Unused,
 }
+
+impl Outcome {
+    /// Returns whether the server sent a complete response.
+    pub fn is_response(self) -> bool {
+        matches!(self, Self::Done | Self::Failed | Self::Shed)
+    }
+}
--- a/crates/node/src/shard.rs
+++ b/crates/node/src/shard.rs
@@ -9,7 +9,6 @@
 use std::sync::PoisonError;
 use std::time::Duration;
 
-use base::Outcome;
 use base::ServerId;
 use base::ServiceId;
 use base::ShardId;
@@ -198,12 +197,8 @@
     /// Releases the permit of an attempt that has ended. `interval` is the time between
     /// two calls that the server named as its rate limit in the response.
     pub fn release(&self, release: Release, interval: Option<Duration>, now: Time) -> Effects {
-        let has_responded = matches!(
-            release.outcome,
-            Outcome::Done | Outcome::Failed | Outcome::Shed
-        );
         self.update_follower(|side| {
-            if has_responded || interval.is_some() {
+            if release.outcome.is_response() || interval.is_some() {
                 side.follower.record_rate(release.server, interval, now);
             }
             side.follower.release(release, now);
--- a/crates/route/src/ledger/servers.rs
+++ b/crates/route/src/ledger/servers.rs
@@ -228,16 +228,12 @@
     /// that was granted after it had named the limit. A limit that the response of the
     /// call names is reported before the release.
     fn lift_rate_limit(&mut self, permit: &Permit, release: &Release) {
-        let has_responded = matches!(
-            release.outcome,
-            Outcome::Done | Outcome::Failed | Outcome::Shed
-        );
         let Some(index) = self.find(release.server) else {
             return;
         };
         let limit = &mut self.servers[index].rate_limit;
         let is_older = limit.is_some_and(|limit| limit.named_at() < permit.granted_at);
-        if has_responded && is_older {
+        if release.outcome.is_response() && is_older {
             *limit = None;
             self.decisions.push(Decision::RateLimited {
                 server: release.server,
