End overlapping faults of the soak's store together

A fault of the store that ended made the store serve all VMs although another fault was in force, in which servers could not write their entries.

--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -137,7 +137,9 @@
     servers: usize,
     /// Held while a failure domain is out of service, so that only one is at a time.
     domain_lock: Mutex<()>,
-    /// The number of events for which the store does not serve the operators.
+    /// The number of store faults in force, and of those in which the store does not serve
+    /// the operators.
+    store_faults: AtomicUsize,
     store_outages: AtomicUsize,
     /// Set when the run stops all processes, which are not restarted from then on.
     finished: AtomicBool,
@@ -267,6 +269,7 @@
             rotation: Rotation::default(),
             servers: size.servers,
             domain_lock: Mutex::new(()),
+            store_faults: AtomicUsize::new(0),
             store_outages: AtomicUsize::new(0),
             finished: AtomicBool::new(false),
         };
@@ -551,6 +554,7 @@
     }
 
     async fn begin_store_fault(&self, fault: StoreFault) {
+        self.store_faults.fetch_add(1, Ordering::SeqCst);
         self.set_store_mode(store_mode(fault)).await;
         if is_outage(fault) {
             self.store_outages.fetch_add(1, Ordering::SeqCst);
@@ -558,7 +562,10 @@
     }
 
     async fn end_store_fault(&self, fault: StoreFault) {
-        self.set_store_mode(Mode::Normal).await;
+        // A store that serves VMs also serves the servers whose entries have lapsed.
+        if self.store_faults.fetch_sub(1, Ordering::SeqCst) == 1 {
+            self.set_store_mode(Mode::Normal).await;
+        }
         if is_outage(fault) {
             self.store_outages.fetch_sub(1, Ordering::SeqCst);
         }
