--- a/crates/conf/src/catalog.rs
+++ b/crates/conf/src/catalog.rs
@@ -211,25 +211,6 @@
         changed
     }
 
-    /// Records that the entry of the server `name` was missing and has come back at
-    /// `revision`, and returns whether that is news.
-    ///
-    /// The entry may be the same as before. Its revision still has to exceed that of a
-    /// removal which another VM decided meanwhile.
-    pub fn renew_server(&mut self, name: &str, revision: Revision) -> bool {
-        let known = self.servers.binary_search_by(|e| e.name.as_str().cmp(name));
-        let Ok(index) = known else {
-            return false;
-        };
-        let entry = &mut self.servers[index];
-        let is_news = entry.value.is_some() && revision > entry.revision;
-        if is_news {
-            entry.revision = revision;
-            self.changes += 1;
-        }
-        is_news
-    }
-
     /// Marks the failure domain `name` as out of service or as back in, and returns
     /// whether the entry changed.
     pub fn set_domain_out(&mut self, name: &str, revision: Revision, out: bool, now: Time) -> bool {
--- a/crates/node/src/registry.rs
+++ b/crates/node/src/registry.rs
@@ -419,17 +419,11 @@
                 });
                 continue;
             }
-            let held = reader.held_removals.len();
             if !is_removal {
                 // The entry has come back, or an order has been revoked.
                 reader.held_removals.retain(|held| held.name != item.name);
             }
-            let has_returned = reader.topic == Topic::Servers && reader.held_removals.len() < held;
-            let (name, revision) = (item.name.clone(), item.revision);
             changed += usize::from(self.apply_item(reader.topic, item, now, level));
-            if has_returned {
-                changed += usize::from(lock(&self.catalog).renew_server(&name, revision));
-            }
         }
         if changed > 0 {
             self.put_in_force();
