Log which request an attempt carries, and its caller

The lines of attempts have a hash of the caller, method, host, path and body now, and those of calls the caller's address.

--- a/crates/base/src/hash.rs
+++ b/crates/base/src/hash.rs
@@ -18,6 +18,11 @@
     XxHash3_64::oneshot(&text)
 }
 
+/// Returns the hash of `bytes`.
+pub fn of_bytes(bytes: &[u8]) -> u64 {
+    XxHash3_64::oneshot(bytes)
+}
+
 /// Returns the hash of a pair of ids, which depends on the order of the pair.
 pub fn mix(a: u64, b: u64) -> u64 {
     let mut bytes = [0; 16];
--- a/crates/entry/src/call.rs
+++ b/crates/entry/src/call.rs
@@ -27,6 +27,7 @@
 use crate::ports::Permit;
 use crate::ports::Refusal;
 use crate::record::ServedBy;
+use crate::request::Fingerprint;
 
 /// A call in progress.
 pub(crate) struct Call<'a> {
@@ -40,6 +41,8 @@
     pub(crate) span: &'a ActiveSpan,
     /// The id that the caller gave to the call.
     pub(crate) id: Option<HeaderValue>,
+    /// Identifies the request over all calls that repeat it.
+    pub(crate) fingerprint: Fingerprint,
     /// The servers for which first attempts and retries of the call got permits. Hedges
     /// and rescues add none.
     pub(crate) tried: Vec<ServerId>,
@@ -141,6 +144,7 @@
     log::info!(
         id = id.unwrap_or_default(),
         call = permit.attempt_id,
+        request = format!("{:x}", call.fingerprint),
         server = server.name,
         domain = server.domain,
         number = call.tried.len() as u64,
@@ -161,6 +165,7 @@
     };
     log::info!(
         id = record.id,
+        caller = record.caller,
         service = record.service,
         path = record.path,
         status = record.status,
--- a/crates/entry/src/proxy.rs
+++ b/crates/entry/src/proxy.rs
@@ -171,7 +171,7 @@
         let parent = self.spans.extract(request.headers());
         let span = self.spans.start("call", SpanKind::Server, &parent);
         let id = self.dialect.call_id(request.headers());
-        let summary = RequestSummary::new(&request, &span, id.as_ref());
+        let summary = RequestSummary::new(&request, &span, id.as_ref(), peer.ip());
         let state = self.ports.state();
         let random = fastrand::f64();
         let method = request.method().as_str();
@@ -277,6 +277,7 @@
             target_time: (began + rule.target).saturating_sub(elapsed),
             span,
             id,
+            fingerprint: outgoing.fingerprint(),
             tried: Vec::new(),
             sends: AtomicU32::new(0),
             may_have_run: Mutex::default(),
--- a/crates/entry/src/record.rs
+++ b/crates/entry/src/record.rs
@@ -1,5 +1,6 @@
 //! Builds the records of calls: the request, its outcome, and the server that responded.
 
+use std::net::IpAddr;
 use std::time::Duration;
 use std::time::SystemTime;
 use std::time::UNIX_EPOCH;
@@ -36,6 +37,7 @@
     method: String,
     trace: String,
     id: String,
+    caller: IpAddr,
 }
 
 /// Returns the host from the URI of `request` or its `host` field, empty if there is
@@ -52,8 +54,13 @@
 
 impl RequestSummary {
     /// Copies the properties from `request`, which is consumed before the record is
-    /// created. `id` is the caller's id of the call.
-    pub fn new<B>(request: &Request<B>, span: &ActiveSpan, id: Option<&HeaderValue>) -> Self {
+    /// created. `id` is the caller's id of the call, and `caller` its address.
+    pub fn new<B>(
+        request: &Request<B>,
+        span: &ActiveSpan,
+        id: Option<&HeaderValue>,
+        caller: IpAddr,
+    ) -> Self {
         Self {
             host: host_of(request).to_owned(),
             path: request.uri().path().to_owned(),
@@ -63,6 +70,7 @@
                 .and_then(|id| id.to_str().ok())
                 .unwrap_or_default()
                 .to_owned(),
+            caller,
         }
     }
 
@@ -108,6 +116,7 @@
             at: unix_time.unwrap_or_default().as_millis() as u64,
             trace: self.trace,
             id: self.id,
+            caller: self.caller.to_string(),
             service: service.to_owned(),
             method: self.method,
             path: self.path,
--- a/crates/entry/src/request.rs
+++ b/crates/entry/src/request.rs
@@ -1,5 +1,6 @@
 //! A caller's request in a form that can be sent to several servers.
 
+use std::net::IpAddr;
 use std::net::SocketAddr;
 
 use bytes::Bytes;
@@ -54,12 +55,17 @@
     Streamed(Option<Body>),
 }
 
+/// Identifies a request over all calls that repeat it: a hash of the caller's address, the
+/// method, host, path and body. Of a streamed body only the length is known.
+pub type Fingerprint = u64;
+
 /// A request to be sent to servers.
 pub struct OutgoingRequest {
     method: Method,
     uri: Uri,
     fields: HeaderMap,
     body: RequestBody,
+    caller: IpAddr,
 }
 
 impl OutgoingRequest {
@@ -98,9 +104,28 @@
             uri,
             fields,
             body,
+            caller: peer.ip(),
         })
     }
 
+    /// Returns the hash by which repeats of the request are recognized at all VMs.
+    pub fn fingerprint(&self) -> Fingerprint {
+        let text = |name| self.fields.get(name).and_then(|value| value.to_str().ok());
+        let body = match &self.body {
+            RequestBody::Buffered { bytes, .. } => base::hash::of_bytes(bytes),
+            RequestBody::Streamed(_) => {
+                base::hash::of(&["streamed", text(header::CONTENT_LENGTH).unwrap_or_default()])
+            }
+        };
+        let head = base::hash::of(&[
+            &self.caller.to_string(),
+            self.method.as_str(),
+            text(header::HOST).unwrap_or_default(),
+            &self.uri.to_string(),
+        ]);
+        base::hash::mix(head, body)
+    }
+
     /// Returns whether the request can be sent again after some of it has been sent.
     pub fn is_repeatable(&self) -> bool {
         matches!(self.body, RequestBody::Buffered { .. })
--- a/crates/obs/src/calls.rs
+++ b/crates/obs/src/calls.rs
@@ -20,6 +20,9 @@
     /// The call id that the caller sent, empty if there was none.
     #[serde(default)]
     pub id: String,
+    /// The IP address of the caller.
+    #[serde(default)]
+    pub caller: String,
     /// The name of the service, empty if no service matched.
     pub service: String,
     /// The HTTP method.
