--- a/crates/load/tests/harness/mod.rs
+++ b/crates/load/tests/harness/mod.rs
@@ -96,11 +96,13 @@
     Some(String::from_utf8_lossy(&head).into_owned())
 }
 
-/// An entry VM with one service, `s`, at `/`, and one failure domain, `north`.
+/// An entry VM with one service, `s`, at `/`, and one failure domain, `north`. Further VMs
+/// may be added.
 pub(crate) struct Harness {
     pub(crate) node: Node,
     pub(crate) platform: Platform,
     pub(crate) callers: SocketAddr,
+    more: Vec<Node>,
     _pool: ThreadPool,
 }
 
@@ -151,19 +153,7 @@
         let pool = ThreadPool::new("lab", 2);
         let local = Ipv4Addr::LOCALHOST.into();
         let platform = Platform::start(local, 1, pool.handle()).await.unwrap();
-        let text = format!(
-            r#"{{ "vm": "vm-1", "domain": "north", "threads": 2, "drain": "5s",
-                "callers": {{ "listen": ["127.0.0.2:0"], "head": "8KiB", "body": "256KiB",
-                             "patience": "500ms" }},
-                "peers": {{ "listen": "{}", "keys": ["{}"] }},
-                "admin": {{ "listen": "127.0.0.1:0" }},
-                "traces": {{ "share": 1.0 }},
-                "platform": {{ "address": "{}" }} }}"#,
-            load::fleet::free_port().unwrap(),
-            "5e0f6a7d".repeat(8),
-            platform.address()
-        );
-        let mut settings = Settings::parse(&text).unwrap();
+        let mut settings = settings("vm-1", &platform);
         change(&mut settings);
         let node = Node::start(settings, Options::default()).await.unwrap();
         let context = conf::accept::ApplyContext {
@@ -178,18 +168,44 @@
             callers: node.caller_addresses()[0],
             node,
             platform,
+            more: Vec::new(),
             _pool: pool,
         }
     }
 
+    /// Starts another entry VM, and waits until it has the configuration and both know each
+    /// other.
+    pub(crate) fn add_vm(&mut self, name: &str) {
+        let mut settings = settings(name, &self.platform);
+        settings.peers.seeds = vec![self.node.shared().settings.peers.listen];
+        let node = smol::block_on(Node::start(settings, Options::default())).unwrap();
+        let first = self.node.shared();
+        let joined = || {
+            let alive = |shared: &node::Shared| shared.view().alive.len();
+            node.shared().state().revision == first.state().revision
+                && alive(node.shared()) == alive(first)
+                && alive(first) == self.more.len() + 2
+        };
+        for _ in 0..500 {
+            if joined() {
+                break;
+            }
+            std::thread::sleep(Duration::from_millis(10));
+        }
+        assert!(joined(), "{name} has not joined");
+        self.more.push(node);
+    }
+
+    /// Returns the addresses at which the VMs accept callers.
+    pub(crate) fn all_callers(&self) -> Vec<SocketAddr> {
+        let nodes = std::iter::once(&self.node).chain(&self.more);
+        nodes.map(|node| node.caller_addresses()[0]).collect()
+    }
+
     /// Sends `bytes` on a new connection and returns what is received until the
     /// connection ends.
     pub(crate) fn raw(&self, bytes: &[u8]) -> String {
-        let mut stream = self.open();
-        stream.write_all(bytes).unwrap();
-        let mut response = Vec::new();
-        let _ = stream.read_to_end(&mut response);
-        String::from_utf8_lossy(&response).into_owned()
+        exchange(self.open(), bytes)
     }
 
     /// Returns whether the home considers all servers warm.
@@ -210,25 +226,64 @@
     }
 
     pub(crate) fn open(&self) -> TcpStream {
-        let stream = TcpStream::connect(self.callers).unwrap();
-        stream.set_read_timeout(Some(READ_TIMEOUT)).unwrap();
-        stream
+        open_at(self.callers)
     }
 
     /// Sends one request on a new connection and returns the response. `fields` are
     /// header lines, each ended by CRLF.
     pub(crate) fn call(&self, method: &str, path: &str, fields: &str, body: &str) -> String {
+        self.call_at(self.callers, method, path, fields, body)
+    }
+
+    /// Sends one request to the VM that accepts callers at `vm`, as [`Self::call`] does.
+    pub(crate) fn call_at(
+        &self,
+        vm: SocketAddr,
+        method: &str,
+        path: &str,
+        fields: &str,
+        body: &str,
+    ) -> String {
         let length = body.len();
-        self.raw(
-            format!(
-                "{method} {path} HTTP/1.1\r\nhost: s\r\nconnection: close\r\n\
-                 content-length: {length}\r\n{fields}\r\n{body}"
-            )
-            .as_bytes(),
-        )
+        let request = format!(
+            "{method} {path} HTTP/1.1\r\nhost: s\r\nconnection: close\r\n\
+             content-length: {length}\r\n{fields}\r\n{body}"
+        );
+        exchange(open_at(vm), request.as_bytes())
     }
 }
 
+fn open_at(address: SocketAddr) -> TcpStream {
+    let stream = TcpStream::connect(address).unwrap();
+    stream.set_read_timeout(Some(READ_TIMEOUT)).unwrap();
+    stream
+}
+
+/// Sends `bytes` and returns what is received until the connection ends.
+fn exchange(mut stream: TcpStream, bytes: &[u8]) -> String {
+    stream.write_all(bytes).unwrap();
+    let mut response = Vec::new();
+    let _ = stream.read_to_end(&mut response);
+    String::from_utf8_lossy(&response).into_owned()
+}
+
+/// Returns the settings of the VM `name`.
+fn settings(name: &str, platform: &Platform) -> Settings {
+    let text = format!(
+        r#"{{ "vm": "{name}", "domain": "north", "threads": 2, "drain": "5s",
+            "callers": {{ "listen": ["127.0.0.2:0"], "head": "8KiB", "body": "256KiB",
+                         "patience": "500ms" }},
+            "peers": {{ "listen": "{}", "keys": ["{}"] }},
+            "admin": {{ "listen": "127.0.0.1:0" }},
+            "traces": {{ "share": 1.0 }},
+            "platform": {{ "address": "{}" }} }}"#,
+        load::fleet::free_port().unwrap(),
+        "5e0f6a7d".repeat(8),
+        platform.address()
+    );
+    Settings::parse(&text).unwrap()
+}
+
 /// Responds 200 with the body `whole`.
 pub(crate) fn respond_whole(stream: &mut TcpStream, _head: &str) {
     let _ = stream.write_all(b"HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nwhole");
