Reject requests under which three servers crashed

Cause: what is learned from a failure is kept by server and by call, and each repeat is a new call with all attempts of its route.

Evidence: the test sends such a request to two VMs every 60 ms.

Why it works: all VMs recognize the request by what servers get of it, count the servers that refuse connections after a call was lost with its connection, and reject the request from the third one on for five minutes. Owners of the request, and not all VMs, hear of first crashes, so a domain that fails costs few messages.

--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -1,9 +1,11 @@
 //! One attempt of a call at one server.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use base::Outcome;
+use base::ServerId;
 use bytes::Bytes;
 use bytes::BytesMut;
 use conf::Server;
@@ -20,6 +22,7 @@
 use net::timeout;
 use net::Body;
 use route::attempts::Failure;
+use route::crashes::Fingerprint;
 use route::msg::Load;
 use route::notices::Notice;
 use route::spec;
@@ -50,6 +53,8 @@
     pub dialect: Arc<dyn Dialect>,
     /// The caller's id of the call, against which the response is checked.
     pub call_id: Option<HeaderValue>,
+    /// Identifies the request over all calls that repeat it.
+    pub fingerprint: Fingerprint,
     /// The server to which the request is sent.
     pub server: Server,
     /// Whether the server is called over HTTP/2 rather than HTTP/1.1.
@@ -60,6 +65,25 @@
     pub left: Duration,
 }
 
+/// A request that a server has been sent.
+#[derive(Clone, Copy, Debug)]
+pub struct Execution {
+    /// Identifies the request over all calls that repeat it.
+    pub fingerprint: Fingerprint,
+    /// The server.
+    pub server: ServerId,
+    /// The address of the server.
+    pub address: SocketAddr,
+}
+
+impl Execution {
+    /// Records that the connection ended before the response did, so that the server may
+    /// have crashed.
+    pub fn record_lost(&self, ports: &dyn Ports) {
+        ports.record_lost(self.fingerprint, self.server, self.address);
+    }
+}
+
 /// The body of a server's response.
 pub enum ResponseBody {
     /// The complete body and its trailers.
@@ -162,12 +186,23 @@
                     None => (Outcome::Broken, Failure::Broken),
                 };
                 guard.end(outcome);
+                if failure == Failure::Broken {
+                    self.execution().record_lost(&*self.ports);
+                }
                 Err(FailedAttempt::new(failure, failed.unsent, detail))
             }
             Some(Ok(response)) => self.check_response(response, guard, conn).await,
         }
     }
 
+    fn execution(&self) -> Execution {
+        Execution {
+            fingerprint: self.fingerprint,
+            server: self.permit.server,
+            address: self.server.address,
+        }
+    }
+
     /// Classifies the response and, if it is valid, reads its body.
     async fn check_response(
         &self,
@@ -258,7 +293,11 @@
         };
         match complete {
             Some(Ok(true)) => {
-                guard.end(outcome_of(parts.status));
+                let outcome = outcome_of(parts.status);
+                guard.end(outcome);
+                if outcome == Outcome::Done {
+                    self.ports.record_response(self.fingerprint);
+                }
                 self.pools.keep(conn, self.ports.now());
                 Ok(ResponseBody::Buffered(
                     buffered.bytes.freeze(),
@@ -271,6 +310,7 @@
                     conn,
                     pools: self.pools.clone(),
                     ports: self.ports.clone(),
+                    execution: self.execution(),
                 };
                 Ok(ResponseBody::Stream {
                     prefix: buffered.bytes.freeze(),
@@ -280,6 +320,7 @@
             }
             Some(Err(error)) => {
                 guard.end(Outcome::Broken);
+                self.execution().record_lost(&*self.ports);
                 let detail = format!("the answer broke off: {error}");
                 Err(FailedAttempt::new(Failure::Broken, None, detail))
             }
--- a/crates/entry/src/call.rs
+++ b/crates/entry/src/call.rs
@@ -18,6 +18,8 @@
 use obs::CallRecord;
 use route::attempts::Failure;
 use route::attempts::Verdict;
+use route::crashes::Fingerprint;
+use route::msg::RefusalReason;
 
 use crate::attempt::FailedAttempt;
 use crate::attempt::ServerResponse;
@@ -27,7 +29,6 @@
 use crate::ports::Permit;
 use crate::ports::Refusal;
 use crate::record::ServedBy;
-use crate::request::Fingerprint;
 
 /// A call in progress.
 pub(crate) struct Call<'a> {
@@ -204,6 +205,17 @@
 /// Returns the response to a call whose last attempt failed with `error`.
 pub(crate) fn failure_response(verdict: Verdict, error: &AttemptError) -> LocalResponse {
     match error {
+        AttemptError::Refused(refused)
+            if verdict == Verdict::NotRun && refused.reason == RefusalReason::CrashesServers =>
+        {
+            LocalResponse::not_run(
+                StatusCode::SERVICE_UNAVAILABLE,
+                refused.reason.name(),
+                "servers crashed while they ran this request; change it, or report it to the \
+                 owners of the service",
+            )
+            .with_retry_after(refused.retry_after)
+        }
         AttemptError::Refused(refused) if verdict == Verdict::NotRun => LocalResponse::not_run(
             StatusCode::SERVICE_UNAVAILABLE,
             refused.reason.name(),
--- a/crates/entry/src/ports.rs
+++ b/crates/entry/src/ports.rs
@@ -2,6 +2,7 @@
 //!
 //! These are ports in the sense of the ports-and-adapters pattern, not TCP ports.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -13,6 +14,7 @@
 use conf::Service;
 use conf::State;
 use net::BoxFuture;
+use route::crashes::Fingerprint;
 use route::keys::ClaimDecision;
 use route::keys::KeyClaim;
 use route::keys::KeyHash;
@@ -94,6 +96,17 @@
     /// in service have asked for none; none if one may be sent a call now.
     fn rest_left(&self, service: &Service) -> Option<Duration>;
 
+    /// Returns for how much longer `request` is rejected because servers crashed while they
+    /// ran it; none if it is not.
+    fn rejected_for(&self, request: Fingerprint) -> Option<Duration>;
+
+    /// Records that `request` was lost with the connection to `server`, which may have
+    /// crashed.
+    fn record_lost(&self, request: Fingerprint, server: ServerId, address: SocketAddr);
+
+    /// Records that a server ran `request` and responded to it.
+    fn record_response(&self, request: Fingerprint);
+
     /// Returns the usual processing time of calls to `service`, if known.
     fn usual_time(&self, service: ServiceId) -> Option<Duration>;
 
--- a/crates/entry/src/proxy.rs
+++ b/crates/entry/src/proxy.rs
@@ -410,6 +410,7 @@
         kind: AttemptKind,
     ) -> Result<Granted, AttemptError> {
         let began = self.ports.now();
+        self.check_rejected(call)?;
         if let Some(retry_after) = self.ports.rest_left(call.service) {
             return Err(AttemptError::Refused(Refusal {
                 reason: RefusalReason::NoServer,
@@ -443,6 +444,17 @@
         }
     }
 
+    /// Fails if servers crashed while they ran the call's request, at whichever VM.
+    fn check_rejected(&self, call: &Call<'_>) -> Result<(), AttemptError> {
+        let rejected = self.ports.rejected_for(call.fingerprint);
+        rejected.map_or(Ok(()), |retry_after| {
+            Err(AttemptError::Refused(Refusal {
+                reason: RefusalReason::CrashesServers,
+                retry_after,
+            }))
+        })
+    }
+
     /// Releases a permit that is not used, and returns the attempt's error.
     fn release_unused(&self, permit: Permit, detail: &str) -> AttemptError {
         let took = Duration::ZERO;
@@ -472,6 +484,10 @@
                 "the server is draining or its failure domain is out of service",
             ));
         }
+        if let Err(rejected) = self.check_rejected(call) {
+            self.release_unused(permit, "the request crashes servers");
+            return Err(rejected);
+        }
         let left = self.time_left(call);
         self.dialect
             .set_attempt_fields(request.headers_mut(), left, server.instance());
@@ -486,6 +502,7 @@
             pools: self.pools.clone(),
             dialect: self.dialect.clone(),
             call_id: call.id.clone(),
+            fingerprint: call.fingerprint,
             server: server.clone(),
             http2: call.service.http2,
             permit,
--- a/crates/entry/src/request.rs
+++ b/crates/entry/src/request.rs
@@ -1,6 +1,5 @@
 //! A caller's request in a form that can be sent to several servers.
 
-use std::net::IpAddr;
 use std::net::SocketAddr;
 
 use bytes::Bytes;
@@ -19,6 +18,7 @@
 use net::body;
 use net::body::BoxError;
 use net::Body;
+use route::crashes::Fingerprint;
 
 use crate::body_budget::BodyBudget;
 use crate::body_budget::Reservation;
@@ -30,6 +30,8 @@
 /// that do not fit the VM's budget.
 pub const BUFFERED_MAX_BYTES: usize = 512 << 10;
 
+/// The fields that, with the method, path and body, tell one request from another.
+const IDENTIFYING_FIELDS: [HeaderName; 3] = [header::HOST, header::AUTHORIZATION, header::COOKIE];
 const FORWARDED_FOR: HeaderName = HeaderName::from_static("x-forwarded-for");
 
 /// The body of a caller's request.
@@ -55,17 +57,12 @@
     Streamed(Option<Body>),
 }
 
-/// Identifies a request over all calls that repeat it: a hash of the caller's address, the
-/// method, host, path and body. Of a streamed body only the length is known.
-pub type Fingerprint = u64;
-
 /// A request to be sent to servers.
 pub struct OutgoingRequest {
     method: Method,
     uri: Uri,
     fields: HeaderMap,
     body: RequestBody,
-    caller: IpAddr,
 }
 
 impl OutgoingRequest {
@@ -104,26 +101,29 @@
             uri,
             fields,
             body,
-            caller: peer.ip(),
         })
     }
 
-    /// Returns the hash by which repeats of the request are recognized at all VMs.
+    /// Returns a hash of what makes servers treat requests alike: the method, host, path,
+    /// query, body and credentials. Of a streamed body only the length is known.
+    ///
+    /// The caller's address is left out, since a caller may have several.
     pub fn fingerprint(&self) -> Fingerprint {
-        let text = |name| self.fields.get(name).and_then(|value| value.to_str().ok());
+        let mut hash = base::hash::of(&[self.method.as_str(), &self.uri.to_string()]);
+        for name in &IDENTIFYING_FIELDS {
+            for value in self.fields.get_all(name) {
+                hash = base::hash::mix(hash, base::hash::of_bytes(value.as_bytes()));
+            }
+            hash = base::hash::mix(hash, base::hash::of(&[name.as_str()]));
+        }
         let body = match &self.body {
             RequestBody::Buffered { bytes, .. } => base::hash::of_bytes(bytes),
             RequestBody::Streamed(_) => {
-                base::hash::of(&["streamed", text(header::CONTENT_LENGTH).unwrap_or_default()])
+                let length = self.fields.get(header::CONTENT_LENGTH);
+                base::hash::of_bytes(length.map_or(b"".as_slice(), HeaderValue::as_bytes))
             }
         };
-        let head = base::hash::of(&[
-            &self.caller.to_string(),
-            self.method.as_str(),
-            text(header::HOST).unwrap_or_default(),
-            &self.uri.to_string(),
-        ]);
-        base::hash::mix(head, body)
+        base::hash::mix(hash, body)
     }
 
     /// Returns whether the request can be sent again after some of it has been sent.
--- a/crates/entry/src/tracked_body.rs
+++ b/crates/entry/src/tracked_body.rs
@@ -19,6 +19,7 @@
 use net::body::BoxError;
 use smol::Timer;
 
+use crate::attempt::Execution;
 use crate::guard::PermitGuard;
 use crate::pool::Conn;
 use crate::pool::Pools;
@@ -32,8 +33,10 @@
     pub conn: Conn,
     /// The pools to which the connection is returned.
     pub pools: Arc<Pools>,
-    /// The interface to the VM, which provides the current time.
+    /// The interface to the VM.
     pub ports: Arc<dyn Ports>,
+    /// The request and the server that responds to it.
+    pub execution: Execution,
 }
 
 /// A response body that holds a permit and a connection until it ends.
@@ -71,6 +74,8 @@
     fn finish(&mut self) {
         if let Some(mut completion) = self.completion.take() {
             completion.guard.end(Outcome::Done);
+            let fingerprint = completion.execution.fingerprint;
+            completion.ports.record_response(fingerprint);
             let now = completion.ports.now();
             completion.pools.keep(completion.conn, now);
         }
@@ -80,6 +85,9 @@
     fn fail(&mut self, outcome: Outcome) {
         if let Some(mut completion) = self.completion.take() {
             completion.guard.end(outcome);
+            if outcome == Outcome::Broken {
+                completion.execution.record_lost(&*completion.ports);
+            }
         }
     }
 }
--- a/crates/load/tests/crashes.rs
+++ b/crates/load/tests/crashes.rs
@@ -117,3 +117,36 @@
         assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
     }
 }
+
+#[test]
+fn vm_that_joins_sends_a_request_on_that_others_reject() {
+    let (servers, addresses) = start_servers(8);
+    let mut harness = Harness::new(&addresses);
+    harness.add_vm("vm-2");
+    for vm in harness.all_callers().into_iter().cycle().take(8) {
+        harness.call_at(vm, "GET", "/deadly", "", "");
+        std::thread::sleep(Duration::from_millis(60));
+    }
+    let before = count_crashes(&servers);
+    assert!(before >= CRASHES_MAX, "{before} servers ended");
+    harness.add_vm("vm-3");
+    let joined = harness.all_callers()[2];
+    std::thread::sleep(Duration::from_millis(200));
+    let answer = harness.call_at(joined, "GET", "/deadly", "", "");
+    assert!(answer.contains("crashes-servers"), "{answer}");
+    assert!(answer.starts_with("HTTP/1.1 503"), "{answer}");
+    assert_eq!(count_crashes(&servers), before);
+}
+
+#[test]
+fn request_that_loses_connections_to_live_servers_is_rejected() {
+    fn close_connection(stream: &mut TcpStream, _head: &str) {
+        let _ = stream.shutdown(std::net::Shutdown::Both);
+    }
+    let servers = [(); 4].map(|()| harness::Scripted::new(close_connection));
+    let harness = Harness::new(&servers.each_ref().map(|server| server.address));
+    for _ in 0..6 {
+        let answer = harness.call("GET", "/unlucky", "", "");
+        assert!(!answer.contains("crashes-servers"), "{answer}");
+    }
+}
--- a/crates/node/src/gauges.rs
+++ b/crates/node/src/gauges.rs
@@ -53,6 +53,13 @@
         "Servers that leave or asked this VM for no calls",
         |s| s.denied_servers().len() as u64,
     );
+    gauge(
+        &meter,
+        &weak,
+        "requests_rejected",
+        "Requests that are rejected because servers crashed while they ran them",
+        |s| crate::shared::lock(&s.crashes).rejected_count(s.clock.now()) as u64,
+    );
     gauge(
         &meter,
         &weak,
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -8,6 +8,7 @@
 //! of a shard is held while another lock is taken. See `docs/architecture.md`.
 
 pub mod claims;
+pub mod crashes;
 pub mod gauges;
 pub mod node;
 pub mod peers;
--- a/crates/node/src/ports.rs
+++ b/crates/node/src/ports.rs
@@ -1,6 +1,7 @@
 //! The VM as the proxy sees it ([`Ports`]): permits, claims of idempotency keys and
 //! the configuration in force.
 
+use std::net::SocketAddr;
 use std::sync::atomic::Ordering;
 use std::sync::Arc;
 use std::time::Duration;
@@ -17,6 +18,7 @@
 use entry::Refusal;
 use entry::ServerReport;
 use net::BoxFuture;
+use route::crashes::Fingerprint;
 use route::keys;
 use route::keys::ClaimDecision;
 use route::keys::KeyClaim;
@@ -255,6 +257,18 @@
         lock(&self.notices).delay(ids, NO_SERVER_RETRY_AFTER, now)
     }
 
+    fn rejected_for(&self, request: Fingerprint) -> Option<Duration> {
+        lock(&self.crashes).rejected_for(request, self.clock.now())
+    }
+
+    fn record_lost(&self, request: Fingerprint, server: ServerId, address: SocketAddr) {
+        self.check_crash(request, server, address);
+    }
+
+    fn record_response(&self, request: Fingerprint) {
+        self.clear_crashes(request);
+    }
+
     fn usual_time(&self, service: ServiceId) -> Option<Duration> {
         let now = self.clock.now();
         let table = self.table();
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -39,6 +39,7 @@
 use obs::Spans;
 use plat::budget::Budget;
 use plat::Store;
+use route::crashes::CrashTable;
 use route::keys::ClaimTable;
 use route::msg::Body;
 use route::notices::Notices;
@@ -142,6 +143,8 @@
     pub(crate) bodies: BodyBudget,
     /// What servers asked this VM for.
     pub(crate) notices: Mutex<Notices>,
+    /// The requests under which servers crashed.
+    pub(crate) crashes: Mutex<CrashTable>,
     /// Serializes changes of `state` and `table`.
     pub(crate) refresh_lock: Mutex<()>,
     /// The idempotency keys that this VM remembers as an owner.
@@ -256,6 +259,7 @@
             table: RwLock::default(),
             bodies: BodyBudget::new(buffer),
             notices: Mutex::default(),
+            crashes: Mutex::default(),
             refresh_lock: Mutex::new(()),
             remembered_keys: Mutex::new(remembered_keys),
             last_active_ms: AtomicU64::new(now.as_millis() as u64),
@@ -317,13 +321,15 @@
     }
 
     fn set_view(&self, view: Arc<View>) {
-        if *self.view() == *view {
+        let old = self.view();
+        if *old == *view {
             return;
         }
         self.log_view(&view);
         let complete = view.undiscovered == 0;
         lock(&self.remembered_keys).set_view(&view.vms, complete, self.clock.now());
-        write(&self.view, view);
+        write(&self.view, view.clone());
+        self.send_crashes_to_joined(&old, &view);
         let refresh_guard = lock(&self.refresh_lock);
         let pending = self.update_fleet();
         drop(refresh_guard);
@@ -545,6 +551,7 @@
                 }
             }
             Msg::Key(msg) => self.receive_key(from, msg),
+            Msg::Crash(msg) => self.receive_crash(msg),
         }
     }
 
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod budget;
 pub mod choose;
 pub mod coordinator;
+pub mod crashes;
 pub mod epoch;
 pub mod follower;
 pub mod handover;
--- a/crates/route/src/msg.rs
+++ b/crates/route/src/msg.rs
@@ -78,6 +78,8 @@
     Budget,
     /// The request was queued for as long as it may be.
     Expired,
+    /// Servers crashed while they ran the same request.
+    CrashesServers,
 }
 
 /// The result of a health check of a server.
@@ -106,6 +108,7 @@
             Self::Overload => "overload",
             Self::Budget => "budget",
             Self::Expired => "expired",
+            Self::CrashesServers => "crashes-servers",
         }
     }
 }
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod transport;
 
 pub use key::Keyring;
+pub use msg::CrashMsg;
 pub use msg::KeyMsg;
 pub use msg::Msg;
 pub use outbox::Outbox;
--- a/crates/wire/src/msg.rs
+++ b/crates/wire/src/msg.rs
@@ -1,5 +1,7 @@
 //! The messages that are sent in datagrams.
 
+use route::crashes::CrashReport;
+use route::crashes::Fingerprint;
 use route::keys::ClaimReply;
 use route::keys::KeyClaim;
 use serde::Deserialize;
@@ -22,6 +24,15 @@
     Forget(KeyClaim),
 }
 
+/// A message about servers that crashed while they ran a request.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum CrashMsg {
+    /// Servers crashed under the request.
+    Crashed(CrashReport),
+    /// A server responded to the request, so it does not crash each server that runs it.
+    Cleared(Fingerprint),
+}
+
 /// A message from one VM to another, by the protocol to which it belongs.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Msg {
@@ -31,4 +42,6 @@
     Route(route::Msg),
     /// Claims of idempotency keys.
     Key(KeyMsg),
+    /// Servers that crashed under requests.
+    Crash(CrashMsg),
 }
