--- a/crates/soak/src/caller.rs
+++ b/crates/soak/src/caller.rs
@@ -21,6 +21,7 @@
 use crate::record::RequestEnd;
 use crate::record::Signature;
 use crate::record::VmIndex;
+use crate::server::DEADLY_MARK;
 
 /// The time limit that a caller sends with a request.
 const REQUEST_TIMEOUT: Duration = Duration::from_millis(1500);
@@ -35,6 +36,8 @@
 const ABANDON_SHARE: f64 = 0.05;
 /// How long a caller waits before it abandons a request.
 const ABANDON_DELAY: Duration = Duration::from_millis(60);
+/// The time between the response to a request that makes servers crash and its repeat.
+const DEADLY_PAUSE: Duration = Duration::from_millis(80);
 /// The maximum number of retries of a request by its caller.
 const RETRIES_MAX: u32 = 2;
 
@@ -138,8 +141,9 @@
             let Some(mut connection) = self.connect().await else {
                 return;
             };
-            let id = self.begin_request(connection.vm, route);
-            let text = request_text(id, route, if keep { "keep-alive" } else { "close" });
+            let id = self.begin_request(connection.vm, route, None);
+            let end = if keep { "keep-alive" } else { "close" };
+            let text = request_text(id, route, &id.to_string(), end);
             if connection.stream.write_all(text.as_bytes()).await.is_err() {
                 self.recorder.end_request(id, RequestEnd::ConnectionClosed);
                 continue;
@@ -169,11 +173,11 @@
             return;
         };
         let ids: Vec<CallId> = (0..PIPELINE_DEPTH)
-            .map(|_| self.begin_request(connection.vm, route))
+            .map(|_| self.begin_request(connection.vm, route, None))
             .collect();
         let all: String = ids
             .iter()
-            .map(|id| request_text(*id, route, "keep-alive"))
+            .map(|id| request_text(*id, route, &id.to_string(), "keep-alive"))
             .collect();
         let wrote = connection.stream.write_all(all.as_bytes()).await.is_ok();
         let mut open = wrote;
@@ -191,7 +195,26 @@
         }
     }
 
-    fn begin_request(&self, vm: VmIndex, route: Route) -> CallId {
+    /// Repeats a request for `duration` that makes each server crash which executes it. Each
+    /// repeat is sent to some VM on a connection of its own.
+    pub async fn repeat_deadly(mut self, index: usize, route: Route, duration: Duration) {
+        let end = self.recorder.now() + duration;
+        while self.recorder.now() < end {
+            Timer::after(DEADLY_PAUSE).await;
+            let Some(mut connection) = self.connect().await else {
+                continue;
+            };
+            let id = self.begin_request(connection.vm, route, Some(index));
+            let text = request_text(id, route, &format!("{DEADLY_MARK}-{index}"), "close");
+            if connection.stream.write_all(text.as_bytes()).await.is_ok() {
+                self.recorder.mark_sent(id);
+                let (end, _) = read_response(&mut connection.reader).await;
+                self.recorder.end_request(id, end);
+            }
+        }
+    }
+
+    fn begin_request(&self, vm: VmIndex, route: Route, deadly: Option<usize>) -> CallId {
         self.recorder.begin_request(Request {
             id: 0,
             at: self.recorder.now(),
@@ -199,6 +222,7 @@
             route: route.name,
             idempotent: route.idempotent,
             timeout: REQUEST_TIMEOUT,
+            deadly,
             end: None,
         })
     }
@@ -215,11 +239,11 @@
     }
 }
 
-fn request_text(id: CallId, route: Route, connection: &str) -> String {
+fn request_text(id: CallId, route: Route, name: &str, connection: &str) -> String {
     let method = if route.idempotent { "GET" } else { "POST" };
     let body = if route.idempotent { "" } else { "activate" };
     format!(
-        "{method} /{}/{id} HTTP/1.1\r\nHost: {HOST}\r\n{}: {id}\r\n{}: {}\r\n\
+        "{method} /{}/{name} HTTP/1.1\r\nHost: {HOST}\r\n{}: {id}\r\n{}: {}\r\n\
          Connection: {connection}\r\ncontent-length: {}\r\n\r\n{body}",
         route.name,
         fields::CALL_ID,
--- a/crates/soak/src/link.rs
+++ b/crates/soak/src/link.rs
@@ -8,6 +8,7 @@
 use std::sync::PoisonError;
 use std::time::Duration;
 
+use smol::channel;
 use smol::io::AsyncReadExt;
 use smol::io::AsyncWriteExt;
 use smol::net::TcpListener;
@@ -37,12 +38,17 @@
     Blackhole,
 }
 
+/// Asks the task that accepts connections to listen or to stop that, and to drop the sender
+/// when it has done so.
+type ListenRequest = (bool, channel::Sender<()>);
+
 /// A proxy to one target address. Clones share the fault.
 #[derive(Clone, Debug)]
 pub struct Link {
     address: SocketAddr,
     target: Arc<Mutex<SocketAddr>>,
     fault: Arc<Mutex<LinkFault>>,
+    listen_requests: channel::Sender<ListenRequest>,
 }
 
 impl Link {
@@ -53,24 +59,54 @@
     /// Fails if the port cannot be bound.
     pub async fn open(target: SocketAddr) -> io::Result<Self> {
         let listener = TcpListener::bind((target.ip(), 0)).await?;
+        let (listen_requests, receiver) = channel::unbounded();
         let link = Self {
+            listen_requests,
             address: listener.local_addr()?,
             target: Arc::new(Mutex::new(target)),
             fault: Arc::new(Mutex::new(LinkFault::None)),
         };
-        let acceptor = link.clone();
-        smol::spawn(async move {
-            loop {
-                let Ok((stream, _)) = listener.accept().await else {
+        smol::spawn(link.clone().accept(listener, receiver)).detach();
+        Ok(link)
+    }
+
+    /// Accepts connections, except while asked not to.
+    async fn accept(self, listener: TcpListener, requests: channel::Receiver<ListenRequest>) {
+        let mut listener = Some(listener);
+        loop {
+            let accepted = async {
+                match &listener {
+                    Some(listener) => Ok(listener.accept().await),
+                    None => std::future::pending().await,
+                }
+            };
+            let asked = async { Err(requests.recv().await) };
+            match futures_lite::future::or(accepted, asked).await {
+                Ok(Ok((stream, _))) => {
+                    let link = self.clone();
+                    smol::spawn(async move { link.forward(stream).await }).detach();
+                }
+                Ok(Err(_)) => {
                     Timer::after(POLL_PERIOD).await;
-                    continue;
-                };
-                let link = acceptor.clone();
-                smol::spawn(async move { link.forward(stream).await }).detach();
+                }
+                Err(Ok((false, _done))) => listener = None,
+                Err(Ok((true, _done))) => {
+                    while listener.is_none() {
+                        Timer::after(POLL_PERIOD).await;
+                        listener = TcpListener::bind(self.address).await.ok();
+                    }
+                }
+                Err(Err(_)) => return,
             }
-        })
-        .detach();
-        Ok(link)
+        }
+    }
+
+    /// Accepts connections from now on, or refuses them as a host without the program does.
+    pub async fn set_listening(&self, listening: bool) {
+        let (done, wait) = channel::bounded(1);
+        if self.listen_requests.send((listening, done)).await.is_ok() {
+            let _ = wait.recv().await;
+        }
     }
 
     /// Returns the address on which the proxy accepts connections.
--- a/crates/soak/src/record.rs
+++ b/crates/soak/src/record.rs
@@ -67,6 +67,8 @@
     pub idempotent: bool,
     /// The time limit that the caller sent with the request.
     pub timeout: Duration,
+    /// Which request this one repeats that makes servers crash; `None` for others.
+    pub deadly: Option<usize>,
     /// When and how the request ended; `None` while it is in flight.
     pub end: Option<(Time, RequestEnd)>,
 }
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -12,6 +12,7 @@
 
 use anyhow::Context;
 use rustix::process::Signal;
+use smol::channel;
 use smol::io::AsyncWriteExt;
 use smol::lock::Mutex;
 use smol::net::TcpStream;
@@ -131,6 +132,10 @@
     store: stand::Store,
     vms: Vec<Mutex<Vm>>,
     locations: Vec<Location>,
+    /// The indices of locations whose server has crashed under a request.
+    crashed_locations: channel::Receiver<usize>,
+    /// The number of requests so far that make servers crash.
+    deadly_count: AtomicUsize,
     rotation: Rotation,
     /// The number of servers of each service, which determines the initial service of a
     /// location.
@@ -184,6 +189,7 @@
     let mut background_tasks: Vec<Task<()>> = vec![
         smol::spawn(harness.clone().restart_ended()),
         smol::spawn(harness.clone().poll_readiness()),
+        smol::spawn(harness.clone().restart_crashed()),
         smol::spawn(record_stalls(harness.recorder.clone())),
     ];
     harness.wait_ready().await?;
@@ -251,13 +257,23 @@
             let domain = DOMAINS[index % DOMAINS.len()];
             vms.push(Mutex::new(Vm::new(index, domain, &fleet).await?));
         }
+        let (crashes, crashed_locations) = channel::unbounded();
         let mut locations = Vec::new();
         for index in 0..size.locations() {
             let address = SocketAddr::from((Ipv4Addr::new(127, subnet, 200, 1), 0));
             let domain = DOMAINS[index % DOMAINS.len()];
             let service = SERVICES[index / size.servers];
             let seed = seed ^ (index as u64) << 32;
-            let location = Location::open(index, address, domain, service, &recorder, seed).await?;
+            let location = Location::open(
+                index,
+                address,
+                domain,
+                service,
+                &recorder,
+                crashes.clone(),
+                seed,
+            )
+            .await?;
             location.write_entry(&store);
             locations.push(location);
         }
@@ -266,6 +282,8 @@
             store,
             vms,
             locations,
+            crashed_locations,
+            deadly_count: AtomicUsize::new(0),
             rotation: Rotation::default(),
             servers: size.servers,
             domain_lock: Mutex::new(()),
@@ -495,12 +513,16 @@
                 );
             }
             Action::CrashServer(index, change_service) => {
-                let location = &self.locations[index];
-                location.shut_down();
-                Timer::after(ENTRY_EXPIRY_DELAY).await;
-                location.remove_entry(&self.store);
-                self.restart_server(index, change_service).await;
-                self.record_fault(FaultTarget::Server(index), "server crashed", from);
+                self.locations[index].crash().await;
+                self.recover_crashed(index, change_service, from).await;
+            }
+            Action::RepeatDeadly(route) => {
+                let deadly = self.deadly_count.fetch_add(1, Ordering::SeqCst);
+                let caller =
+                    Caller::new(&self.recorder, &self.rotation, event.at.as_micros() as u64);
+                caller.repeat_deadly(deadly, ROUTES[route], duration).await;
+                // Until the servers that it ended are back.
+                Timer::after(ENTRY_EXPIRY_DELAY + ADDRESS_REUSE_DELAY).await;
             }
             Action::DrainServer(index, change_service) => {
                 let location = &self.locations[index];
@@ -541,6 +563,24 @@
         }
     }
 
+    /// Restarts servers that crash under requests, until the task is dropped.
+    async fn restart_crashed(self: Arc<Self>) {
+        while let Ok(index) = self.crashed_locations.recv().await {
+            let from = self.recorder.now();
+            let harness = self.clone();
+            smol::spawn(async move { harness.recover_crashed(index, false, from).await }).detach();
+        }
+    }
+
+    /// Removes the entry of a server that crashed at `from`, and starts the next one.
+    async fn recover_crashed(&self, index: usize, change_service: bool, from: Duration) {
+        let location = &self.locations[index];
+        Timer::after(ENTRY_EXPIRY_DELAY).await;
+        location.remove_entry(&self.store);
+        self.restart_server(index, change_service).await;
+        self.record_fault(FaultTarget::Server(index), "server crashed", from);
+    }
+
     async fn kill(&self, index: usize) {
         let from = self.recorder.now();
         self.vms[index].lock().await.signal(Signal::KILL);
@@ -583,6 +623,7 @@
         Timer::after(ADDRESS_REUSE_DELAY).await;
         let offset = usize::from(change_service);
         let service = SERVICES[(index / self.servers + offset) % SERVICES.len()];
+        self.locations[index].accept_again().await;
         self.locations[index].start_instance(service, COLD_TIME);
         self.locations[index].write_entry(&self.store);
     }
--- a/crates/soak/src/schedule.rs
+++ b/crates/soak/src/schedule.rs
@@ -3,6 +3,7 @@
 
 use std::time::Duration;
 
+use crate::caller::ROUTES;
 use crate::link::LinkFault;
 use crate::record::VmIndex;
 use crate::server::Behavior;
@@ -47,6 +48,12 @@
 const RATE_LIMIT_TIME_MAX: Duration = Duration::from_secs(10);
 /// The highest rate limit, in calls per second.
 const RATE_LIMIT_MAX: u64 = 4;
+/// Keeps the draws of requests that make servers crash apart from those of the other events.
+const DEADLY_SEED: u64 = 0x6465_6164_6c79;
+/// The share of runs with a request that makes servers crash.
+const DEADLY_SHARE: f64 = 0.5;
+/// For how long such a request is repeated.
+const DEADLY_TIME: Duration = Duration::from_secs(8);
 /// The longest rest that a server asks for, in seconds.
 const REST_MAX_SECS: u64 = 3;
 /// The time between the starts of two events of a series.
@@ -146,6 +153,8 @@
     DomainOut(usize),
     /// Writes a number of configurations in quick succession.
     WriteTickets(u8),
+    /// A caller repeats a request on the given route that makes servers crash.
+    RepeatDeadly(usize),
 }
 
 /// A scheduled fault or planned change.
@@ -180,6 +189,7 @@
     events.extend(generate_notices(seed, size));
     events.extend(generate_outage(seed, size));
     events.extend(generate_rate_limits(seed, size));
+    events.extend(generate_deadly(seed, size));
     events.sort_by_key(|event| event.at);
     events
 }
@@ -247,6 +257,18 @@
     events.collect()
 }
 
+/// Generates the request of a run that makes servers crash, if it has one.
+fn generate_deadly(seed: u64, size: &Size) -> Option<Event> {
+    let mut rng = fastrand::Rng::with_seed(seed ^ DEADLY_SEED);
+    let has_deadly = rng.f64() < DEADLY_SHARE;
+    let event = Event {
+        at: WARM_UP_TIME + size.time.mul_f64(rng.f64() / 2.0),
+        duration: DEADLY_TIME,
+        action: Action::RepeatDeadly(rng.usize(..ROUTES.len())),
+    };
+    has_deadly.then_some(event)
+}
+
 fn draw_action(rng: &mut fastrand::Rng, size: &Size) -> Action {
     let vm = rng.usize(..size.vms);
     let location = rng.usize(..size.locations());
--- a/crates/soak/src/server.rs
+++ b/crates/soak/src/server.rs
@@ -12,6 +12,7 @@
 use std::time::UNIX_EPOCH;
 
 use base::Time;
+use smol::channel;
 use smol::io::AsyncWriteExt;
 use smol::lock::Semaphore;
 use smol::net::TcpListener;
@@ -86,6 +87,9 @@
     rng: fastrand::Rng,
 }
 
+/// The part of a path that makes a server crash while it executes the request.
+pub const DEADLY_MARK: &str = "deadly";
+
 /// An address at which one server instance after another runs.
 #[derive(Clone)]
 pub struct Location {
@@ -94,6 +98,8 @@
     index: usize,
     domain: &'static str,
     recorder: Recorder,
+    /// Receives the index of the location when its server crashes under a request.
+    crashes: channel::Sender<usize>,
     state: Arc<Mutex<State>>,
 }
 
@@ -119,7 +125,8 @@
 }
 
 impl Location {
-    /// Opens location `index` on `address` and starts a warm server instance there.
+    /// Opens location `index` on `address` and starts a warm server instance there. Crashes
+    /// under requests are sent to `crashes`.
     ///
     /// # Errors
     ///
@@ -130,6 +137,7 @@
         domain: &'static str,
         service: &'static str,
         recorder: &Recorder,
+        crashes: channel::Sender<usize>,
         seed: u64,
     ) -> anyhow::Result<Self> {
         let listener = TcpListener::bind(address).await?;
@@ -148,6 +156,7 @@
             index,
             domain,
             recorder: recorder.clone(),
+            crashes,
             state: Arc::new(Mutex::new(State {
                 instance: 0,
                 entry,
@@ -278,6 +287,18 @@
         }
     }
 
+    /// Stops the server instance at once, as a crash of its process does. Its address
+    /// refuses connections until [`Location::accept_again`].
+    pub async fn crash(&self) {
+        self.link.set_listening(false).await;
+        self.shut_down();
+    }
+
+    /// Accepts connections again after a crash.
+    pub async fn accept_again(&self) {
+        self.link.set_listening(true).await;
+    }
+
     /// Stops the server instance at once and closes all its connections.
     pub fn shut_down(&self) {
         let mut state = self.lock();
@@ -340,6 +361,12 @@
         }
     }
 
+    /// Returns whether `instance` is the one that runs at the location.
+    fn is_current(&self, instance: InstanceIndex) -> bool {
+        let state = self.lock();
+        state.up && state.instance == instance
+    }
+
     /// Executes a request and returns the bytes of the response, or `None` if the
     /// connection is to be closed without one.
     async fn respond(&self, instance: InstanceIndex, request: &Message) -> Option<Vec<u8>> {
@@ -404,6 +431,14 @@
         self.recorder.mark_executed(arrival);
         Timer::after(time).await;
         drop(guard);
+        if request.path.contains(DEADLY_MARK) {
+            // Only the first of several such requests that run at once.
+            if self.is_current(instance) {
+                self.crash().await;
+                let _ = self.crashes.send(self.index).await;
+            }
+            return None;
+        }
         let (leaving, rate_limit) = {
             let state = self.lock();
             (state.leaving, state.rate_limit)
