--- a/crates/entry/src/pool.rs
+++ b/crates/entry/src/pool.rs
@@ -10,6 +10,8 @@
 //! restarted. This is reported at once, because nothing else shows the restart of a
 //! server without calls; see `docs/design/limits.md`.
 
+use std::io;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::PoisonError;
@@ -21,6 +23,8 @@
 use conf::Server;
 use event_listener::Event;
 use net::client;
+use net::client::Connector;
+use net::client::Direct;
 use net::client::Sender;
 use net::exec::Handle;
 use route::limit::IDLE_STATE_TTL;
@@ -63,6 +67,7 @@
     handle: Handle,
     clock: Clock,
     suspects: RestartSuspects,
+    connector: Arc<dyn Connector>,
 }
 
 /// A connection in use. Dropping it closes the connection; [`Pools::keep`] returns it to
@@ -151,9 +156,27 @@
             handle,
             clock,
             suspects,
+            connector: Arc::new(Direct),
         }
     }
 
+    /// Sets how connections are opened.
+    pub fn with_connector(mut self, connector: Arc<dyn Connector>) -> Self {
+        self.connector = connector;
+        self
+    }
+
+    /// Opens a connection to `address` and closes it again.
+    ///
+    /// # Errors
+    ///
+    /// Fails as opening it fails, or if that takes longer than `limit`.
+    pub async fn try_connect(&self, address: SocketAddr, limit: Duration) -> io::Result<()> {
+        let connected = net::timeout(limit, self.connector.connect(address)).await;
+        let connected = connected.unwrap_or(Err(io::ErrorKind::TimedOut.into()));
+        connected.map(|_| ())
+    }
+
     /// Returns a connection to `server`: an idle one, or a new one over HTTP/2 or
     /// HTTP/1.1. If this VM has `share` connections open to the server, waits until one
     /// of them is returned or closed.
@@ -190,7 +213,8 @@
         };
         let mut conn = Conn::new(None, pool);
         let address = server.address;
-        let connecting = client::connect_with_on_close(&self.handle, address, http2, on_close);
+        let connecting =
+            client::connect_with_on_close(&self.handle, &*self.connector, address, http2, on_close);
         let connected = net::timeout(CONNECT_TIMEOUT, connecting).await;
         conn.sender = Some(connected.unwrap_or(Err(client::Error::Timeout(CONNECT_TIMEOUT)))?);
         Ok(conn)
--- a/crates/net/src/client.rs
+++ b/crates/net/src/client.rs
@@ -14,6 +14,7 @@
 use crate::body;
 use crate::exec::Handle;
 use crate::Body;
+use crate::BoxFuture;
 
 /// Why a request got no complete response.
 #[derive(Debug, thiserror::Error)]
@@ -96,21 +97,39 @@
     }
 }
 
+/// Opens TCP connections.
+pub trait Connector: Send + Sync {
+    /// Opens a connection to `address`.
+    fn connect(&self, address: SocketAddr) -> BoxFuture<'_, std::io::Result<TcpStream>>;
+}
+
+/// Opens connections by the operating system's own means.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Direct;
+
+impl Connector for Direct {
+    fn connect(&self, address: SocketAddr) -> BoxFuture<'_, std::io::Result<TcpStream>> {
+        Box::pin(TcpStream::connect(address))
+    }
+}
+
 /// Opens a connection to `address`, without TLS. The task that drives the connection
 /// runs on `handle`.
 pub async fn connect(handle: &Handle, address: SocketAddr, http2: bool) -> Result<Sender, Error> {
-    connect_with_on_close(handle, address, http2, || {}).await
+    connect_with_on_close(handle, &Direct, address, http2, || {}).await
 }
 
-/// Opens a connection as [`connect`] does, and calls `on_close` once the peer has closed
+/// Opens a connection as [`connect`] does, by `connector`, and calls `on_close` once the peer has closed
 /// the connection or it has failed.
 pub async fn connect_with_on_close(
     handle: &Handle,
+    connector: &dyn Connector,
     address: SocketAddr,
     http2: bool,
     on_close: impl FnOnce() + Send + 'static,
 ) -> Result<Sender, Error> {
-    let stream = TcpStream::connect(address)
+    let stream = connector
+        .connect(address)
         .await
         .map_err(|error| Error::Connect(address, error))?;
     let _ = stream.set_nodelay(true);
--- a/crates/node/src/crashes.rs
+++ b/crates/node/src/crashes.rs
@@ -10,7 +10,6 @@
 use route::crashes::Crash;
 use route::crashes::CrashReport;
 use route::crashes::Fingerprint;
-use smol::net::TcpStream;
 use wire::CrashMsg;
 use wire::Msg;
 
@@ -30,7 +29,8 @@
             return;
         };
         self.handle.spawn_detached(async move {
-            if refuses_connections(address).await {
+            let connected = shared.pools.try_connect(address, CHECK_TIMEOUT).await;
+            if connected.is_err_and(|error| error.kind() == ErrorKind::ConnectionRefused) {
                 shared.report_crash(request, server);
             }
         });
@@ -143,9 +143,3 @@
         left.map_or(0, |left| left.as_millis() as u64)
     }
 }
-
-/// Returns whether nothing listens at `address` any more.
-async fn refuses_connections(address: SocketAddr) -> bool {
-    let connected = net::timeout(CHECK_TIMEOUT, TcpStream::connect(address)).await;
-    matches!(connected, Some(Err(error)) if error.kind() == ErrorKind::ConnectionRefused)
-}
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -22,6 +22,8 @@
 use http::HeaderValue;
 use member::Membership;
 use member::Profile;
+use net::client::Connector;
+use net::client::Direct;
 use net::server::Limits;
 use net::server::Server;
 use net::Stop;
@@ -66,6 +68,8 @@
     /// The header fields that are exchanged with callers and backend servers; those
     /// of [`Native`] by default.
     pub dialect: Option<Arc<dyn Dialect>>,
+    /// How connections to backend servers are opened; [`Direct`] by default.
+    pub connector: Option<Arc<dyn Connector>>,
     /// Whether each message between VMs is sent in a datagram of its own instead
     /// of being batched with others.
     pub unbatched: bool,
@@ -136,6 +140,7 @@
             store,
             registry: options.registry,
             dialect: options.dialect.unwrap_or_else(|| Arc::new(Native)),
+            connector: options.connector.unwrap_or_else(|| Arc::new(Direct)),
             transport,
             keyring,
             outbox,
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -32,6 +32,7 @@
 use entry::Pools;
 use event_listener::Event;
 use member::Membership;
+use net::client::Connector;
 use net::exec::Handle;
 use net::Stop;
 use obs::Metrics;
@@ -176,6 +177,8 @@
     pub registry: Option<Arc<dyn Registry>>,
     /// The header fields that are exchanged with callers and backend servers.
     pub dialect: Arc<dyn Dialect>,
+    /// Opens connections to backend servers.
+    pub connector: Arc<dyn Connector>,
     /// Sends and receives datagrams between VMs.
     pub transport: Arc<dyn Transport>,
     /// The keys that authenticate messages between VMs.
@@ -216,15 +219,12 @@
         let self_id = parts.settings.vm_id();
         let buffer = parts.settings.callers.buffer;
         let view = View::new(&parts.members);
+        let pools = Pools::new(parts.handle.clone(), parts.clock, parts.lost_connections);
         let mut remembered_keys = ClaimTable::new(self_id, now);
         remembered_keys.set_view(&view.vms, view.undiscovered == 0, now);
         Self {
             self_id,
-            pools: Arc::new(Pools::new(
-                parts.handle.clone(),
-                parts.clock,
-                parts.lost_connections,
-            )),
+            pools: Arc::new(pools.with_connector(parts.connector)),
             last_settings: Mutex::new(parts.settings.clone()),
             settings: parts.settings,
             clock: parts.clock,
