Add failing tests of VMs that are partitioned from all servers

Two VMs; the links of one to all servers are cut, so that new connections are refused or get no response.

--- a/crates/load/tests/harness/mod.rs
+++ b/crates/load/tests/harness/mod.rs
@@ -176,9 +176,14 @@
     /// Starts another entry VM, and waits until it has the configuration and both know each
     /// other.
     pub(crate) fn add_vm(&mut self, name: &str) {
+        self.add_vm_with(name, Options::default());
+    }
+
+    /// Starts another entry VM with `options`, as [`Self::add_vm`] does.
+    pub(crate) fn add_vm_with(&mut self, name: &str, options: Options) {
         let mut settings = settings(name, &self.platform);
         settings.peers.seeds = vec![self.node.shared().settings.peers.listen];
-        let node = smol::block_on(Node::start(settings, Options::default())).unwrap();
+        let node = smol::block_on(Node::start(settings, options)).unwrap();
         let first = self.node.shared();
         let joined = || {
             let alive = |shared: &node::Shared| shared.view().alive.len();
--- /dev/null
+++ b/crates/load/tests/partition.rs
@@ -0,0 +1,127 @@
+//! VMs that are partitioned from all servers, while callers and other VMs reach them.
+
+mod harness;
+
+use std::io;
+use std::net::Shutdown;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::time::Duration;
+
+use harness::respond_whole;
+use harness::Harness;
+use harness::Scripted;
+use net::client::Connector;
+use net::BoxFuture;
+use node::Options;
+use smol::net::TcpStream;
+
+const SERVERS: usize = 6;
+/// The time from the start of a partition until calls have to be served again.
+const SETTLE_TIME: Duration = Duration::from_secs(3);
+const CALLS: usize = 60;
+
+/// What happens to new connections during a partition.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Cut {
+    None,
+    Refused,
+    Silent,
+}
+
+/// Opens connections unless they are cut.
+struct CutConnector(Mutex<(Cut, Vec<TcpStream>)>);
+
+impl CutConnector {
+    fn new() -> Arc<Self> {
+        Arc::new(Self(Mutex::new((Cut::None, Vec::new()))))
+    }
+
+    /// Sets what happens to new connections, and closes the open ones.
+    fn set(&self, cut: Cut) {
+        let mut state = self.0.lock().unwrap();
+        state.0 = cut;
+        for stream in state.1.drain(..) {
+            let _ = stream.shutdown(Shutdown::Both);
+        }
+    }
+
+    fn connections(&self) -> usize {
+        self.0.lock().unwrap().1.len()
+    }
+}
+
+impl Connector for CutConnector {
+    fn connect(&self, address: SocketAddr) -> BoxFuture<'_, io::Result<TcpStream>> {
+        Box::pin(async move {
+            let cut = self.0.lock().unwrap().0;
+            match cut {
+                Cut::None => {}
+                Cut::Refused => return Err(io::ErrorKind::ConnectionRefused.into()),
+                Cut::Silent => std::future::pending().await,
+            }
+            let stream = TcpStream::connect(address).await?;
+            self.0.lock().unwrap().1.push(stream.clone());
+            Ok(stream)
+        })
+    }
+}
+
+fn start(connector: &Arc<CutConnector>) -> Harness {
+    let servers: Vec<Scripted> = (0..SERVERS).map(|_| Scripted::new(respond_whole)).collect();
+    let addresses: Vec<SocketAddr> = servers.iter().map(|server| server.address).collect();
+    let mut harness = Harness::new(&addresses);
+    let options = Options {
+        connector: Some(connector.clone()),
+        ..Options::default()
+    };
+    harness.add_vm_with("vm-2", options);
+    count_served(&harness);
+    harness
+}
+
+/// Calls both VMs by turns, and returns how many calls each of them served.
+fn count_served(harness: &Harness) -> (usize, usize) {
+    let callers = harness.all_callers();
+    let mut served = [0, 0];
+    for n in 0..CALLS * 2 {
+        let (vm, method) = (n % 2, if n % 4 < 2 { "GET" } else { "POST" });
+        let answer = harness.call_at(callers[vm], method, &format!("/{n}"), "", "x");
+        served[vm] += usize::from(answer.starts_with("HTTP/1.1 200"));
+        std::thread::sleep(Duration::from_millis(5));
+    }
+    (served[0], served[1])
+}
+
+fn check_partition(cut: Cut) {
+    let connector = CutConnector::new();
+    let harness = start(&connector);
+    connector.set(cut);
+    let callers = harness.all_callers();
+    let began = std::time::Instant::now();
+    while began.elapsed() < SETTLE_TIME {
+        harness.call_at(callers[1], "GET", "/", "", "");
+        std::thread::sleep(Duration::from_millis(50));
+    }
+    let (others, partitioned) = count_served(&harness);
+    assert!(
+        others * 50 >= CALLS * 49 && partitioned * 3 >= others * 2,
+        "{cut:?}: the partitioned VM served {partitioned} of {CALLS}, the other one {others}"
+    );
+    connector.set(Cut::None);
+    std::thread::sleep(SETTLE_TIME);
+    let served = count_served(&harness);
+    assert_eq!(served, (CALLS, CALLS), "{cut:?}: after the partition");
+    assert!(connector.connections() > 0, "{cut:?}: calls take a detour");
+}
+
+#[test]
+fn vm_that_servers_refuse_fails_its_calls() {
+    check_partition(Cut::Refused);
+}
+
+#[test]
+fn vm_that_servers_do_not_answer_fails_its_calls() {
+    check_partition(Cut::Silent);
+}
