Relay the calls of VMs that reach no server, and keep their failures from the servers

Cause: what one VM observes was taken for a property of the servers. A VM without a path kept its calls and used up the retry budget with them; its failures made the homes take servers for down, for all VMs; homes on such VMs could not probe.

Why it works: the VM tries other servers when one fails. If none accepts, it reports no failures, gives up homes by a capacity of zero, and relays its calls to VMs that offer to take them, until a server accepts a connection again. Readiness alone would not do: the balancer uses all VMs of a domain if most are not ready.

--- a/crates/conf/src/settings.rs
+++ b/crates/conf/src/settings.rs
@@ -151,11 +151,24 @@
     /// ignores its own address among them.
     #[serde(default)]
     pub seeds: Vec<SocketAddr>,
+    /// The IP address and port on which to take calls from VMs that reach no server; a free
+    /// port of the address of `listen` if absent.
+    #[serde(default)]
+    pub relay: Option<SocketAddr>,
     /// One or two keys of 64 hexadecimal digits that sign messages between VMs. The
     /// first key signs; messages signed with either key are accepted.
     pub keys: Vec<String>,
 }
 
+impl Peers {
+    /// Returns the address on which to listen for relayed calls; port 0 stands for a free
+    /// port.
+    pub fn relay_address(&self) -> SocketAddr {
+        let free_port = SocketAddr::new(self.listen.ip(), 0);
+        self.relay.unwrap_or(free_port)
+    }
+}
+
 /// What an access token allows.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -146,6 +146,7 @@
         let mut conn = match timeout(self.left, connecting).await {
             Some(Ok(conn)) => conn,
             Some(Err(error)) => {
+                self.ports.check_path(self.server.address).await;
                 guard.end(Outcome::Unreachable);
                 return Err(FailedAttempt::new(
                     Failure::Unsent,
@@ -176,6 +177,7 @@
         guard.start();
         match timeout(self.left, sender.send(request)).await {
             None => {
+                self.ports.check_path(self.server.address).await;
                 guard.end(Outcome::Late);
                 Err(FailedAttempt::new(Failure::Late, None, "no answer in time"))
             }
@@ -185,6 +187,9 @@
                     Some(_) => (Outcome::Unused, Failure::Unsent),
                     None => (Outcome::Broken, Failure::Broken),
                 };
+                if outcome == Outcome::Broken {
+                    self.ports.check_path(self.server.address).await;
+                }
                 guard.end(outcome);
                 if failure == Failure::Broken {
                     self.execution().record_lost(&*self.ports);
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod ports;
 pub mod proxy;
 pub mod record;
+pub mod relay;
 pub mod request;
 pub mod tracked_body;
 
--- a/crates/entry/src/ports.rs
+++ b/crates/entry/src/ports.rs
@@ -107,6 +107,14 @@
     /// Records that a server ran `request` and responded to it.
     fn record_response(&self, request: Fingerprint);
 
+    /// Returns whether this VM has lost its path to all servers, after it could not use the
+    /// server at `failed`.
+    fn check_path(&self, failed: SocketAddr) -> BoxFuture<'_, bool>;
+
+    /// Returns the address of a VM to which this one should relay its calls, because it
+    /// reaches no server itself.
+    fn relay_target(&self) -> Option<SocketAddr>;
+
     /// Returns the usual processing time of calls to `service`, if known.
     fn usual_time(&self, service: ServiceId) -> Option<Duration>;
 
--- a/crates/entry/src/proxy.rs
+++ b/crates/entry/src/proxy.rs
@@ -13,6 +13,7 @@
 use conf::service::CallRule;
 use conf::state::RouteMatch;
 use conf::Service;
+use conf::State;
 use http::HeaderMap;
 use http::HeaderValue;
 use http::Request;
@@ -67,6 +68,7 @@
 use crate::record;
 use crate::record::RequestSummary;
 use crate::record::ServedBy;
+use crate::relay::Relays;
 use crate::request::CallBody;
 use crate::request::OutgoingRequest;
 use crate::tracked_body::TrackedBody;
@@ -102,6 +104,7 @@
 pub struct Proxy {
     pub(crate) ports: Arc<dyn Ports>,
     pools: Arc<Pools>,
+    relays: Relays,
     metrics: Arc<Metrics>,
     spans: Arc<Spans>,
     calls: Arc<RecentCalls>,
@@ -147,6 +150,10 @@
         identity: Identity,
     ) -> Self {
         Self {
+            relays: Relays {
+                pools: pools.clone(),
+                ports: ports.clone(),
+            },
             ports,
             pools,
             metrics,
@@ -164,9 +171,78 @@
         self
     }
 
+    /// Sets the pools of connections to other VMs, over which calls are relayed.
+    pub fn with_relay_pools(mut self, pools: Arc<Pools>) -> Self {
+        self.relays.pools = pools;
+        self
+    }
+
+    /// Returns the response to a caller's request: that of another VM if this one has no
+    /// path to servers.
+    async fn respond(&self, request: Request<impl CallBody>, peer: SocketAddr) -> Response<Body> {
+        if self.ports.relay_target().is_some() {
+            return self.relay(request, peer).await;
+        }
+        self.respond_here(request, peer).await
+    }
+
+    /// Relays a call to another VM, which makes the attempts. Calls of no route are responded
+    /// to here.
+    async fn relay(&self, request: Request<impl CallBody>, peer: SocketAddr) -> Response<Body> {
+        let began = self.ports.now();
+        let state = self.ports.state();
+        let host = record::host_of(&request);
+        let method = request.method().as_str();
+        let route = state.route(host, request.uri().path(), method, fastrand::f64());
+        let Some(RouteMatch { service, rule, .. }) = route else {
+            return self.respond_here(request, peer).await;
+        };
+        let id = self.dialect.call_id(request.headers());
+        let time_left = self.dialect.timeout(request.headers());
+        let limit = time_left.map_or(rule.deadline, |left| left.min(rule.deadline));
+        let max_body = self.max_body(&state);
+        let (parts, incoming) = request.into_parts();
+        let reading = OutgoingRequest::new(parts, incoming, peer, max_body, &self.identity.bodies);
+        let result = match net::timeout(limit, reading).await {
+            Some(Ok(mut outgoing)) => {
+                let left = (began + limit).saturating_sub(self.ports.now());
+                let set_fields =
+                    |fields: &mut HeaderMap| self.dialect.set_attempt_fields(fields, left, "");
+                self.relays.send(&mut outgoing, set_fields, left).await
+            }
+            Some(Err(response)) => Err(response),
+            None => Err(slow_body()),
+        };
+        let took = self.ports.now().saturating_sub(began);
+        let reason = result.as_ref().err().map_or("", |response| response.reason);
+        self.metrics.record_call(&service.name, "relayed", "", took);
+        log::info!(
+            id = id.as_ref().and_then(|id| id.to_str().ok()).unwrap_or_default(),
+            caller = peer.ip().to_string(),
+            service = service.name,
+            status = result.as_ref().map_or(0, |response| response.status().as_u16()),
+            reason = reason,
+            took_us = took.as_micros() as u64;
+            "relay: ended"
+        );
+        result.unwrap_or_else(|response| response.into_response(&self.identity.vm, &*self.dialect))
+    }
+
+    /// Returns the limit of request bodies in bytes.
+    fn max_body(&self, state: &State) -> usize {
+        let limits = state.caller_limits();
+        limits.map_or(self.identity.max_body, |limits| {
+            limits.body.min(self.identity.max_body)
+        })
+    }
+
     /// Returns the response to a request, and records the call in the metrics, the log and
     /// the list of calls.
-    async fn respond(&self, request: Request<impl CallBody>, peer: SocketAddr) -> Response<Body> {
+    pub(crate) async fn respond_here(
+        &self,
+        request: Request<impl CallBody>,
+        peer: SocketAddr,
+    ) -> Response<Body> {
         let began = self.ports.now();
         let parent = self.spans.extract(request.headers());
         let span = self.spans.start("call", SpanKind::Server, &parent);
@@ -179,10 +255,7 @@
         let service = route.map(|route| route.service);
         let result = match route {
             Some(route) => {
-                let limits = state.caller_limits();
-                let max_body = limits.map_or(self.identity.max_body, |limits| {
-                    limits.body.min(self.identity.max_body)
-                });
+                let max_body = self.max_body(&state);
                 self.serve(route, request, peer, max_body, &span).await
             }
             None if !state.is_configured() => Err(LocalResponse::not_run(
@@ -259,13 +332,9 @@
         let key = idempotency_key(service, &rule, request.headers());
         let (parts, incoming) = request.into_parts();
         let reading = OutgoingRequest::new(parts, incoming, peer, max_body, &self.identity.bodies);
-        let outgoing = net::timeout(limit, reading).await.unwrap_or_else(|| {
-            Err(LocalResponse::not_run(
-                StatusCode::REQUEST_TIMEOUT,
-                "slow-body",
-                "the body did not come before the deadline; send it faster",
-            ))
-        })?;
+        let outgoing = net::timeout(limit, reading)
+            .await
+            .unwrap_or_else(|| Err(slow_body()))?;
         let claim = match key {
             Some(key) => Some(self.claim(key).await?),
             None => None,
@@ -580,6 +649,14 @@
     }
 }
 
+fn slow_body() -> LocalResponse {
+    LocalResponse::not_run(
+        StatusCode::REQUEST_TIMEOUT,
+        "slow-body",
+        "the body did not come before the deadline; send it faster",
+    )
+}
+
 /// Returns the hash of the caller's idempotency key, if the call has one and must not run
 /// twice. The hash includes the name of the service, so calls of different services may
 /// have the same key.
--- a/crates/load/src/fleet.rs
+++ b/crates/load/src/fleet.rs
@@ -400,6 +400,7 @@
             tls: None,
         },
         peers: Peers {
+            relay: None,
             listen: peers[i],
             seeds: seeds.take(3).collect(),
             keys: vec![PEER_KEY.into()],
--- a/crates/member/src/membership/mod.rs
+++ b/crates/member/src/membership/mod.rs
@@ -237,6 +237,16 @@
         &self.profile
     }
 
+    /// Sets the capacity that this VM reports to its peers from now on.
+    ///
+    /// [`Membership::announce`] reports it at once.
+    pub fn set_capacity(&mut self, capacity: u32) {
+        self.profile.capacity = capacity;
+        self.incarnation += 1;
+        self.recompute();
+        self.gossip_queue.add(self.profile.vm);
+    }
+
     /// Returns this VM's current incarnation.
     pub fn incarnation(&self) -> Incarnation {
         self.incarnation
--- a/crates/node/src/crashes.rs
+++ b/crates/node/src/crashes.rs
@@ -30,7 +30,9 @@
         };
         self.handle.spawn_detached(async move {
             let connected = shared.pools.try_connect(address, CHECK_TIMEOUT).await;
-            if connected.is_err_and(|error| error.kind() == ErrorKind::ConnectionRefused) {
+            let refused =
+                connected.is_err_and(|error| error.kind() == ErrorKind::ConnectionRefused);
+            if refused && !shared.check_path(address).await {
                 shared.report_crash(request, server);
             }
         });
--- a/crates/node/src/gauges.rs
+++ b/crates/node/src/gauges.rs
@@ -53,6 +53,13 @@
         "Servers that leave or asked this VM for no calls",
         |s| s.denied_servers().len() as u64,
     );
+    gauge(
+        &meter,
+        &weak,
+        "path_lost",
+        "Whether this VM reaches no server and relays its calls",
+        |s| u64::from(s.reach.is_lost()),
+    );
     gauge(
         &meter,
         &weak,
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -16,7 +16,9 @@
 use conf::Settings;
 use entry::dialect::Native;
 use entry::proxy::Identity;
+use entry::relay::RelayedCalls;
 use entry::Dialect;
+use entry::Pools;
 use entry::Ports;
 use entry::Proxy;
 use http::HeaderValue;
@@ -281,6 +283,9 @@
             max_body: callers.body,
             bodies: shared.bodies.clone(),
         };
+        // Nobody asks whether a VM has restarted that calls are relayed to.
+        let (ignored, _) = async_channel::bounded(1);
+        let relay_pools = Arc::new(Pools::new(self.pool.handle(), shared.clock, ignored));
         let proxy = Proxy::new(
             ports,
             shared.pools.clone(),
@@ -289,7 +294,9 @@
             shared.calls.clone(),
             identity,
         )
-        .with_dialect(shared.dialect.clone());
+        .with_dialect(shared.dialect.clone())
+        .with_relay_pools(relay_pools);
+        let proxy = Arc::new(proxy);
         let limits = Limits {
             connections: callers.connections,
             head_bytes: callers.head,
@@ -298,7 +305,17 @@
             ..Limits::default()
         };
         let handle = self.pool.handle();
-        let mut server = Server::new(Arc::new(proxy), handle, shared.stop.clone())
+        let relayed = Arc::new(RelayedCalls(proxy.clone()));
+        let relay_server = Server::new(relayed, handle.clone(), shared.stop.clone())
+            .with_limits(limits)
+            .with_kill(self.kill.clone());
+        let relay = shared.settings.peers.relay_address();
+        let listener = TcpListener::bind(relay)
+            .await
+            .with_context(|| bind_error("peers.relay", relay))?;
+        shared.reach.set_relay_address(listener.local_addr()?);
+        self.tasks.push(self.pool.spawn(relay_server.run(listener)));
+        let mut server = Server::new(proxy, handle, shared.stop.clone())
             .with_limits(limits)
             .with_kill(self.kill.clone());
         if let Some(tls) = &callers.tls {
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -31,8 +31,8 @@
 const SOCKET_ERROR_DELAY: Duration = Duration::from_millis(10);
 
 impl Shared {
-    /// Reports each server that closed an idle connection to the home of its shard.
-    /// Runs until the task is cancelled.
+    /// Reports each server that closed an idle connection to the home of its shard. Runs
+    /// until the task is cancelled.
     pub(crate) async fn report_lost_connections(
         self: Arc<Self>,
         lost_servers: async_channel::Receiver<ServerId>,
@@ -40,7 +40,7 @@
         while let Ok(server) = lost_servers.recv().await {
             self.check_pause();
             for shard in self.table().shards() {
-                if shard.spec().server(server).is_some() {
+                if self.may_have_restarted(shard, server).await {
                     let effects = shard.connection_lost(server, self.clock.now());
                     self.run_effects(shard, effects);
                 }
@@ -48,6 +48,19 @@
         }
     }
 
+    /// Returns whether `server` is one of `shard` and may have closed a connection because it
+    /// restarted, and not because this VM has lost its path to all servers.
+    async fn may_have_restarted(&self, shard: &ShardState, server: ServerId) -> bool {
+        if shard.spec().server(server).is_none() {
+            return false;
+        }
+        let state = entry::Ports::state(self);
+        match state.server(shard.service, server) {
+            Some(target) => !self.check_path(target.address).await,
+            None => true,
+        }
+    }
+
     /// Receives datagrams and dispatches their messages. Runs until the task is
     /// cancelled.
     pub(crate) async fn receive_datagrams(self: Arc<Self>) {
--- a/crates/node/src/ports.rs
+++ b/crates/node/src/ports.rs
@@ -208,6 +208,12 @@
     }
 
     fn release(&self, permit: Permit, outcome: Outcome, took: Duration, report: ServerReport) {
+        // A failure says nothing about the server if this VM reaches none at all.
+        let outcome = match outcome {
+            Outcome::Unreachable if self.reach.is_lost() => Outcome::Unused,
+            Outcome::Broken | Outcome::Late if self.reach.is_lost() => Outcome::Cancelled,
+            outcome => outcome,
+        };
         let table = self.table();
         let Some(shard) = table.get(permit.shard) else {
             return;
@@ -269,6 +275,14 @@
         self.clear_crashes(request);
     }
 
+    fn check_path(&self, failed: SocketAddr) -> BoxFuture<'_, bool> {
+        Box::pin(Shared::check_path(self, failed))
+    }
+
+    fn relay_target(&self) -> Option<SocketAddr> {
+        Shared::relay_target(self)
+    }
+
     fn usual_time(&self, service: ServiceId) -> Option<Duration> {
         let now = self.clock.now();
         let table = self.table();
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -53,6 +53,7 @@
 use wire::Transport;
 
 use crate::claims::PendingClaims;
+use crate::reach::Reach;
 use crate::readers::TopicReads;
 use crate::restores::Restores;
 use crate::shard::Effects;
@@ -146,6 +147,8 @@
     pub(crate) notices: Mutex<Notices>,
     /// The requests under which servers crashed.
     pub(crate) crashes: Mutex<CrashTable>,
+    /// Whether this VM has a path to servers.
+    pub(crate) reach: Reach,
     /// Serializes changes of `state` and `table`.
     pub(crate) refresh_lock: Mutex<()>,
     /// The idempotency keys that this VM remembers as an owner.
@@ -260,6 +263,7 @@
             bodies: BodyBudget::new(buffer),
             notices: Mutex::default(),
             crashes: Mutex::default(),
+            reach: Reach::default(),
             refresh_lock: Mutex::new(()),
             remembered_keys: Mutex::new(remembered_keys),
             last_active_ms: AtomicU64::new(now.as_millis() as u64),
@@ -552,6 +556,7 @@
             }
             Msg::Key(msg) => self.receive_key(from, msg),
             Msg::Crash(msg) => self.receive_crash(msg),
+            Msg::Relay(msg) => self.receive_relay(from, msg),
         }
     }
 
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -15,5 +15,6 @@
 pub use msg::CrashMsg;
 pub use msg::KeyMsg;
 pub use msg::Msg;
+pub use msg::RelayMsg;
 pub use outbox::Outbox;
 pub use transport::Transport;
--- a/crates/wire/src/msg.rs
+++ b/crates/wire/src/msg.rs
@@ -1,5 +1,7 @@
 //! The messages that are sent in datagrams.
 
+use std::net::SocketAddr;
+
 use route::crashes::CrashReport;
 use route::crashes::Fingerprint;
 use route::keys::ClaimReply;
@@ -33,6 +35,18 @@
     Cleared(Fingerprint),
 }
 
+/// A message about a VM that has no path to servers and relays its calls.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum RelayMsg {
+    /// The sender reaches no server and asks the receiver to take its calls.
+    Request,
+    /// The sender takes calls at this address.
+    Offer {
+        /// The address for relayed calls.
+        address: SocketAddr,
+    },
+}
+
 /// A message from one VM to another, by the protocol to which it belongs.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Msg {
@@ -44,4 +58,6 @@
     Key(KeyMsg),
     /// Servers that crashed under requests.
     Crash(CrashMsg),
+    /// Calls that are relayed to other VMs.
+    Relay(RelayMsg),
 }
