Respond to late calls before the path to servers is checked

The check after a call without a response may take 300 ms, and the caller's time is up by then. It goes on in the background now. Found by reading; both tests of partitioned VMs pass.

--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -177,7 +177,8 @@
         guard.start();
         match timeout(self.left, sender.send(request)).await {
             None => {
-                self.ports.check_path(self.server.address).await;
+                // The caller's time is up, so its response does not wait for the check.
+                self.ports.suspect_path(self.server.address);
                 guard.end(Outcome::Late);
                 Err(FailedAttempt::new(Failure::Late, None, "no answer in time"))
             }
--- a/crates/entry/src/ports.rs
+++ b/crates/entry/src/ports.rs
@@ -111,6 +111,9 @@
     /// server at `failed`.
     fn check_path(&self, failed: SocketAddr) -> BoxFuture<'_, bool>;
 
+    /// Checks the path as [`Self::check_path`] does, without waiting for the result.
+    fn suspect_path(&self, failed: SocketAddr);
+
     /// Returns the address of a VM to which this one should relay its calls, because it
     /// reaches no server itself.
     fn relay_target(&self) -> Option<SocketAddr>;
--- a/crates/node/src/ports.rs
+++ b/crates/node/src/ports.rs
@@ -279,6 +279,15 @@
         Box::pin(Shared::check_path(self, failed))
     }
 
+    fn suspect_path(&self, failed: SocketAddr) {
+        let Some(shared) = self.weak_self.get().and_then(std::sync::Weak::upgrade) else {
+            return;
+        };
+        self.handle.spawn_detached(async move {
+            Shared::check_path(&shared, failed).await;
+        });
+    }
+
     fn relay_target(&self) -> Option<SocketAddr> {
         Shared::relay_target(self)
     }
