Keep the epochs of a home distinct over its restarts

The case, replayed, fails every time: the home grants a permit, restarts before the grant arrives, and is home again. Having heard of no epoch, it gives its new term the number of the last one, and the follower takes the late grant for one of the new term.

The upper half of an epoch's count is now the number of the term, the lower half a random instance of the home. The same cause elsewhere: a VM that drops and creates the state of a shard within one process used the boot id for both, so its attempt ids and report numbers began again; each state now draws its instance.

Callers: a cold server could get one call more than its limit, once, if messages are delayed across a restart of the home.

grant_from_before_restart_of_home_is_not_used holds the case; it failed before.

--- a/crates/node/src/shard.rs
+++ b/crates/node/src/shard.rs
@@ -30,6 +30,7 @@
 use route::AttemptId;
 use route::Coordinator;
 use route::Follower;
+use route::HomeId;
 use route::ShardSpec;
 
 use crate::view::View;
@@ -84,24 +85,30 @@
 }
 
 impl ShardState {
-    /// Makes the state of the shard that `spec` describes. With `local`, that
-    /// baseline policy chooses the servers instead of the home.
+    /// Makes the state of the shard that `spec` describes. `instance` has to differ
+    /// from that of all earlier states of the shard at this VM, also of earlier
+    /// processes. With `local`, that baseline policy chooses the servers instead of
+    /// the home.
     pub fn new(
         self_id: VmId,
-        boot_id: u32,
+        instance: u32,
         spec: Arc<ShardSpec>,
         local: Option<LocalPolicy>,
     ) -> Self {
         let side = FollowerSide {
-            follower: Follower::new(spec.shard, self_id, boot_id),
+            follower: Follower::new(spec.shard, self_id, instance),
             waiters: Vec::new(),
         };
+        let home = HomeId {
+            vm: self_id,
+            instance,
+        };
         Self {
             service: spec.service,
             id: spec.shard,
             self_id,
             side: Mutex::new(side),
-            coordinator: Mutex::new(Coordinator::new(self_id, spec.clone())),
+            coordinator: Mutex::new(Coordinator::new(home, spec.clone())),
             local: local.map(Mutex::new),
             spec: Mutex::new(spec),
             full_until_ms: AtomicU64::new(0),
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -476,7 +476,7 @@
         };
         let seed = self.self_id ^ u64::from(self.boot_id);
         let local = picker.map(|picker| LocalPolicy::new(picker, seed));
-        ShardState::new(self.self_id, self.boot_id, spec, local)
+        ShardState::new(self.self_id, fastrand::u32(1..), spec, local)
     }
 
     /// Detects whether this VM was paused for at least [`PAUSE_MIN`] since the last
--- a/crates/node/src/status.rs
+++ b/crates/node/src/status.rs
@@ -267,7 +267,7 @@
         ShardStatus {
             service: service.map(|s| s.name.clone()).unwrap_or_default(),
             home: home.map(|vm| self.vm_name(vm)),
-            epoch: epoch.count,
+            epoch: epoch.term(),
             here: ledger_state.is_some(),
             complete: ledger_state.as_ref().map(|ledger| ledger.0),
             waiting: ledger_state.as_ref().map(|ledger| ledger.1),
--- a/crates/route/benches/cost.rs
+++ b/crates/route/benches/cost.rs
@@ -21,6 +21,7 @@
 use route::spec::Announcement;
 use route::spec::ServerSpec;
 use route::AttemptId;
+use route::HomeId;
 use route::Ledger;
 use route::ShardSpec;
 
@@ -64,7 +65,11 @@
         undiscovered: 0,
     };
     let spec = Arc::new(shards[0].clone());
-    let mut ledger = Ledger::new(vms[0], Default::default(), spec, fleet, NOW);
+    let home = HomeId {
+        vm: vms[0],
+        instance: 1,
+    };
+    let mut ledger = Ledger::new(home, Default::default(), spec, fleet, NOW);
     for vm in &vms {
         let body = Body::Attach {
             epoch: ledger.epoch(),
--- a/crates/route/src/coordinator.rs
+++ b/crates/route/src/coordinator.rs
@@ -15,6 +15,7 @@
 use base::VmId;
 
 use crate::epoch::Epoch;
+use crate::epoch::HomeId;
 use crate::ledger::Action;
 use crate::ledger::Decision;
 use crate::ledger::Fleet;
@@ -35,7 +36,7 @@
 /// The home role of this VM for one shard, whether it currently holds it or not.
 #[derive(Clone, Debug)]
 pub struct Coordinator {
-    self_id: VmId,
+    home: HomeId,
     spec: Arc<ShardSpec>,
     ledger: Option<Ledger>,
     /// The highest epoch seen so far; the next ledger's epoch is above it.
@@ -60,11 +61,11 @@
 }
 
 impl Coordinator {
-    /// Creates a coordinator without a ledger for the shard of `spec`; `self_id` is
-    /// the VM that it runs on.
-    pub fn new(self_id: VmId, spec: Arc<ShardSpec>) -> Self {
+    /// Creates a coordinator without a ledger for the shard of `spec`; `home` is
+    /// this VM as home of it.
+    pub fn new(home: HomeId, spec: Arc<ShardSpec>) -> Self {
         Self {
-            self_id,
+            home,
             spec,
             ledger: None,
             highest: Epoch::default(),
@@ -147,7 +148,7 @@
             Body::Acquire { epoch, .. }
             | Body::Refresh { epoch, .. }
             | Body::Release { epoch, .. }
-                if epoch.home == self.self_id =>
+                if epoch.home == self.home.vm =>
             {
                 self.highest = self.highest.max(epoch);
                 self.send_not_home(from, 0);
@@ -157,7 +158,7 @@
     }
 
     fn create_ledger(&mut self, fleet: Fleet<'_>, now: Time) {
-        let ledger = Ledger::new(self.self_id, self.highest, self.spec.clone(), fleet, now);
+        let ledger = Ledger::new(self.home, self.highest, self.spec.clone(), fleet, now);
         self.highest = ledger.epoch();
         self.started = now;
         self.ledger = Some(ledger);
--- a/crates/route/src/epoch.rs
+++ b/crates/route/src/epoch.rs
@@ -8,23 +8,46 @@
 use serde::Deserialize;
 use serde::Serialize;
 
-/// The term of one home. Epochs are ordered by count, then by home.
+/// The size of the instance in the count of an epoch.
+const INSTANCE_BITS: u32 = u32::BITS;
+
+/// A VM as home of one shard, for as long as it keeps the state of that shard.
+///
+/// A VM that has lost its state does not know its last epoch. The instance keeps
+/// its next epoch distinct, so messages of the lost one are not taken for messages
+/// of the next.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct HomeId {
+    /// The VM.
+    pub vm: VmId,
+    /// A number that differs each time that the VM creates the state of the shard.
+    pub instance: u32,
+}
+
+/// The time in which one VM is home without interruption. Epochs are ordered by
+/// count, then by home.
 #[derive(
     Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
 )]
 pub struct Epoch {
-    /// Higher than the count of every epoch that the home had seen before.
+    /// Higher than the count of every epoch that the home had seen before; the lower
+    /// 32 bits are the instance of the home.
     pub count: u64,
     /// The VM that is home in this epoch.
     pub home: VmId,
 }
 
 impl Epoch {
-    /// Returns the lowest epoch of `home` that is above `seen`.
-    pub fn after(seen: Self, home: VmId) -> Self {
+    /// Returns the epoch of `home` that follows `seen`.
+    pub fn after(seen: Self, home: HomeId) -> Self {
         Self {
-            count: seen.count + 1,
-            home,
+            count: ((seen.term() + 1) << INSTANCE_BITS) | u64::from(home.instance),
+            home: home.vm,
         }
     }
+
+    /// Returns the number of epochs up to this one, as far as its home knows.
+    pub fn term(&self) -> u64 {
+        self.count >> INSTANCE_BITS
+    }
 }
--- a/crates/route/src/ledger/followers.rs
+++ b/crates/route/src/ledger/followers.rs
@@ -34,7 +34,7 @@
     /// Starts a new epoch after `seen`, and keeps the state of the servers.
     pub(super) fn start_epoch(&mut self, seen: Epoch, now: Time) {
         self.prior_epoch = seen;
-        self.epoch = Epoch::after(seen, self.self_id);
+        self.epoch = Epoch::after(seen, self.home);
         let vms = self.quorum.vms();
         let alive = self.quorum.alive();
         let undiscovered = self.quorum.undiscovered();
--- a/crates/route/src/ledger/mod.rs
+++ b/crates/route/src/ledger/mod.rs
@@ -31,6 +31,7 @@
 use self::servers::Server;
 use crate::budget::Budget;
 use crate::epoch::Epoch;
+use crate::epoch::HomeId;
 use crate::handover::Handover;
 use crate::msg::AttemptId;
 use crate::msg::AttemptKind;
@@ -132,7 +133,7 @@
 /// The home's record of limits, permits and queue for one shard.
 #[derive(Clone, Debug)]
 pub struct Ledger {
-    self_id: VmId,
+    home: HomeId,
     pub(crate) epoch: Epoch,
     prior_epoch: Epoch,
     pub(crate) spec: Arc<ShardSpec>,
@@ -186,15 +187,15 @@
     /// Creates the ledger of a new epoch, which follows `prior_epoch`, the
     /// highest epoch that this VM knows of.
     pub fn new(
-        self_id: VmId,
+        home: HomeId,
         prior_epoch: Epoch,
         spec: Arc<ShardSpec>,
         fleet: Fleet<'_>,
         now: Time,
     ) -> Self {
         let mut ledger = Self {
-            self_id,
-            epoch: Epoch::after(prior_epoch, self_id),
+            home,
+            epoch: Epoch::after(prior_epoch, home),
             prior_epoch,
             servers: Vec::new(),
             permits: Permits::default(),
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -35,6 +35,7 @@
 pub use attempts::Attempts;
 pub use coordinator::Coordinator;
 pub use epoch::Epoch;
+pub use epoch::HomeId;
 pub use follower::Follower;
 pub use ledger::Ledger;
 pub use msg::AttemptId;
--- a/crates/route/tests/components.rs
+++ b/crates/route/tests/components.rs
@@ -35,6 +35,7 @@
 use route::spec::connections_per_vm;
 use route::spec::Announcement;
 use route::spec::ServerSpec;
+use route::HomeId;
 use route::Ledger;
 use route::ShardSpec;
 
@@ -545,7 +546,8 @@
     };
     let mut now = Duration::from_secs(10);
     let spec = std::sync::Arc::new(ShardSpec::new(1, servers.to_vec()));
-    let mut ledger = Ledger::new(1, Epoch::default(), spec, fleet, now);
+    let home = HomeId { vm: 1, instance: 1 };
+    let mut ledger = Ledger::new(home, Epoch::default(), spec, fleet, now);
     let attach = Body::Attach {
         epoch: ledger.epoch(),
         holding: FollowerReport::default(),
@@ -581,7 +583,14 @@
     let mut now = Duration::from_secs(10);
     let mut spec = ShardSpec::new(1, vec![server(4, 220)]);
     spec.cold_limit = 4;
-    let mut ledger = Ledger::new(1, Epoch::default(), std::sync::Arc::new(spec), fleet, now);
+    let home = HomeId { vm: 1, instance: 1 };
+    let mut ledger = Ledger::new(
+        home,
+        Epoch::default(),
+        std::sync::Arc::new(spec),
+        fleet,
+        now,
+    );
     let epoch = ledger.epoch();
     let attach = Body::Attach {
         epoch,
--- a/crates/route/tests/homes.rs
+++ b/crates/route/tests/homes.rs
@@ -43,6 +43,24 @@
     });
 }
 
+#[test]
+fn grant_from_before_restart_of_home_is_not_used() {
+    // The home grants a permit and restarts; the grant arrives after its next epoch began.
+    let script = [
+        [3, 0],
+        [0, 1],
+        [3, 130],
+        [53, 34],
+        [183, 178],
+        [30, 16],
+        [48, 232],
+        [159, 150],
+    ];
+    let mut sim = Sim::new(spec(3, 1_000_000));
+    sim.settle(Duration::from_millis(60));
+    run_script(&mut sim, script.as_flattened(), 1);
+}
+
 #[test]
 fn acquire_every_call_ends_and_no_permit_leaks() {
     for_each_script(|script| {
--- a/crates/route/tests/load.rs
+++ b/crates/route/tests/load.rs
@@ -26,6 +26,7 @@
 use route::spec::ServerSpec;
 use route::AttemptId;
 use route::Epoch;
+use route::HomeId;
 use route::Ledger;
 use route::ShardSpec;
 
@@ -142,7 +143,11 @@
             alive: &[VM],
             undiscovered: 0,
         };
-        let mut ledger = Ledger::new(VM, Epoch::default(), spec.into(), fleet, now);
+        let home = HomeId {
+            vm: VM,
+            instance: 1,
+        };
+        let mut ledger = Ledger::new(home, Epoch::default(), spec.into(), fleet, now);
         let attach = Body::Attach {
             epoch: ledger.epoch(),
             holding: FollowerReport::default(),
--- a/crates/route/tests/rate_limit.rs
+++ b/crates/route/tests/rate_limit.rs
@@ -9,6 +9,7 @@
 use route::rate_limit::RateNotes;
 use route::Epoch;
 use route::Follower;
+use route::HomeId;
 
 const NOW: Time = Time::from_secs(100);
 const SECOND: Duration = Duration::from_secs(1);
@@ -88,7 +89,11 @@
     const SERVER: u64 = 5;
     let mut follower = Follower::new(9, 1, 7);
     follower.record_rate(SERVER, Some(SECOND), NOW);
-    let epoch = Epoch::after(Epoch::default(), HOME);
+    let home = HomeId {
+        vm: HOME,
+        instance: 1,
+    };
+    let epoch = Epoch::after(Epoch::default(), home);
     follower.receive(HOME, Body::Lead { epoch, nonce: 0 }, NOW + SECOND);
     let reported = follower
         .take_events()
--- a/crates/route/tests/sim/mod.rs
+++ b/crates/route/tests/sim/mod.rs
@@ -30,6 +30,7 @@
 use route::AttemptId;
 use route::Coordinator;
 use route::Follower;
+use route::HomeId;
 use route::Msg;
 use route::ShardSpec;
 
@@ -106,13 +107,18 @@
     }
 }
 
+/// Returns the VM `vm` as home since its restart number `instance`.
+fn home(vm: VmId, instance: u32) -> HomeId {
+    HomeId { vm, instance }
+}
+
 impl Sim {
     pub(crate) fn new(spec: Arc<ShardSpec>) -> Self {
         let mut ids: Vec<VmId> = (0..VMS).map(|n| base::id::vm(&format!("{n}"))).collect();
         ids.sort_unstable();
         let vms = ids.iter().map(|&id| Vm {
             id,
-            coordinator: Coordinator::new(id, spec.clone()),
+            coordinator: Coordinator::new(home(id, 1), spec.clone()),
             follower: Follower::new(spec.shard, id, 1),
             alive: ids.clone(),
             paused: false,
@@ -309,7 +315,7 @@
     fn restart(&mut self, index: usize) {
         let vm = &mut self.vms[index];
         vm.boot_id += 1;
-        vm.coordinator = Coordinator::new(vm.id, self.spec.clone());
+        vm.coordinator = Coordinator::new(home(vm.id, vm.boot_id), self.spec.clone());
         vm.follower = Follower::new(self.spec.shard, vm.id, vm.boot_id);
         vm.running.clear();
         vm.paused = false;
