Ignore a follower's report from before its restart after a newer one

Shrunk to 11 steps: a VM sends a report, restarts, gets a permit, and then the old report arrives. The home took every report with an unknown boot id for the newest, since boot ids were random, let the permits of the running process end as those of a dead one, and gave the cold server to another VM.

The boot id is now the instance: the time at which the state of the shard was created. A report of an older instance is ignored after a newer one, and a report ends permits of its own and of older instances only. If a VM's clock was set back, its reports are ignored for 5 s at most.

Callers: a cold server could get more calls than it bears after a VM restarted while its messages were delayed.

--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -33,6 +33,7 @@
 use obs::Metrics;
 use obs::Spans;
 use plat::Store;
+use route::instance;
 use smol::net::TcpListener;
 use smol::Task;
 use wire::transport::Udp;
@@ -137,7 +138,7 @@
         let shared = Arc::new(Shared::new(Parts {
             clock: Clock::new(),
             members: new_membership(&settings),
-            boot_id: draw_boot_id(),
+            instance: instance::at(SystemTime::now()),
             handle,
             store,
             registry: options.registry,
@@ -392,12 +393,6 @@
     Keyring::new(keys.filter_map(|key| settings::decode_key(key)).collect())
 }
 
-/// Draws the random number that distinguishes this process start from earlier
-/// ones of the same VM; never 0.
-fn draw_boot_id() -> u32 {
-    fastrand::u32(1..)
-}
-
 fn new_membership(settings: &Settings) -> Membership {
     let profile = Profile {
         vm: settings.vm_id(),
--- a/crates/node/src/shard.rs
+++ b/crates/node/src/shard.rs
@@ -17,6 +17,7 @@
 use entry::Refusal;
 use route::coordinator::FinalState;
 use route::follower::Event;
+use route::instance::InstanceId;
 use route::ledger::Action;
 use route::ledger::Decision;
 use route::msg::Body;
@@ -85,13 +86,12 @@
 }
 
 impl ShardState {
-    /// Makes the state of the shard that `spec` describes. `instance` has to differ
-    /// from that of all earlier states of the shard at this VM, also of earlier
-    /// processes. With `local`, that baseline policy chooses the servers instead of
+    /// Makes the state of the shard that `spec` describes. `instance` tells
+    /// it from the earlier states of the shard at this VM. With `local`, that baseline policy chooses the servers instead of
     /// the home.
     pub fn new(
         self_id: VmId,
-        instance: u32,
+        instance: InstanceId,
         spec: Arc<ShardSpec>,
         local: Option<LocalPolicy>,
     ) -> Self {
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -15,6 +15,7 @@
 use std::sync::RwLock;
 use std::sync::Weak;
 use std::time::Duration;
+use std::time::SystemTime;
 
 use base::Clock;
 use base::ServerId;
@@ -41,6 +42,8 @@
 use plat::budget::Budget;
 use plat::Store;
 use route::crashes::CrashTable;
+use route::instance;
+use route::instance::InstanceId;
 use route::keys::ClaimTable;
 use route::msg::Body;
 use route::notices::Notices;
@@ -133,8 +136,8 @@
     pub(crate) claims: PendingClaims,
     /// When the configuration in force was put in force.
     pub(crate) in_force_since: RwLock<Time>,
-    /// The random number that this process drew at its start.
-    pub(crate) boot_id: u32,
+    /// The instance of a state that was created at the start of the process.
+    pub(crate) instance: InstanceId,
     /// When `view` is replaced.
     view_schedule: Mutex<ViewSchedule>,
     /// The configuration in force.
@@ -194,8 +197,8 @@
     pub spans: Arc<Spans>,
     /// The membership, which so far knows this VM and its seeds only.
     pub members: Membership,
-    /// The random number that the process drew at its start.
-    pub boot_id: u32,
+    /// The instance of a state that was created at the start of the process.
+    pub instance: InstanceId,
     /// Receives the addresses of peers that have newer configuration.
     pub fetch_requests: async_channel::Sender<SocketAddr>,
     /// Receives the ids of servers that closed an idle connection soon after its
@@ -256,7 +259,7 @@
             fetch_requests: parts.fetch_requests,
             claims: PendingClaims::default(),
             in_force_since: RwLock::new(now),
-            boot_id: parts.boot_id,
+            instance: parts.instance,
             view_schedule: Mutex::default(),
             state: RwLock::default(),
             table: RwLock::default(),
@@ -474,9 +477,10 @@
             Policy::TwoChoices => Some(Box::<policy::TwoChoices>::default()),
             Policy::ProbePool => Some(Box::<policy::ProbePool>::default()),
         };
-        let seed = self.self_id ^ u64::from(self.boot_id);
+        let seed = self.self_id ^ u64::from(self.instance);
         let local = picker.map(|picker| LocalPolicy::new(picker, seed));
-        ShardState::new(self.self_id, fastrand::u32(1..), spec, local)
+        let instance = instance::at(SystemTime::now());
+        ShardState::new(self.self_id, instance, spec, local)
     }
 
     /// Detects whether this VM was paused for at least [`PAUSE_MIN`] since the last
--- a/crates/route/src/epoch.rs
+++ b/crates/route/src/epoch.rs
@@ -8,8 +8,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
-/// The size of the instance in the count of an epoch.
-const INSTANCE_BITS: u32 = u32::BITS;
+use crate::instance::InstanceId;
 
 /// A VM as home of one shard, for as long as it keeps the state of that shard.
 ///
@@ -20,8 +19,8 @@
 pub struct HomeId {
     /// The VM.
     pub vm: VmId,
-    /// A number that differs each time that the VM creates the state of the shard.
-    pub instance: u32,
+    /// The state of the shard at the VM.
+    pub instance: InstanceId,
 }
 
 /// The time in which one VM is home without interruption. Epochs are ordered by
@@ -41,13 +40,13 @@
     /// Returns the epoch of `home` that follows `seen`.
     pub fn after(seen: Self, home: HomeId) -> Self {
         Self {
-            count: ((seen.term() + 1) << INSTANCE_BITS) | u64::from(home.instance),
+            count: ((seen.term() + 1) << InstanceId::BITS) | u64::from(home.instance),
             home: home.vm,
         }
     }
 
     /// Returns the number of epochs up to this one, as far as its home knows.
     pub fn term(&self) -> u64 {
-        self.count >> INSTANCE_BITS
+        self.count >> InstanceId::BITS
     }
 }
--- a/crates/route/src/follower/mod.rs
+++ b/crates/route/src/follower/mod.rs
@@ -22,6 +22,8 @@
 
 use crate::epoch::Epoch;
 use crate::handover::DatedSummary;
+use crate::instance;
+use crate::instance::InstanceId;
 use crate::msg::AttemptId;
 use crate::msg::Body;
 use crate::msg::Envelope;
@@ -148,7 +150,7 @@
     lingering: Vec<Lingering>,
     lost_connections: Vec<LostConnection>,
     rate_notes: RateNotes,
-    /// The last attempt id that was assigned; its upper half is the boot id.
+    /// The last attempt id that was assigned; its upper half is the instance.
     last_id: AttemptId,
     /// The summaries of the last snapshot, sorted by server.
     summaries: Vec<DatedSummary>,
@@ -165,9 +167,9 @@
 }
 
 impl Follower {
-    /// Creates a follower without a home. `boot_id` has to differ after each
-    /// restart of the process, as it is the upper half of the attempt ids.
-    pub fn new(shard: ShardId, self_id: VmId, boot_id: u32) -> Self {
+    /// Creates a follower without a home; `instance` is the state of the shard that
+    /// it belongs to.
+    pub fn new(shard: ShardId, self_id: VmId, instance: InstanceId) -> Self {
         Self {
             shard,
             self_id,
@@ -183,7 +185,7 @@
             lingering: Vec::new(),
             lost_connections: Vec::new(),
             rate_notes: RateNotes::default(),
-            last_id: u64::from(boot_id) << 32,
+            last_id: u64::from(instance) << instance::COUNTER_BITS,
             summaries: Vec::new(),
             snapshot_epoch: Epoch::default(),
             snapshot_time: Time::ZERO,
--- a/crates/route/src/ledger/followers.rs
+++ b/crates/route/src/ledger/followers.rs
@@ -13,6 +13,7 @@
 use crate::epoch::Epoch;
 use crate::handover::Handover;
 use crate::handover::Snapshot;
+use crate::instance;
 use crate::msg;
 use crate::msg::AttemptId;
 use crate::msg::Body;
@@ -112,26 +113,24 @@
     /// requests that the report lacks are removed, unless they are newer than
     /// the report. Permits from before a restart of `from` linger instead, as
     /// the servers may still run their calls. A report that arrives after a
-    /// newer one is ignored.
+    /// newer one is ignored; see [`FollowerState::accept_report`].
     pub(super) fn reconcile(&mut self, from: VmId, report: &FollowerReport, now: Time) {
-        let boot_id = msg::boot_id(report.last_issued);
-        let follower = self.follower_state(from, now);
-        if follower.boot_id == boot_id && report.number <= follower.last_report {
+        let instance = instance::of_attempt(report.last_issued);
+        if !self.follower_state(from, now).accept_report(report, now) {
             return;
         }
-        follower.boot_id = boot_id;
-        follower.last_report = report.number;
         for held in &report.held {
             self.record_held(from, held, now);
         }
         let is_over = |call: AttemptId| {
-            let old = msg::boot_id(call) != boot_id || call <= report.last_issued;
+            let old = instance::is_older(instance::of_attempt(call), instance)
+                || (instance::of_attempt(call) == instance && call <= report.last_issued);
             let held = report.held.iter().any(|held| held.call == call);
             old && !held && report.waiting.binary_search(&call).is_err()
         };
         for permit in self.permits.held_by(from).to_vec() {
             if !permit.lingers && is_over(permit.call) {
-                if msg::boot_id(permit.call) == boot_id {
+                if instance::of_attempt(permit.call) == instance {
                     self.remove_permit(from, permit.call);
                 } else {
                     self.linger(from, permit.call, now);
--- a/crates/route/src/ledger/mod.rs
+++ b/crates/route/src/ledger/mod.rs
@@ -33,10 +33,13 @@
 use crate::epoch::Epoch;
 use crate::epoch::HomeId;
 use crate::handover::Handover;
+use crate::instance;
+use crate::instance::InstanceId;
 use crate::msg::AttemptId;
 use crate::msg::AttemptKind;
 use crate::msg::Body;
 use crate::msg::Envelope;
+use crate::msg::FollowerReport;
 use crate::msg::Msg;
 use crate::msg::PermitRequest;
 use crate::msg::RefusalReason;
@@ -58,6 +61,9 @@
 /// The time after its last permit request for which the state of a follower is
 /// kept.
 const FOLLOWER_RETENTION: Duration = Duration::from_secs(30);
+/// The time after which the last report of a follower keeps no report of an older
+/// instance from being accepted. Bounds what a clock that was set back can do.
+const REPORT_RETENTION: Duration = Duration::from_secs(5);
 /// The time after the deadline of its call for which a permit is kept if no
 /// release arrives.
 const PERMIT_GRACE: Duration = Duration::from_secs(1);
@@ -110,11 +116,43 @@
     vm: VmId,
     last_request: Time,
     last_snapshot: Time,
-    /// The number of its last report; older reports that arrive later are
-    /// ignored.
-    last_report: u64,
-    /// The boot id of the process that sent the last report.
-    boot_id: u32,
+    /// The last report; older ones that arrive later are ignored.
+    last_report: Option<ReportStamp>,
+}
+
+/// Identifies a report of a follower among its reports.
+#[derive(Clone, Copy, Debug)]
+struct ReportStamp {
+    instance: InstanceId,
+    number: u64,
+    received: Time,
+}
+
+impl FollowerState {
+    /// Records `report` as the last one, unless it is older than the last one, and
+    /// returns whether it was recorded.
+    ///
+    /// A report of an older instance may have been delayed across a restart of the
+    /// follower.
+    fn accept_report(&mut self, report: &FollowerReport, now: Time) -> bool {
+        let new = ReportStamp {
+            instance: instance::of_attempt(report.last_issued),
+            number: report.number,
+            received: now,
+        };
+        let outdated = self.last_report.is_some_and(|last| {
+            if last.instance == new.instance {
+                new.number <= last.number
+            } else {
+                let recent = now < last.received + REPORT_RETENTION;
+                recent && instance::is_older(new.instance, last.instance)
+            }
+        });
+        if !outdated {
+            self.last_report = Some(new);
+        }
+        !outdated
+    }
 }
 
 /// Counters of one home since it became home, for metrics.
@@ -475,8 +513,7 @@
                     vm,
                     last_request: now,
                     last_snapshot: Time::ZERO,
-                    last_report: 0,
-                    boot_id: 0,
+                    last_report: None,
                 };
                 self.followers.insert(index, follower);
                 index
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod epoch;
 pub mod follower;
 pub mod handover;
+pub mod instance;
 pub mod keys;
 pub mod ledger;
 pub mod limit;
--- a/crates/route/src/msg.rs
+++ b/crates/route/src/msg.rs
@@ -21,15 +21,10 @@
 
 /// Identifies an attempt among all attempts of one VM, also across restarts.
 ///
-/// The upper 32 bits are the boot id, which the process draws at its start. The lower
-/// 32 bits count the attempts since then.
+/// The upper 32 bits are the [instance](crate::instance). The lower 32 bits count the
+/// attempts since it was created.
 pub type AttemptId = u64;
 
-/// Returns the boot id that is contained in an attempt id.
-pub fn boot_id(call: AttemptId) -> u32 {
-    (call >> 32) as u32
-}
-
 /// Why an attempt is made.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum AttemptKind {
--- a/crates/route/tests/homes.rs
+++ b/crates/route/tests/homes.rs
@@ -32,11 +32,17 @@
     }
 }
 
+/// Returns a simulation in which all servers are cold, with a limit of one call.
+fn cold_sim() -> Sim {
+    let mut sim = Sim::new(spec(3, 1_000_000));
+    sim.settle(Duration::from_millis(60));
+    sim
+}
+
 #[test]
 fn grant_cold_servers_stay_within_limit() {
     for_each_script(|script| {
-        let mut sim = Sim::new(spec(3, 1_000_000));
-        sim.settle(Duration::from_millis(60));
+        let mut sim = cold_sim();
         run_script(&mut sim, script, 1);
         sim.settle(SETTLE_TIMEOUT);
         sim.check(1);
@@ -56,9 +62,26 @@
         [48, 232],
         [159, 150],
     ];
-    let mut sim = Sim::new(spec(3, 1_000_000));
-    sim.settle(Duration::from_millis(60));
-    run_script(&mut sim, script.as_flattened(), 1);
+    run_script(&mut cold_sim(), script.as_flattened(), 1);
+}
+
+#[test]
+fn report_from_before_restart_of_follower_is_ignored() {
+    // The report that a VM sent before its restart arrives after one it sent since.
+    let script = [
+        [0, 1],
+        [3, 3],
+        [3, 3],
+        [14, 1],
+        [0, 1],
+        [0, 0],
+        [0, 0],
+        [3, 3],
+        [15, 2],
+        [15, 0],
+        [3, 0],
+    ];
+    run_script(&mut cold_sim(), script.as_flattened(), 1);
 }
 
 #[test]
