Draw the cases of property tests from their numbers

Tests without a number of cases also ran for one second, so a fast machine checked more.

The crate cases generates case n from n alone, and leaves the cases to bolero, which shrinks, if BOLERO_RANDOM_ITERATIONS or BOLERO_RANDOM_SEED is set. All properties now have a fixed number of cases: at least as many as before, 100,000 in place of a second in conf.

--- a/crates/conf/tests/accept.rs
+++ b/crates/conf/tests/accept.rs
@@ -223,44 +223,41 @@
 
 #[test]
 fn apply_ticket_races_and_lost_replies_lose_and_split_nothing() {
-    bolero::check!()
-        .with_iterations(60)
-        .with_type::<(u64, u8, u8, Vec<Writer>)>()
-        .for_each(|(seed, lost, stale, writers)| {
-            let store = Arc::new(MemoryStore::new(*seed));
-            apply_first_ticket(&store);
-            store.set_faults(Faults {
-                lost_writes: f64::from(*lost) / 1000.0,
-                stale_reads: f64::from(*stale) / 2000.0,
-                ..Faults::default()
-            });
-            let writers = &writers[..writers.len().min(6)];
-            let results = race(&store, writers);
-            store.set_faults(Faults::default());
-            let mirror = mirror(&store);
-            for (ticket, results) in &results {
-                let accepted = mirror.head().has_accepted(ticket.number, &ticket.digest());
-                if results.is_ok() {
-                    assert!(
-                        accepted,
-                        "ticket {} was reported as accepted but is not in the head",
-                        ticket.number
-                    );
-                }
-                let refused = matches!(
-                    results,
-                    Err(Error::Superseded { .. }
-                        | Error::ConcurrentChange { .. }
-                        | Error::NumberTaken(_))
-                );
+    cases::check::<(u64, u8, u8, Vec<Writer>)>(60, |(seed, lost, stale, writers)| {
+        let store = Arc::new(MemoryStore::new(*seed));
+        apply_first_ticket(&store);
+        store.set_faults(Faults {
+            lost_writes: f64::from(*lost) / 1000.0,
+            stale_reads: f64::from(*stale) / 2000.0,
+            ..Faults::default()
+        });
+        let writers = &writers[..writers.len().min(6)];
+        let results = race(&store, writers);
+        store.set_faults(Faults::default());
+        let mirror = mirror(&store);
+        for (ticket, results) in &results {
+            let accepted = mirror.head().has_accepted(ticket.number, &ticket.digest());
+            if results.is_ok() {
                 assert!(
-                    !(refused && accepted),
-                    "ticket {} was reported as refused but is in the head",
+                    accepted,
+                    "ticket {} was reported as accepted but is not in the head",
                     ticket.number
                 );
             }
-            check_services(&mirror, &results);
-        });
+            let refused = matches!(
+                results,
+                Err(Error::Superseded { .. }
+                    | Error::ConcurrentChange { .. }
+                    | Error::NumberTaken(_))
+            );
+            assert!(
+                !(refused && accepted),
+                "ticket {} was reported as refused but is in the head",
+                ticket.number
+            );
+        }
+        check_services(&mirror, &results);
+    });
 }
 
 /// Checks that each service is as the accepted ticket with the highest number left it.
@@ -346,39 +343,36 @@
 
 #[test]
 fn find_service_longest_prefix_wins_and_a_host_takes_precedence() {
-    bolero::check!()
-        .with_iterations(2000)
-        .with_type::<(Vec<(bool, Vec<u8>)>, Vec<u8>)>()
-        .for_each(|(rules, path)| {
-            let text = |bytes: &[u8]| -> String {
-                let letters = bytes
-                    .iter()
-                    .take(8)
-                    .map(|b| ["a", "b", "/", "é"][usize::from(b % 4)]);
-                format!("/{}", letters.collect::<String>())
-            };
-            let mut services = Vec::new();
-            for (n, (host, prefix)) in rules.iter().enumerate() {
-                let mut service =
-                    Service::new(&format!("s-{n}"), &text(prefix), Duration::from_secs(1));
-                service.matches[0].host = host.then(|| "h".into());
-                services.push(Arc::new(service));
-            }
-            let state = conf::State::new(
-                &conf::Head::default(),
-                services,
-                conf::DomainOrders::default(),
-            );
-            let path = text(path);
-            let rank = |service: &Service| {
-                let rule = &service.matches[0];
-                let fits = path.starts_with(&rule.prefix);
-                fits.then_some((rule.host.is_some(), rule.prefix.len()))
-            };
-            let best = state.services.iter().filter_map(|s| rank(s)).max();
-            let found = state.find_service("h:80", &path).and_then(rank);
-            assert_eq!(found, best, "{path}");
-        });
+    cases::check::<(Vec<(bool, Vec<u8>)>, Vec<u8>)>(2000, |(rules, path)| {
+        let text = |bytes: &[u8]| -> String {
+            let letters = bytes
+                .iter()
+                .take(8)
+                .map(|b| ["a", "b", "/", "é"][usize::from(b % 4)]);
+            format!("/{}", letters.collect::<String>())
+        };
+        let mut services = Vec::new();
+        for (n, (host, prefix)) in rules.iter().enumerate() {
+            let mut service =
+                Service::new(&format!("s-{n}"), &text(prefix), Duration::from_secs(1));
+            service.matches[0].host = host.then(|| "h".into());
+            services.push(Arc::new(service));
+        }
+        let state = conf::State::new(
+            &conf::Head::default(),
+            services,
+            conf::DomainOrders::default(),
+        );
+        let path = text(path);
+        let rank = |service: &Service| {
+            let rule = &service.matches[0];
+            let fits = path.starts_with(&rule.prefix);
+            fits.then_some((rule.host.is_some(), rule.prefix.len()))
+        };
+        let best = state.services.iter().filter_map(|s| rank(s)).max();
+        let found = state.find_service("h:80", &path).and_then(rank);
+        assert_eq!(found, best, "{path}");
+    });
 }
 
 #[test]
--- a/crates/conf/tests/catalog.rs
+++ b/crates/conf/tests/catalog.rs
@@ -14,6 +14,9 @@
 use conf::Mapping;
 use conf::Service;
 
+/// Number of cases generated for each property.
+const CASES: u64 = 100_000;
+
 fn instance(port: u16) -> Instance {
     Instance {
         service: "plans".into(),
@@ -76,65 +79,61 @@
 
 #[test]
 fn catalog_revisions_never_decrease() {
-    bolero::check!()
-        .with_type::<Vec<Event>>()
-        .for_each(|events| {
-            let mut catalog = Catalog::new();
-            for event in events {
-                let before = catalog.clone();
-                apply(&mut catalog, *event, Time::ZERO);
-                let (old, new) = (before.revisions(), catalog.revisions());
-                assert!(!old.exceeds(&new), "{old:?} {new:?}");
-                let ticket = |c: &Catalog| c.layout().map_or(0, |l| l.ticket);
-                assert!(ticket(&before) <= ticket(&catalog));
-                for old in before.servers() {
-                    let new = catalog.servers().iter().find(|s| s.name == old.name);
-                    assert!(new.is_some_and(|new| new.revision >= old.revision));
-                }
+    cases::check::<Vec<Event>>(CASES, |events| {
+        let mut catalog = Catalog::new();
+        for event in events {
+            let before = catalog.clone();
+            apply(&mut catalog, *event, Time::ZERO);
+            let (old, new) = (before.revisions(), catalog.revisions());
+            assert!(!old.exceeds(&new), "{old:?} {new:?}");
+            let ticket = |c: &Catalog| c.layout().map_or(0, |l| l.ticket);
+            assert!(ticket(&before) <= ticket(&catalog));
+            for old in before.servers() {
+                let new = catalog.servers().iter().find(|s| s.name == old.name);
+                assert!(new.is_some_and(|new| new.revision >= old.revision));
             }
-        });
+        }
+    });
 }
 
 #[test]
 fn merge_makes_the_catalog_of_a_peer_equal() {
-    bolero::check!()
-        .with_type::<(Vec<Event>, Vec<Event>)>()
-        .for_each(|(first, second)| {
-            let mut one = Catalog::new();
-            let mut revision = 0;
-            // A reader receives changes in the order of their revisions.
-            let mut apply_all = |one: &mut Catalog, events: &[Event]| {
-                for event in events.iter().take(100) {
-                    revision += 1;
-                    let event = match *event {
-                        Event::Server(name, _, present) => Event::Server(name, revision, present),
-                        Event::Out(name, _, out) => Event::Out(name, revision, out),
-                        Event::Layout(_, ticket) => Event::Layout(revision, ticket),
-                    };
-                    apply(one, event, Time::ZERO);
-                }
-            };
-            apply_all(&mut one, first);
-            let mut other = Catalog::new();
-            other.merge(
-                one.changes_since(&other.revisions(), Time::ZERO),
-                Time::ZERO,
-            );
-            apply_all(&mut one, second);
-            // The update is applied twice, because messages may be duplicated.
-            for _ in 0..2 {
-                let update: Update = one.changes_since(&other.revisions(), Time::ZERO);
-                let bytes = serde_json::to_vec(&update).expect("an update can be encoded");
-                let update = serde_json::from_slice(&bytes).expect("and decoded");
-                other.merge(update, Time::ZERO);
+    cases::check::<(Vec<Event>, Vec<Event>)>(CASES, |(first, second)| {
+        let mut one = Catalog::new();
+        let mut revision = 0;
+        // A reader receives changes in the order of their revisions.
+        let mut apply_all = |one: &mut Catalog, events: &[Event]| {
+            for event in events.iter().take(100) {
+                revision += 1;
+                let event = match *event {
+                    Event::Server(name, _, present) => Event::Server(name, revision, present),
+                    Event::Out(name, _, out) => Event::Out(name, revision, out),
+                    Event::Layout(_, ticket) => Event::Layout(revision, ticket),
+                };
+                apply(one, event, Time::ZERO);
             }
-            let live = |c: &Catalog| -> Vec<_> {
-                let present = c.servers().iter().filter(|s| s.value.is_some());
-                present.map(|s| (s.name.clone(), s.value.clone())).collect()
-            };
-            assert_eq!(live(&one), live(&other));
-            assert_eq!(one.revisions().layout, other.revisions().layout);
-        });
+        };
+        apply_all(&mut one, first);
+        let mut other = Catalog::new();
+        other.merge(
+            one.changes_since(&other.revisions(), Time::ZERO),
+            Time::ZERO,
+        );
+        apply_all(&mut one, second);
+        // The update is applied twice, because messages may be duplicated.
+        for _ in 0..2 {
+            let update: Update = one.changes_since(&other.revisions(), Time::ZERO);
+            let bytes = serde_json::to_vec(&update).expect("an update can be encoded");
+            let update = serde_json::from_slice(&bytes).expect("and decoded");
+            other.merge(update, Time::ZERO);
+        }
+        let live = |c: &Catalog| -> Vec<_> {
+            let present = c.servers().iter().filter(|s| s.value.is_some());
+            present.map(|s| (s.name.clone(), s.value.clone())).collect()
+        };
+        assert_eq!(live(&one), live(&other));
+        assert_eq!(one.revisions().layout, other.revisions().layout);
+    });
 }
 
 #[test]
--- a/crates/conf/tests/restore.rs
+++ b/crates/conf/tests/restore.rs
@@ -18,6 +18,9 @@
 use conf::Catalog;
 use conf::Layout;
 
+/// Number of cases generated for each property.
+const CASES: u64 = 100_000;
+
 const VMS: usize = 3;
 const SERVERS: usize = 3;
 
@@ -241,47 +244,43 @@
 
 #[test]
 fn restore_reverts_no_layout_and_revives_no_server() {
-    bolero::check!()
-        .with_type::<Vec<Event>>()
-        .for_each(|events| {
-            let mut model = Model::new();
-            for event in events.iter().take(60) {
-                let before = model.vms.clone();
-                model.apply(*event);
-                for (old, new) in before.iter().zip(&model.vms) {
-                    let restarted = matches!(event, Event::RestartVm(_));
-                    assert!(restarted || ticket(new) >= ticket(old), "{event:?}");
-                }
-                model.check_departed(&before);
+    cases::check::<Vec<Event>>(CASES, |events| {
+        let mut model = Model::new();
+        for event in events.iter().take(60) {
+            let before = model.vms.clone();
+            model.apply(*event);
+            for (old, new) in before.iter().zip(&model.vms) {
+                let restarted = matches!(event, Event::RestartVm(_));
+                assert!(restarted || ticket(new) >= ticket(old), "{event:?}");
             }
-        });
+            model.check_departed(&before);
+        }
+    });
 }
 
 #[test]
 fn restore_what_is_written_again_comes_into_force() {
-    bolero::check!()
-        .with_type::<Vec<Event>>()
-        .for_each(|events| {
-            let mut model = Model::new();
-            for event in events.iter().take(60) {
-                model.apply(*event);
-            }
-            // A server that a copy lacked is back at the latest with its second write.
-            for _ in 0..2 {
-                model.write_again();
-                for vm in 0..VMS {
-                    model.list(vm);
-                }
+    cases::check::<Vec<Event>>(CASES, |events| {
+        let mut model = Model::new();
+        for event in events.iter().take(60) {
+            model.apply(*event);
+        }
+        // A server that a copy lacked is back at the latest with its second write.
+        for _ in 0..2 {
+            model.write_again();
+            for vm in 0..VMS {
+                model.list(vm);
             }
-            for catalog in &model.vms {
-                assert_eq!(ticket(catalog), model.ticket);
-                for (server, truth) in model.truth.iter().enumerate() {
-                    let entries = catalog.servers().iter();
-                    let live = entries.filter(|entry| entry.name == name(server));
-                    let live = live.filter_map(|entry| entry.value.clone()).next();
-                    let expected = truth.running.then(|| instance(truth, server));
-                    assert_eq!(live, expected, "{}", name(server));
-                }
+        }
+        for catalog in &model.vms {
+            assert_eq!(ticket(catalog), model.ticket);
+            for (server, truth) in model.truth.iter().enumerate() {
+                let entries = catalog.servers().iter();
+                let live = entries.filter(|entry| entry.name == name(server));
+                let live = live.filter_map(|entry| entry.value.clone()).next();
+                let expected = truth.running.then(|| instance(truth, server));
+                assert_eq!(live, expected, "{}", name(server));
             }
-        });
+        }
+    });
 }
--- a/crates/conf/tests/settings.rs
+++ b/crates/conf/tests/settings.rs
@@ -71,13 +71,11 @@
 
 #[test]
 fn parse_any_text_without_panic() {
-    bolero::check!()
-        .with_iterations(3000)
-        .for_each(|bytes: &[u8]| {
-            let text = String::from_utf8_lossy(bytes);
-            let _ = Settings::parse(&text);
-            let _ = conf::document::parse::<conf::Ticket>(&text);
-        });
+    cases::check_bytes(3000, 4096, |bytes: &[u8]| {
+        let text = String::from_utf8_lossy(bytes);
+        let _ = Settings::parse(&text);
+        let _ = conf::document::parse::<conf::Ticket>(&text);
+    });
 }
 
 #[test]
--- a/crates/member/tests/swim.rs
+++ b/crates/member/tests/swim.rs
@@ -326,23 +326,20 @@
 
 #[test]
 fn receive_any_order_of_updates_converges() {
-    bolero::check!()
-        .with_iterations(300)
-        .with_type::<(u64, u8, Vec<u8>)>()
-        .for_each(|(seed, loss, toggles)| {
-            let mut net = Net::new(6);
-            net.rng = fastrand::Rng::with_seed(*seed);
-            net.loss = f64::from(*loss) / 600.0;
-            for toggle in toggles.iter().take(8) {
-                let i = usize::from(*toggle) % 6;
-                net.down[i] = !net.down[i];
-                net.run(Duration::from_millis(u64::from(*toggle) * 4));
-            }
-            net.loss = 0.0;
-            net.down = vec![false; 6];
-            net.run(Duration::from_secs(20));
-            assert!((0..6).all(|i| net.alive(i) == 6), "{}", net.describe());
-        });
+    cases::check::<(u64, u8, Vec<u8>)>(300, |(seed, loss, toggles)| {
+        let mut net = Net::new(6);
+        net.rng = fastrand::Rng::with_seed(*seed);
+        net.loss = f64::from(*loss) / 600.0;
+        for toggle in toggles.iter().take(8) {
+            let i = usize::from(*toggle) % 6;
+            net.down[i] = !net.down[i];
+            net.run(Duration::from_millis(u64::from(*toggle) * 4));
+        }
+        net.loss = 0.0;
+        net.down = vec![false; 6];
+        net.run(Duration::from_secs(20));
+        assert!((0..6).all(|i| net.alive(i) == 6), "{}", net.describe());
+    });
 }
 
 #[test]
--- a/crates/route/tests/components.rs
+++ b/crates/route/tests/components.rs
@@ -39,6 +39,9 @@
 use route::Ledger;
 use route::ShardSpec;
 
+/// Number of cases generated for the property of the budget.
+const CASES: u64 = 20_000;
+
 const FAILURES: [Failure; 5] = [
     Failure::Refused,
     Failure::Unsent,
@@ -60,22 +63,19 @@
 
 #[test]
 fn record_failure_call_that_may_have_run_is_not_repeated() {
-    bolero::check!()
-        .with_iterations(4000)
-        .with_type::<(bool, Vec<(u8, bool)>)>()
-        .for_each(|(repeatable, failures)| {
-            let mut attempts = Attempts::new(false, *repeatable, 3);
-            let mut may_have_run = false;
-            for (failure, intact) in failures {
-                let failure = FAILURES[usize::from(*failure) % FAILURES.len()];
-                may_have_run |= !failure.proves_not_run();
-                match attempts.record_failure(failure, *intact) {
-                    Verdict::Retry => assert!(!may_have_run),
-                    Verdict::NotRun => assert!(!may_have_run),
-                    Verdict::Unknown => assert!(may_have_run),
-                }
+    cases::check::<(bool, Vec<(u8, bool)>)>(4000, |(repeatable, failures)| {
+        let mut attempts = Attempts::new(false, *repeatable, 3);
+        let mut may_have_run = false;
+        for (failure, intact) in failures {
+            let failure = FAILURES[usize::from(*failure) % FAILURES.len()];
+            may_have_run |= !failure.proves_not_run();
+            match attempts.record_failure(failure, *intact) {
+                Verdict::Retry => assert!(!may_have_run),
+                Verdict::NotRun => assert!(!may_have_run),
+                Verdict::Unknown => assert!(may_have_run),
             }
-        });
+        }
+    });
 }
 
 #[test]
@@ -219,31 +219,28 @@
 
 #[test]
 fn add_sorts_by_class_then_deadline() {
-    bolero::check!()
-        .with_iterations(500)
-        .with_type::<Vec<(u8, u16)>>()
-        .for_each(|calls| {
-            let mut queue = Queue::default();
-            for (call, (class, left)) in calls.iter().enumerate() {
-                let request = PermitRequest {
-                    class: Class::ALL[usize::from(*class) % 3],
-                    left: Duration::from_millis(u64::from(*left)),
-                    goal: Duration::from_millis(u64::from(*left)),
-                    late_wait: Duration::from_millis(u64::from(*left)) / 8,
-                    kind: AttemptKind::First,
-                    avoid: Vec::new(),
-                    domain: 0,
-                };
-                queue.add(Waiter::new(1, call as u64, request, Time::ZERO));
-            }
-            let order: Vec<_> = queue
-                .list()
-                .iter()
-                .map(|w| (w.request.class, w.deadline))
-                .collect();
-            assert!(order.is_sorted());
-            assert_eq!(queue.len(), calls.len());
-        });
+    cases::check::<Vec<(u8, u16)>>(500, |calls| {
+        let mut queue = Queue::default();
+        for (call, (class, left)) in calls.iter().enumerate() {
+            let request = PermitRequest {
+                class: Class::ALL[usize::from(*class) % 3],
+                left: Duration::from_millis(u64::from(*left)),
+                goal: Duration::from_millis(u64::from(*left)),
+                late_wait: Duration::from_millis(u64::from(*left)) / 8,
+                kind: AttemptKind::First,
+                avoid: Vec::new(),
+                domain: 0,
+            };
+            queue.add(Waiter::new(1, call as u64, request, Time::ZERO));
+        }
+        let order: Vec<_> = queue
+            .list()
+            .iter()
+            .map(|w| (w.request.class, w.deadline))
+            .collect();
+        assert!(order.is_sorted());
+        assert_eq!(queue.len(), calls.len());
+    });
 }
 
 #[test]
@@ -260,30 +257,28 @@
 
 #[test]
 fn try_spend_stays_within_percentage_and_slack() {
-    bolero::check!()
-        .with_type::<Vec<(u8, bool)>>()
-        .for_each(|steps| {
-            let mut budget = Budget::new(20, 28);
-            let mut now = Time::ZERO;
-            let mut firsts: Vec<Time> = Vec::new();
-            let mut seconds: Vec<Time> = Vec::new();
-            for (wait, first) in steps {
-                now += Duration::from_millis(u64::from(*wait) * 10);
-                if *first {
-                    budget.record_first(now);
-                    firsts.push(now);
-                } else if budget.try_spend(now) {
-                    seconds.push(now);
-                }
-                // The budget counts whole slices, so its window covers between 9.5 and 10
-                // seconds. Second attempts are therefore counted over 9 s, and first
-                // attempts over 10 s.
-                let since = |span: u64| now.saturating_sub(Duration::from_secs(span));
-                let second_count = seconds.iter().filter(|time| **time > since(9)).count();
-                let first_count = firsts.iter().filter(|time| **time >= since(10)).count();
-                assert!(second_count as f64 <= 0.2 * first_count as f64 + 28.0);
+    cases::check::<Vec<(u8, bool)>>(CASES, |steps| {
+        let mut budget = Budget::new(20, 28);
+        let mut now = Time::ZERO;
+        let mut firsts: Vec<Time> = Vec::new();
+        let mut seconds: Vec<Time> = Vec::new();
+        for (wait, first) in steps {
+            now += Duration::from_millis(u64::from(*wait) * 10);
+            if *first {
+                budget.record_first(now);
+                firsts.push(now);
+            } else if budget.try_spend(now) {
+                seconds.push(now);
             }
-        });
+            // The budget counts whole slices, so its window covers between 9.5 and 10
+            // seconds. Second attempts are therefore counted over 9 s, and first
+            // attempts over 10 s.
+            let since = |span: u64| now.saturating_sub(Duration::from_secs(span));
+            let second_count = seconds.iter().filter(|time| **time > since(9)).count();
+            let first_count = firsts.iter().filter(|time| **time >= since(10)).count();
+            assert!(second_count as f64 <= 0.2 * first_count as f64 + 28.0);
+        }
+    });
 }
 
 #[test]
--- a/crates/route/tests/crashes.rs
+++ b/crates/route/tests/crashes.rs
@@ -11,6 +11,9 @@
 use route::crashes::CrashTable;
 use route::crashes::REJECT_CRASHES;
 
+/// Number of cases generated for a property.
+const CASES: u64 = 20_000;
+
 const NOW: Time = Time::from_secs(1000);
 const SECOND: Duration = Duration::from_secs(1);
 const REQUEST: u64 = 7;
@@ -111,35 +114,33 @@
 /// Tables that get all reports agree, in whatever order the reports come and however often.
 #[test]
 fn merge_does_not_depend_on_order_or_repetition() {
-    bolero::check!()
-        .with_type::<Vec<(u8, u8, u8)>>()
-        .for_each(|draws| {
-            let reports: Vec<(CrashReport, Time)> = draws
-                .iter()
-                .map(|(request, server, at)| {
-                    let crashed = report(u64::from(request % 4), &[u64::from(server % 6)]);
-                    (crashed, NOW + SECOND * u32::from(at % 4) * 10)
-                })
-                .collect();
-            let end = NOW + SECOND * 50;
-            let merged = |order: &mut dyn Iterator<Item = &(CrashReport, Time)>| {
-                let mut table = CrashTable::default();
-                for (report, at) in order {
-                    let mut report = report.clone();
-                    report.crashes[0].age = end - *at;
-                    table.merge(&report, end);
-                }
-                table
-            };
-            let forward = merged(&mut reports.iter());
-            let backward = merged(&mut reports.iter().rev().chain(&reports));
-            for request in 0..4 {
-                let known = forward.report(request, end);
-                assert_eq!(known.is_some(), backward.report(request, end).is_some());
-                let rejected = forward.rejected_for(request, end);
-                assert_eq!(rejected, backward.rejected_for(request, end));
-                let crashes = known.map_or(0, |report| report.crashes.len());
-                assert_eq!(rejected.is_some(), crashes >= REJECT_CRASHES);
+    cases::check::<Vec<(u8, u8, u8)>>(CASES, |draws| {
+        let reports: Vec<(CrashReport, Time)> = draws
+            .iter()
+            .map(|(request, server, at)| {
+                let crashed = report(u64::from(request % 4), &[u64::from(server % 6)]);
+                (crashed, NOW + SECOND * u32::from(at % 4) * 10)
+            })
+            .collect();
+        let end = NOW + SECOND * 50;
+        let merged = |order: &mut dyn Iterator<Item = &(CrashReport, Time)>| {
+            let mut table = CrashTable::default();
+            for (report, at) in order {
+                let mut report = report.clone();
+                report.crashes[0].age = end - *at;
+                table.merge(&report, end);
             }
-        });
+            table
+        };
+        let forward = merged(&mut reports.iter());
+        let backward = merged(&mut reports.iter().rev().chain(&reports));
+        for request in 0..4 {
+            let known = forward.report(request, end);
+            assert_eq!(known.is_some(), backward.report(request, end).is_some());
+            let rejected = forward.rejected_for(request, end);
+            assert_eq!(rejected, backward.rejected_for(request, end));
+            let crashes = known.map_or(0, |report| report.crashes.len());
+            assert_eq!(rejected.is_some(), crashes >= REJECT_CRASHES);
+        }
+    });
 }
--- a/crates/route/tests/homes.rs
+++ b/crates/route/tests/homes.rs
@@ -11,16 +11,13 @@
 use sim::VMS;
 
 /// Number of scripts generated for each property.
-const SCRIPTS: usize = 3000;
+const SCRIPTS: u64 = 4000;
 /// The time after the last fault within which all calls have to end.
 const SETTLE_TIMEOUT: Duration = Duration::from_secs(5);
 
-/// Checks `property` for generated scripts. `.cargo/config.toml` fixes the seed.
+/// Checks `property` for generated scripts.
 fn for_each_script(property: impl Fn(&[u8]) + std::panic::RefUnwindSafe) {
-    bolero::check!()
-        .with_iterations(SCRIPTS)
-        .with_max_len(1200)
-        .for_each(|script: &[u8]| property(script));
+    cases::check_bytes(SCRIPTS, 1200, |script: &[u8]| property(script));
 }
 
 /// Runs `script` and checks the invariants after each step; at most `limit` calls may
--- a/crates/route/tests/keys.rs
+++ b/crates/route/tests/keys.rs
@@ -19,7 +19,7 @@
 /// Number of keys in the simulation.
 const KEYS: u64 = 4;
 /// Number of scripts generated.
-const SCRIPTS: usize = 5000;
+const SCRIPTS: u64 = 5000;
 /// The longest time until a VM learns of a new VM, or that a VM has departed for good.
 const VIEW_DELAY_MAX: Duration = Duration::from_secs(5);
 
@@ -216,15 +216,12 @@
 
 #[test]
 fn claim_lets_one_call_per_key_run() {
-    bolero::check!()
-        .with_iterations(SCRIPTS)
-        .with_max_len(400)
-        .for_each(|script: &[u8]| {
-            let mut sim = Sim::new();
-            for step in script.chunks_exact(2) {
-                sim.step(step[0], step[1]);
-            }
-        });
+    cases::check_bytes(SCRIPTS, 400, |script: &[u8]| {
+        let mut sim = Sim::new();
+        for step in script.chunks_exact(2) {
+            sim.step(step[0], step[1]);
+        }
+    });
 }
 
 #[test]
--- a/crates/wire/tests/datagrams.rs
+++ b/crates/wire/tests/datagrams.rs
@@ -36,19 +36,16 @@
 
 #[test]
 fn open_returns_added_messages() {
-    bolero::check!()
-        .with_iterations(500)
-        .with_type::<Vec<u64>>()
-        .for_each(|calls| {
-            let msgs: Vec<Msg> = calls.iter().map(|call| acquire(*call)).collect();
-            let mut datagram = Datagram::new(7);
-            let added = msgs.iter().take_while(|msg| datagram.add(msg)).count();
-            let bytes = datagram.seal(&keys(1, 2));
-            assert!(bytes.len() <= datagram::BATCH_MAX_BYTES);
-            let (from, opened) = datagram::open(&bytes, &keys(1, 2)).unwrap();
-            assert_eq!(from, 7);
-            assert_eq!(opened, msgs[..added]);
-        });
+    cases::check::<Vec<u64>>(500, |calls| {
+        let msgs: Vec<Msg> = calls.iter().map(|call| acquire(*call)).collect();
+        let mut datagram = Datagram::new(7);
+        let added = msgs.iter().take_while(|msg| datagram.add(msg)).count();
+        let bytes = datagram.seal(&keys(1, 2));
+        assert!(bytes.len() <= datagram::BATCH_MAX_BYTES);
+        let (from, opened) = datagram::open(&bytes, &keys(1, 2)).unwrap();
+        assert_eq!(from, 7);
+        assert_eq!(opened, msgs[..added]);
+    });
 }
 
 #[test]
@@ -73,14 +70,12 @@
 #[test]
 fn open_arbitrary_bytes_without_panic() {
     let keys = keys(1, 2);
-    bolero::check!()
-        .with_iterations(5000)
-        .for_each(|bytes: &[u8]| {
-            let _ = datagram::open(bytes, &keys);
-            let mut signed = keys.sign(bytes).to_vec();
-            signed.extend_from_slice(bytes);
-            let _ = datagram::open(&signed, &keys);
-        });
+    cases::check_bytes(5000, 4096, |bytes: &[u8]| {
+        let _ = datagram::open(bytes, &keys);
+        let mut signed = keys.sign(bytes).to_vec();
+        signed.extend_from_slice(bytes);
+        let _ = datagram::open(&signed, &keys);
+    });
 }
 
 #[test]
