Judge tombstones in the restore test by their revision

The check was wrong. VM 0 finds that a copy lacks the server, which goes on running, and holds a tombstone of revision 1:0. The server writes its entry at 1:1 and restarts. Only then VM 2 gets the tombstone of 1:0 from VM 0. A second restore brings the entry of 1:1 back, and VM 2 uses it: it never heard of a departure. The check took the tombstone for one as the server had restarted by the time at which it arrived.

The model now records at which revision each start of a server ended. A tombstone counts as knowledge of a departure if its revision is not lower; for all others the check is as before.

--- a/crates/conf/tests/restore.rs
+++ b/crates/conf/tests/restore.rs
@@ -11,9 +11,11 @@
 
 use base::revisions;
 use base::revisions::Era;
+use base::Revision;
 use base::TicketNo;
 use base::Time;
 use bolero::TypeGenerator;
+use conf::catalog::CatalogEntry;
 use conf::catalog::Instance;
 use conf::Catalog;
 use conf::Layout;
@@ -68,6 +70,8 @@
     copy: Content,
     ticket: TicketNo,
     truth: Vec<Truth>,
+    /// The starts of servers that have ended, with the revisions at which they did.
+    ended: Vec<(String, u64, Revision)>,
     vms: Vec<Catalog>,
     /// The starts of servers that each VM knew to have left or to drain.
     departed: Vec<Vec<(String, u64)>>,
@@ -112,6 +116,24 @@
         }
     }
 
+    /// Ends the current start of a server, if it runs; the next write says so.
+    fn end_server(&mut self, server: usize) {
+        let truth = &mut self.truth[server];
+        if truth.running {
+            truth.running = false;
+            let revision = revisions::in_era(self.era, self.content.counter + 1);
+            self.ended.push((name(server), truth.born, revision));
+        }
+    }
+
+    /// Returns whether the start of a server that `entry` says to have left had ended by
+    /// the entry's revision. If it had not, only a copy lacked it.
+    fn had_ended(&self, entry: &CatalogEntry<Instance>) -> bool {
+        self.ended.iter().any(|(name, born, revision)| {
+            *name == entry.name && *born == entry.left_born && *revision <= entry.revision
+        })
+    }
+
     fn write_server(&mut self, server: usize) {
         let truth = &self.truth[server];
         if !truth.running {
@@ -153,6 +175,7 @@
         match event {
             Event::Start(server) => {
                 let server = index(server, SERVERS);
+                self.end_server(server);
                 let truth = &mut self.truth[server];
                 *truth = Truth {
                     born: truth.born + 1,
@@ -168,7 +191,7 @@
             }
             Event::Leave(server) => {
                 let server = index(server, SERVERS);
-                self.truth[server].running = false;
+                self.end_server(server);
                 self.content.counter += 1;
                 let name = name(server);
                 self.content.servers.retain(|(known, ..)| *known != name);
@@ -222,8 +245,6 @@
                 if old.is_some_and(|old| old.value == entry.value) {
                     continue;
                 }
-                let server = (0..SERVERS).find(|&s| name(s) == entry.name).unwrap();
-                let truth = &self.truth[server];
                 let start = |born| (entry.name.clone(), born);
                 match &entry.value {
                     Some(value) if !value.draining => assert!(
@@ -233,8 +254,8 @@
                         value.born
                     ),
                     Some(value) => self.departed[vm].push(start(value.born)),
-                    // A server that lives, and that only a copy lacked, may return.
-                    None if truth.running && truth.born == entry.left_born => {}
+                    // A server that only a copy lacked may return.
+                    None if !self.had_ended(entry) => {}
                     None => self.departed[vm].push(start(entry.left_born)),
                 }
             }
