Give a server's return a revision of its own after an outage

A VM that holds a removal back over an outage reads the server's return in time. The return repeats what the VM knows, so the entry kept its old revision. A peer that had applied the removal, at a revision between the two, won: this VM took the removal over, and nobody offered the return again. The home and the other VMs then used different servers.

An entry now also keeps the revision at which it was last read. A removal of an earlier revision is not applied. After an outage, the return itself gets its revision, so that peers fetch it: once for each entry that was written again.

--- a/crates/conf/src/catalog.rs
+++ b/crates/conf/src/catalog.rs
@@ -70,6 +70,10 @@
     /// When this VM learned of the change.
     #[serde(skip)]
     pub since: Time,
+    /// The latest revision at which this VM has read the entry, heartbeats included; a
+    /// deletion of an earlier revision has been undone since.
+    #[serde(skip)]
+    pub confirmed: Revision,
     /// When the server of a deleted entry started, see [`Instance::born`]; 0 if that is
     /// not known, and for other entries.
     #[serde(skip)]
@@ -174,7 +178,9 @@
     /// Updates the server `name`, or deletes it if `value` is `None`.
     ///
     /// Returns whether the entry changed; it does not if `revision` is not newer,
-    /// `value` is a heartbeat, or it would revive a server that has left or drains.
+    /// `value` is a heartbeat, or it would revive a server that has left or drains. A
+    /// deletion that this VM knows to have been undone changes only the revision, so
+    /// that peers fetch the entry.
     pub fn set_server(
         &mut self,
         name: &str,
@@ -196,6 +202,11 @@
                 entry.revision = entry.revision.max(revision);
                 return false;
             }
+            if value.is_some() {
+                entry.confirmed = entry.confirmed.max(revision);
+            } else if entry.value.is_some() && revision < entry.confirmed {
+                return self.note_return(name);
+            }
         }
         let differs = |old: &Option<Instance>, new: &Option<Instance>| match (old, new) {
             (Some(old), Some(new)) => old.differs_from(new),
@@ -211,6 +222,24 @@
         changed
     }
 
+    /// Records that the server `name` was deleted and has returned, although its entry
+    /// here never changed: gives the entry the revision at which it was last read, so
+    /// that peers that applied the deletion fetch it. Returns whether that raised the
+    /// revision.
+    pub fn note_return(&mut self, name: &str) -> bool {
+        let found = self.servers.binary_search_by(|e| e.name.as_str().cmp(name));
+        let Ok(index) = found else {
+            return false;
+        };
+        let entry = &mut self.servers[index];
+        let raised = entry.value.is_some() && entry.confirmed > entry.revision;
+        if raised {
+            entry.revision = entry.confirmed;
+            self.changes += 1;
+        }
+        raised
+    }
+
     /// Marks the failure domain `name` as out of service or as back in, and returns
     /// whether the entry changed.
     pub fn set_domain_out(&mut self, name: &str, revision: Revision, out: bool, now: Time) -> bool {
@@ -417,6 +446,7 @@
         revision,
         value,
         since: now,
+        confirmed: revision,
         left_born: 0,
     };
     match entries.binary_search_by(|entry| entry.name.as_str().cmp(name)) {
--- a/crates/conf/tests/catalog.rs
+++ b/crates/conf/tests/catalog.rs
@@ -136,6 +136,61 @@
     });
 }
 
+/// A change of a registry whose servers repeat their announcements.
+#[derive(Clone, Copy, Debug, TypeGenerator)]
+enum Write {
+    Announce(u8),
+    Remove(u8),
+}
+
+#[test]
+fn merge_removal_does_not_win_over_a_return_that_changed_nothing() {
+    cases::check::<(Vec<Write>, u8)>(CASES, |(writes, read)| {
+        let name = |server: u8| format!("i-{}", server % 3);
+        let mut truth: Vec<String> = Vec::new();
+        let (mut reader, mut peer) = (Catalog::new(), Catalog::new());
+        let read = usize::from(*read) % (writes.len() + 1);
+        for (index, write) in writes.iter().enumerate() {
+            let revision = index as u64 + 1;
+            let (name, value) = match *write {
+                Write::Announce(server) => (name(server), Some(instance(1))),
+                Write::Remove(server) => (name(server), None),
+            };
+            truth.retain(|known| *known != name);
+            truth.extend(value.is_some().then(|| name.clone()));
+            // The reader holds a removal back, and the server returns in time.
+            let returns = writes[index..].iter().any(|later| match *later {
+                Write::Announce(server) => format!("i-{}", server % 3) == name,
+                Write::Remove(_) => false,
+            });
+            if value.is_some() || !returns {
+                reader.set_server(&name, revision, value.clone(), Time::ZERO);
+            }
+            if value.is_some() {
+                reader.note_return(&name);
+            }
+            if index < read {
+                peer.set_server(&name, revision, value, Time::ZERO);
+            }
+        }
+        truth.sort_unstable();
+        for _ in 0..3 {
+            let update = peer.changes_since(&reader.revisions(), Time::ZERO);
+            reader.merge(update, Time::ZERO);
+            let update = reader.changes_since(&peer.revisions(), Time::ZERO);
+            peer.merge(update, Time::ZERO);
+        }
+        assert_eq!(live(&reader), truth);
+        assert_eq!(live(&peer), truth);
+    });
+}
+
+/// Returns the names of the servers that `catalog` has.
+fn live(catalog: &Catalog) -> Vec<String> {
+    let present = catalog.servers().iter().filter(|s| s.value.is_some());
+    present.map(|s| s.name.clone()).collect()
+}
+
 #[test]
 fn state_restarted_server_gets_a_new_id() {
     let mut catalog = Catalog::new();
--- a/crates/node/src/registry.rs
+++ b/crates/node/src/registry.rs
@@ -419,11 +419,20 @@
                 });
                 continue;
             }
+            let mut was_held = false;
             if !is_removal {
                 // The entry has come back, or an order has been revoked.
+                let count = reader.held_removals.len();
                 reader.held_removals.retain(|held| held.name != item.name);
+                was_held = reader.held_removals.len() < count;
             }
+            let is_server = !is_removal && reader.topic == Topic::Servers;
+            let returned = (is_server && (after_outage || was_held)).then(|| item.name.clone());
             changed += usize::from(self.apply_item(reader.topic, item, now, level));
+            if let Some(name) = returned {
+                // A peer may have applied a removal that this VM held back or never saw.
+                changed += usize::from(lock(&self.catalog).note_return(&name));
+            }
         }
         if changed > 0 {
             self.put_in_force();
