Use a server again that was taken for gone before a restore

All servers of one service stayed unknown. Their entries lapsed in an outage, the VMs removed them at revision 57, and the store was restored from a copy whose counter is lower. The servers wrote their entries again at counters below 57. The catalog takes an entry below its departure for one of the copy, and waits for the server's later writes to pass 57; but an announcement that changes nothing gets no revision, so servers that were alive stayed out for good (503, no-server).

What is written after a list of the new era cannot come from the copy and is used at once. Entries that may come from it are in doubt: they are used when the announcement's number, which was not read before, rises or the entry is written again. Readers list again while there are doubts. VMs report only what they know without doubt, so peers offer them the rest.

The stand-in store and the soak's servers repeat announcements now.

--- a/crates/conf/src/catalog.rs
+++ b/crates/conf/src/catalog.rs
@@ -32,6 +32,9 @@
 /// disconnected learns of the deletion. A VM that was disconnected for longer
 /// reads the whole registry again.
 const TOMBSTONE_LIFETIME: Duration = Duration::from_secs(300);
+/// How long a [`Doubt`] is kept. A server that is alive announces itself within a few
+/// seconds after the registry was restored.
+const DOUBT_LIFETIME: Duration = Duration::from_secs(10);
 
 /// What a server announces about itself in the registry.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -52,6 +55,11 @@
     /// When the server started, which distinguishes a restarted server from its
     /// predecessor of the same name; 0 if the server does not announce it.
     pub born: u64,
+    /// The number of the announcement, which rises with each one since the start, also
+    /// with those that change nothing else and get no revision; 0 if the server does not
+    /// number them.
+    #[serde(default)]
+    pub announced: u64,
 }
 
 /// The value of the entry of a failure domain that is out of service.
@@ -78,6 +86,32 @@
     /// not known, and for other entries.
     #[serde(skip)]
     pub left_born: u64,
+    /// The entry that a restored copy of the registry has for a server that left or
+    /// drains; none if there is no such entry.
+    #[serde(skip)]
+    pub doubt: Option<Doubt>,
+}
+
+/// An entry that the registry has after it was restored from a copy, and that may date
+/// from before the departure of its server, or from after a lapse of the entry.
+///
+/// A later announcement shows that the server is alive.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Doubt {
+    /// The revision of the entry.
+    pub revision: Revision,
+    announced: u64,
+    since: Time,
+}
+
+/// What an entry read says about a server of which something is known already.
+enum Judgment {
+    /// It holds.
+    Current,
+    /// What is known holds, the entry is older.
+    Outdated,
+    /// It is not known yet which holds.
+    Doubtful,
 }
 
 /// The changes that a VM sends to a peer whose catalog is older.
@@ -92,6 +126,9 @@
     pub servers: Vec<CatalogEntry<Instance>>,
     /// Failure domains that were taken out of service or put back in.
     pub outs: Vec<CatalogEntry<DomainOut>>,
+    /// See [`Catalog::note_list`]; 0 if the sender knows of no list.
+    #[serde(default)]
+    pub listed: Revision,
 }
 
 /// A VM's local copy of the service registry.
@@ -100,6 +137,8 @@
     layout: Option<(Revision, Arc<Layout>)>,
     servers: Vec<CatalogEntry<Instance>>,
     outs: Vec<CatalogEntry<DomainOut>>,
+    /// The revision of the first list of the latest era that is known to a VM.
+    listed: Revision,
     changes: u64,
 }
 
@@ -110,11 +149,12 @@
     /// not.
     fn differs_from(&self, next: &Self) -> bool {
         let cold_changed = next.cold > self.cold || next.cold.is_zero() != self.cold.is_zero();
-        let next_with_old_cold = Self {
+        let comparable = Self {
             cold: self.cold,
+            announced: self.announced,
             ..next.clone()
         };
-        cold_changed || *self != next_with_old_cold
+        cold_changed || *self != comparable
     }
 }
 
@@ -156,11 +196,34 @@
     pub fn revisions(&self) -> RegistryRevisions {
         RegistryRevisions {
             layout: self.layout().map_or(0, |layout| layout.ticket),
-            servers: newest_revision(&self.servers),
+            servers: self.servers_revision(),
             outs: newest_revision(&self.outs),
         }
     }
 
+    /// Returns the revision up to which the entries of servers are known. It ends before
+    /// an entry in doubt, so that peers offer what they find out about it.
+    fn servers_revision(&self) -> Revision {
+        let doubts = self.servers.iter().filter_map(|entry| entry.doubt);
+        let undoubted = doubts.map(|doubt| doubt.revision - 1).min();
+        newest_revision(&self.servers).min(undoubted.unwrap_or(Revision::MAX))
+    }
+
+    /// Returns whether the registry has entries of which it is not known whether they
+    /// hold; see [`Doubt`].
+    pub fn has_doubts(&self) -> bool {
+        self.servers.iter().any(|entry| entry.doubt.is_some())
+    }
+
+    /// Records that a VM has listed the registry at `revision`. What is written later in
+    /// the era does not come from the copy with which the era began.
+    pub fn note_list(&mut self, revision: Revision) {
+        let (era, known) = (revisions::era(revision), revisions::era(self.listed));
+        if revision > 0 && (era > known || (era == known && revision < self.listed)) {
+            self.listed = revision;
+        }
+    }
+
     /// Replaces the layout by a newer one and returns whether it was replaced.
     ///
     /// The ticket number must be higher than before: a ticket that is written later
@@ -196,11 +259,27 @@
                 .value
                 .as_ref()
                 .map_or(entry.left_born, |value| value.born);
-            if value.as_ref().is_some_and(|v| entry.outlives(v, revision)) {
-                // What is known holds at that revision too. Peers would offer it again
-                // and again otherwise.
-                entry.revision = entry.revision.max(revision);
-                return false;
+            let judgment = value
+                .as_ref()
+                .map(|next| entry.judge(next, revision, self.listed, now));
+            match judgment {
+                Some(Judgment::Outdated) => {
+                    // What is known holds at that revision too. Peers would offer it
+                    // again and again otherwise.
+                    entry.doubt = None;
+                    entry.revision = entry.revision.max(revision);
+                    return false;
+                }
+                Some(Judgment::Doubtful) => return false,
+                Some(Judgment::Current) => {}
+                None => {
+                    let settled = entry.doubt.take_if(|doubt| revision > doubt.revision);
+                    if settled.is_some() && entry.value.is_none() {
+                        entry.revision = entry.revision.max(revision);
+                        self.changes += 1;
+                        return true;
+                    }
+                }
             }
             if value.is_some() {
                 entry.confirmed = entry.confirmed.max(revision);
@@ -252,7 +331,14 @@
     /// Returns the names of the servers that are missing from `listed`, a sorted
     /// list of all servers read at `revision`, and have not changed after it.
     pub fn missing_servers(&self, listed: &[String], revision: Revision) -> Vec<String> {
-        missing_names(&self.servers, listed, revision)
+        let mut missing = missing_names(&self.servers, listed, revision);
+        let in_doubt = self
+            .servers
+            .iter()
+            .filter(|entry| entry.value.is_none() && entry.doubt.is_some())
+            .filter(|entry| listed.binary_search(&entry.name).is_err());
+        missing.extend(in_doubt.map(|entry| entry.name.clone()));
+        missing
     }
 
     /// Returns the names of the failure domains that are out, are missing from
@@ -278,12 +364,14 @@
             layout: self.layout.as_ref().filter(newer).cloned(),
             servers,
             outs: entries_after(&self.outs, known.outs),
+            listed: self.listed,
         }
     }
 
     /// Applies the changes that a peer sent and returns whether any entry changed.
     pub fn merge(&mut self, update: Update, now: Time) -> bool {
         let mut changed = false;
+        self.note_list(update.listed);
         if let Some((revision, layout)) = update.layout {
             changed |= self.set_layout(revision, layout);
         }
@@ -375,26 +463,55 @@
 }
 
 impl CatalogEntry<Instance> {
-    /// Returns whether what is known of the server holds on against `next`, its entry at
-    /// `revision`, which is out of date although its revision is newer.
+    /// Judges `next`, the server's entry at `revision`, which may be out of date
+    /// although its revision is newer. `listed` is described at [`Catalog::note_list`].
     ///
-    /// It is if it belongs to an earlier start of the server. It also is if the server
-    /// has left or drains, and the entry comes from a copy from which the registry was
-    /// restored: its counter is then below that of the departure. A server that is
-    /// alive goes on writing, so its counter soon exceeds that of any departure.
-    fn outlives(&self, next: &Instance, revision: Revision) -> bool {
+    /// It is out of date if it belongs to an earlier start of the server. It also may be
+    /// if the server has left or drains, and the entry comes from a copy from which the
+    /// registry was restored: its counter is then below that of the departure, and not
+    /// above `listed`. But if its entry lapsed rather than that the server left, the
+    /// server goes on announcing itself.
+    fn judge(
+        &mut self,
+        next: &Instance,
+        revision: Revision,
+        listed: Revision,
+        now: Time,
+    ) -> Judgment {
         let born = self
             .value
             .as_ref()
             .map_or(self.left_born, |value| value.born);
         if next.born < born {
-            return true;
+            return Judgment::Outdated;
         }
         let leaves = self.value.as_ref().is_none_or(|value| value.draining);
         let restored = revisions::era(revision) > revisions::era(self.revision);
         let before = revisions::counter(revision) <= revisions::counter(self.revision);
         let same_start = born == 0 || next.born == born;
-        leaves && !next.draining && restored && before && same_start
+        let era = revisions::era(revision);
+        let from_copy = revisions::era(listed) != era || revision <= listed;
+        if !(leaves && !next.draining && restored && before && same_start && from_copy) {
+            self.doubt = None;
+            return Judgment::Current;
+        }
+        let doubt = *self.doubt.get_or_insert(Doubt {
+            revision,
+            announced: next.announced,
+            since: now,
+        });
+        if revisions::era(doubt.revision) != era {
+            self.doubt = None;
+            return self.judge(next, revision, listed, now);
+        }
+        if revision > doubt.revision || next.announced > doubt.announced {
+            self.doubt = None;
+            Judgment::Current
+        } else if now >= doubt.since + DOUBT_LIFETIME {
+            Judgment::Outdated
+        } else {
+            Judgment::Doubtful
+        }
     }
 }
 
@@ -448,6 +565,7 @@
         since: now,
         confirmed: revision,
         left_born: 0,
+        doubt: None,
     };
     match entries.binary_search_by(|entry| entry.name.as_str().cmp(name)) {
         Ok(index) => {
--- a/crates/conf/tests/catalog.rs
+++ b/crates/conf/tests/catalog.rs
@@ -26,6 +26,7 @@
         draining: false,
         cold: Duration::ZERO,
         born: 1,
+        announced: 0,
     }
 }
 
--- a/crates/node/src/registry.rs
+++ b/crates/node/src/registry.rs
@@ -52,6 +52,9 @@
 /// out although the copy lacks the order. Operators write lost orders again, and new work
 /// in a domain that they are about to stop does more harm than a few seconds without it.
 const RESTORED_ORDER_DELAY: Duration = Duration::from_secs(5);
+/// The time between lists of the servers while some entries are in doubt, long enough
+/// for a server that is alive to announce itself.
+const DOUBT_LIST_INTERVAL: Duration = Duration::from_millis(2200);
 /// The most entries in one response for which each change is logged at level info.
 /// For more entries, such as a whole list, their number is enough.
 const LOGGED_ENTRIES_MAX: usize = 40;
@@ -78,6 +81,8 @@
     revision: Option<Revision>,
     /// When the topic was last read; zero before.
     read_at: Time,
+    /// When the topic was last listed; zero before.
+    listed_at: Time,
     /// The number of failures since the last success.
     failures: u32,
     held_removals: Vec<HeldRemoval>,
@@ -151,6 +156,7 @@
             topic,
             revision: None,
             read_at: Time::ZERO,
+            listed_at: Time::ZERO,
             failures: 0,
             held_removals: Vec::new(),
         };
@@ -166,6 +172,7 @@
             // Only a later read shows whether an entry has come back.
             let now = self.clock.now();
             let must_read = reader.held_removals.iter().any(|held| now >= held.due);
+            self.list_if_in_doubt(&mut reader);
             if !must_read && !self.should_read(topic) {
                 if reader.topic == Topic::Servers && !self.is_confirmed() {
                     self.with_members(Membership::exchange_revisions);
@@ -182,6 +189,15 @@
         }
     }
 
+    /// Makes the reader of the servers list them again while a restored copy has entries
+    /// of servers that may have left: announcements that change nothing are not watched.
+    fn list_if_in_doubt(&self, reader: &mut TopicReader) {
+        let due = self.clock.now() >= reader.listed_at + DOUBT_LIST_INTERVAL;
+        if reader.topic == Topic::Servers && due && lock(&self.catalog).has_doubts() {
+            reader.revision = None;
+        }
+    }
+
     /// Waits for `delay` in steps of at most [`BACKOFF_MAX`], and stops after a step
     /// if the registry is not down for all VMs: a peer has read it meanwhile, and this
     /// VM may be a reader that should read again.
@@ -282,7 +298,12 @@
         let waits = reader.failures == 0 && self.is_reader();
         let wait = if waits {
             let since_last = self.clock.now().saturating_sub(reader.read_at);
-            watch_wait(reader.topic, since_last)
+            let wait = watch_wait(reader.topic, since_last);
+            if reader.topic == Topic::Servers && lock(&self.catalog).has_doubts() {
+                wait.min(DOUBT_LIST_INTERVAL)
+            } else {
+                wait
+            }
         } else {
             Duration::ZERO
         };
@@ -318,6 +339,7 @@
         };
         drop(catalog);
         self.note_era(revision);
+        lock(&self.catalog).note_list(revision);
         let removed = removed.into_iter().map(|name| RegistryEntry {
             name,
             revision,
@@ -335,6 +357,7 @@
             reader.topic.name()
         );
         reader.revision = Some(revision);
+        reader.listed_at = self.clock.now();
     }
 
     /// Records the era of `revision`. A later era than before means that the registry was
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -84,6 +84,8 @@
 /// event would end before VMs have to apply the domain order, and nothing could be
 /// checked.
 const DOMAIN_OUT_EXTRA: Duration = Duration::from_secs(6);
+/// How often a server repeats its announcement to the store.
+const ANNOUNCEMENT_PERIOD: Duration = Duration::from_millis(1500);
 /// The age of the copy from which the store comes back, without the time for which it is
 /// unavailable.
 const COPY_AGE: Duration = Duration::from_secs(2);
@@ -190,6 +192,7 @@
         smol::spawn(harness.clone().restart_ended()),
         smol::spawn(harness.clone().poll_readiness()),
         smol::spawn(harness.clone().restart_crashed()),
+        smol::spawn(harness.clone().repeat_announcements()),
         smol::spawn(record_stalls(harness.recorder.clone())),
     ];
     harness.wait_ready().await?;
@@ -395,6 +398,18 @@
         Ok(())
     }
 
+    /// Makes the servers repeat their announcements, unless the store is out.
+    async fn repeat_announcements(self: Arc<Self>) {
+        loop {
+            Timer::after(ANNOUNCEMENT_PERIOD).await;
+            if self.store_outages.load(Ordering::SeqCst) == 0 {
+                for location in &self.locations {
+                    location.repeat_announcement(&self.store);
+                }
+            }
+        }
+    }
+
     /// Records a fault that started at `from` and ends now.
     fn record_fault(&self, target: FaultTarget, name: &'static str, from: Duration) {
         let to = self.recorder.now();
--- a/crates/soak/src/server.rs
+++ b/crates/soak/src/server.rs
@@ -74,6 +74,8 @@
     /// The calls a second that all responses name as a limit.
     rate_limit: Option<u64>,
     up: bool,
+    /// Whether the server repeats its announcement, until its entry is removed.
+    announces: bool,
     /// Whether the entry in the store has lapsed although the server is up.
     lapsed: bool,
     cold_until: Time,
@@ -150,6 +152,7 @@
             draining: false,
             cold_left: Duration::ZERO,
             started_ms: 0,
+            announced: 1,
         };
         let location = Self {
             link,
@@ -165,6 +168,7 @@
                 leaving: false,
                 rate_limit: None,
                 up: false,
+                announces: false,
                 lapsed: false,
                 cold_until: Time::ZERO,
                 running: 0,
@@ -219,6 +223,7 @@
         state.entry.cold_left = cold;
         state.entry.started_ms = unix_millis();
         state.up = true;
+        state.announces = true;
         state.leaving = false;
         state.rate_limit = None;
         state.cold_until = until;
@@ -227,10 +232,21 @@
         state.slots = Arc::new(Semaphore::new(SLOTS as usize));
     }
 
+    /// Repeats the server's announcement to the store, if the server is up and announces
+    /// itself.
+    pub fn repeat_announcement(&self, store: &Store) {
+        let mut state = self.lock();
+        if state.up && state.announces {
+            state.entry.announced += 1;
+            store.repeat(&state.name, &state.entry.to_json());
+        }
+    }
+
     /// Writes the server's entry to the store.
     pub fn write_entry(&self, store: &Store) {
         let mut state = self.lock();
         state.lapsed = false;
+        state.entry.announced += 1;
         store.put(stand::SERVERS_KIND, &state.name, state.entry.to_json());
     }
 
@@ -273,6 +289,7 @@
         let (name, instance) = {
             let mut state = self.lock();
             state.lapsed = false;
+            state.announces = false;
             (state.name.clone(), state.instance)
         };
         store.delete(stand::SERVERS_KIND, &name);
