Read the response to an abandoned attempt for a moment

An attempt without a body that is abandoned (a hedge that lost, a caller that left, a deadline) is read for 10 ms more, and what the head of the response asks for is noted. Attempts with a body end at once, since the rest of the body may belong to the caller's connection.

--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -19,6 +19,8 @@
 use hyper::body::Body as _;
 use hyper::body::Incoming;
 use net::body;
+use net::client::SendError;
+use net::linger::Lingering;
 use net::timeout;
 use net::Body;
 use route::attempts::Failure;
@@ -40,6 +42,9 @@
 /// The largest response that is read completely before its head is forwarded, so that
 /// the call can be retried if the response is truncated.
 const BUFFERED_RESPONSE_MAX_BYTES: usize = 64 << 10;
+/// How long the response to an abandoned attempt is still read. A refusal that is under
+/// way may ask for no more calls.
+const ABANDONED_READ_TIMEOUT: Duration = Duration::from_millis(10);
 /// The time limit for the body of a refusal, which servers send together with its head.
 const REFUSAL_BODY_TIMEOUT: Duration = Duration::from_millis(20);
 
@@ -166,24 +171,23 @@
             let detail = "the server leaves or asked for no calls";
             return Err(FailedAttempt::new(Failure::Unsent, Some(request), detail));
         }
-        let Some(sender) = conn.sender() else {
+        if conn.sender().is_none() {
             guard.end(Outcome::Unreachable);
             return Err(FailedAttempt::new(
                 Failure::Unsent,
                 Some(request),
                 "the connection closed before the request was sent",
             ));
-        };
+        }
         guard.start();
-        match timeout(self.left, sender.send(request)).await {
+        match timeout(self.left, self.exchange(conn, request)).await {
             None => {
                 // The caller's time is up, so its response does not wait for the check.
                 self.ports.suspect_path(self.server.address);
                 guard.end(Outcome::Late);
                 Err(FailedAttempt::new(Failure::Late, None, "no answer in time"))
             }
-            Some(Err(failed)) => {
-                let detail = failed.error.to_string();
+            Some((_, Err(failed))) => {
                 let (outcome, failure) = match failed.unsent {
                     Some(_) => (Outcome::Unused, Failure::Unsent),
                     None => (Outcome::Broken, Failure::Broken),
@@ -195,9 +199,9 @@
                 if failure == Failure::Broken {
                     self.sent_request().record_lost(&*self.ports);
                 }
-                Err(FailedAttempt::new(failure, failed.unsent, detail))
+                Err(FailedAttempt::new(failure, failed.unsent, failed.detail))
             }
-            Some(Ok(response)) => self.check_response(response, guard, conn).await,
+            Some((conn, Ok(response))) => self.check_response(response, guard, conn).await,
         }
     }
 
@@ -209,6 +213,35 @@
         }
     }
 
+    /// Sends `request`, and records what the server asks for in the head of its response,
+    /// also if the attempt is abandoned just before it arrives.
+    fn exchange(&self, mut conn: Conn, request: Request<Body>) -> Lingering<Exchanged> {
+        // The rest of a body belongs to the caller's connection, which is about to end.
+        let limit = if request.body().is_end_stream() {
+            ABANDONED_READ_TIMEOUT
+        } else {
+            Duration::ZERO
+        };
+        let (ports, dialect) = (self.ports.clone(), self.dialect.clone());
+        let server = self.permit.server;
+        let exchange = async move {
+            let result = match conn.sender() {
+                Some(sender) => sender.send(request).await.map_err(ExchangeError::from),
+                None => Err(ExchangeError {
+                    unsent: Some(request),
+                    detail: "the connection closed before the request was sent".into(),
+                }),
+            };
+            let result = result.map(|response| {
+                let (parts, body) = response.into_parts();
+                note_server(&*ports, &*dialect, server, &parts);
+                Response::from_parts(parts, body)
+            });
+            (conn, result)
+        };
+        Lingering::new(exchange, self.pools.handle().clone(), limit)
+    }
+
     /// Classifies the response and, if it is valid, reads its body.
     async fn check_response(
         &self,
@@ -222,7 +255,6 @@
             load,
             interval: self.dialect.call_interval(&parts.headers),
         });
-        self.note_server(&parts);
         match self.dialect.classify(self.call_id.as_ref(), &parts) {
             ResponseKind::Valid => {}
             ResponseKind::Refused => {
@@ -254,17 +286,6 @@
         })
     }
 
-    /// Records what the server asks for in its response.
-    fn note_server(&self, parts: &Parts) {
-        let server = self.permit.server;
-        if self.dialect.leaving(&parts.headers) {
-            self.ports.note_server(server, Notice::Leaving);
-        }
-        if let Some(delay) = self.dialect.rest(parts) {
-            self.ports.note_server(server, Notice::Rest(delay));
-        }
-    }
-
     /// Returns the connection of a refusal to the pool if the body arrives within
     /// [`REFUSAL_BODY_TIMEOUT`]; otherwise closes the connection, so that the call does
     /// not wait for the body.
@@ -342,6 +363,35 @@
     }
 }
 
+/// The connection of an exchange and the head of the response, with the body to be read.
+type Exchanged = (Conn, Result<Response<Incoming>, ExchangeError>);
+
+/// Why an exchange with a server gave no response.
+struct ExchangeError {
+    /// The request, if none of it was sent.
+    unsent: Option<Request<Body>>,
+    detail: String,
+}
+
+impl From<SendError> for ExchangeError {
+    fn from(failed: SendError) -> Self {
+        Self {
+            unsent: failed.unsent,
+            detail: failed.error.to_string(),
+        }
+    }
+}
+
+/// Records what `server` asks for in the head of its response.
+fn note_server(ports: &dyn Ports, dialect: &dyn Dialect, server: ServerId, parts: &Parts) {
+    if dialect.leaving(&parts.headers) {
+        ports.note_server(server, Notice::Leaving);
+    }
+    if let Some(delay) = dialect.rest(parts) {
+        ports.note_server(server, Notice::Rest(delay));
+    }
+}
+
 /// The part of a body that has been received.
 #[derive(Default)]
 struct PartialBody {
--- a/crates/entry/src/pool.rs
+++ b/crates/entry/src/pool.rs
@@ -148,6 +148,11 @@
 }
 
 impl Pools {
+    /// Returns where the connections are driven.
+    pub fn handle(&self) -> &Handle {
+        &self.handle
+    }
+
     /// Creates empty pools whose connections are driven on `handle`. The ids of servers
     /// that close an idle connection soon after its last use are sent to `suspects`.
     pub fn new(handle: Handle, clock: Clock, suspects: RestartSuspects) -> Self {
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod client;
 pub mod deferred;
 pub mod exec;
+pub mod linger;
 pub mod lookahead;
 pub mod server;
 pub mod stop;
