Cut VMs off from all servers in the soak, and check what their callers get

The setting faults.cut names a file that says how the connections of a VM to servers are cut; net::cut does it, for the daemon and for the tests of partitions, which had a connector of their own. Settings with faults are valid on loopback addresses only.

Check: from 2 s after the cut, callers of these VMs are served at least two thirds as often as the others, or not over 10 and one in 50 of all requests fail there.

--- a/crates/conf/src/settings.rs
+++ b/crates/conf/src/settings.rs
@@ -359,6 +359,17 @@
     /// Which calls are traced and where their spans are written.
     #[serde(default)]
     pub traces: Traces,
+    /// Faults that are injected on purpose; `None` outside of tests.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub faults: Option<Faults>,
+}
+
+/// Faults that are injected on purpose, for tests on one machine.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Faults {
+    /// A file that names how the connections to backend servers are cut; they are not
+    /// while there is no such file. See `net::cut`.
+    pub cut: PathBuf,
 }
 
 fn notice() -> Duration {
@@ -432,9 +443,19 @@
             "traces.share",
             "out of range; write 0 to 1",
         );
+        self.check_faults(&mut errors);
         errors.into_result(())
     }
 
+    fn check_faults(&self, errors: &mut ValidationErrors) {
+        let mut listeners = self.callers.listen.iter().chain([&self.peers.listen]);
+        errors.require(
+            self.faults.is_none() || listeners.all(|address| address.ip().is_loopback()),
+            "faults",
+            "are for tests on loopback addresses; remove them",
+        );
+    }
+
     fn check_callers(&self, errors: &mut ValidationErrors) {
         errors.require(
             !self.callers.listen.is_empty(),
--- a/crates/conf/tests/settings.rs
+++ b/crates/conf/tests/settings.rs
@@ -63,6 +63,15 @@
     }
 }
 
+#[test]
+fn check_faults_are_refused_outside_of_loopback() {
+    let cut = "\"vm\": \"vm-1\", \"faults\": { \"cut\": \"/tmp/cut\" },";
+    let text = GOOD.replace("\"vm\": \"vm-1\",", cut);
+    assert!(Settings::parse(&text).is_ok());
+    let faults = faults(&text.replace("127.0.0.1:8080", "10.0.0.1:8080"));
+    assert!(faults.contains("faults: are for tests"), "{faults}");
+}
+
 #[test]
 fn parse_duplicate_field_is_refused() {
     let text = GOOD.replace("\"vm\": \"vm-1\",", "\"vm\": \"vm-1\", \"vm\": \"vm-2\",");
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -16,6 +16,8 @@
 use conf::settings::Interface;
 use conf::Settings;
 use futures_lite::StreamExt;
+use net::client::Connector;
+use net::cut::CutConnector;
 use net::Stop;
 use net::ThreadPool;
 use node::Node;
@@ -172,15 +174,28 @@
 /// Returns the options of the node for the platform interface that the settings name:
 /// the adapter of the deployment platform for a registry, or the defaults for tickets.
 fn node_options(settings: &Settings, pool: &ThreadPool) -> Options {
+    let options = Options {
+        connector: cut_connector(settings, pool),
+        ..Options::default()
+    };
     match settings.platform.interface {
-        Interface::Tickets => Options::default(),
+        Interface::Tickets => options,
         Interface::Registry => {
             let client = platform::Client::new(settings.platform.address, pool.handle());
             Options {
                 registry: Some(Arc::new(client)),
                 dialect: Some(Arc::new(platform::HeaderFields)),
-                ..Options::default()
+                ..options
             }
         }
     }
 }
+
+/// Returns the connector that injects faults if the settings ask for some.
+fn cut_connector(settings: &Settings, pool: &ThreadPool) -> Option<Arc<dyn Connector>> {
+    let faults = settings.faults.as_ref()?;
+    let connector = Arc::new(CutConnector::new());
+    let following = connector.clone().follow_file(faults.cut.clone());
+    pool.handle().spawn_detached(following);
+    Some(connector)
+}
--- a/crates/load/src/fleet.rs
+++ b/crates/load/src/fleet.rs
@@ -427,5 +427,6 @@
             share: 0.0,
             file: None,
         },
+        faults: None,
     }
 }
--- a/crates/load/tests/partition.rs
+++ b/crates/load/tests/partition.rs
@@ -2,72 +2,23 @@
 
 mod harness;
 
-use std::io;
-use std::net::Shutdown;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::Mutex;
 use std::time::Duration;
 
 use harness::respond_whole;
 use harness::Harness;
 use harness::Scripted;
-use net::client::Connector;
-use net::BoxFuture;
+use net::cut::Cut;
+use net::cut::CutConnector;
 use node::Options;
-use smol::net::TcpStream;
 
 const SERVERS: usize = 6;
 /// The time from the start of a partition until calls have to be served again.
 const SETTLE_TIME: Duration = Duration::from_secs(3);
 const CALLS: usize = 60;
 
-/// What happens to new connections during a partition.
-#[derive(Clone, Copy, Debug, PartialEq)]
-enum Cut {
-    None,
-    Refused,
-    Silent,
-}
-
-/// Opens connections unless they are cut.
-struct CutConnector(Mutex<(Cut, Vec<TcpStream>)>);
-
-impl CutConnector {
-    fn new() -> Arc<Self> {
-        Arc::new(Self(Mutex::new((Cut::None, Vec::new()))))
-    }
-
-    /// Sets what happens to new connections, and closes the open ones.
-    fn set(&self, cut: Cut) {
-        let mut state = self.0.lock().unwrap();
-        state.0 = cut;
-        for stream in state.1.drain(..) {
-            let _ = stream.shutdown(Shutdown::Both);
-        }
-    }
-
-    fn connections(&self) -> usize {
-        self.0.lock().unwrap().1.len()
-    }
-}
-
-impl Connector for CutConnector {
-    fn connect(&self, address: SocketAddr) -> BoxFuture<'_, io::Result<TcpStream>> {
-        Box::pin(async move {
-            let cut = self.0.lock().unwrap().0;
-            match cut {
-                Cut::None => {}
-                Cut::Refused => return Err(io::ErrorKind::ConnectionRefused.into()),
-                Cut::Silent => std::future::pending().await,
-            }
-            let stream = TcpStream::connect(address).await?;
-            self.0.lock().unwrap().1.push(stream.clone());
-            Ok(stream)
-        })
-    }
-}
-
+/// Starts two VMs; the second one opens connections by `connector`.
 fn start(connector: &Arc<CutConnector>) -> Harness {
     let servers: Vec<Scripted> = (0..SERVERS).map(|_| Scripted::new(respond_whole)).collect();
     let addresses: Vec<SocketAddr> = servers.iter().map(|server| server.address).collect();
@@ -95,7 +46,7 @@
 }
 
 fn check_partition(cut: Cut) {
-    let connector = CutConnector::new();
+    let connector = Arc::new(CutConnector::new());
     let harness = start(&connector);
     connector.set(cut);
     let callers = harness.all_callers();
@@ -125,3 +76,8 @@
 fn vm_that_servers_do_not_answer_fails_its_calls() {
     check_partition(Cut::Silent);
 }
+
+#[test]
+fn vm_whose_new_connections_are_refused_fails_its_calls() {
+    check_partition(Cut::NewRefused);
+}
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod body;
 pub mod client;
+pub mod cut;
 pub mod deferred;
 pub mod exec;
 pub mod linger;
--- a/crates/soak/src/record.rs
+++ b/crates/soak/src/record.rs
@@ -158,6 +158,8 @@
 pub enum FaultTarget {
     /// A VM or the connections to its callers.
     Vm(VmIndex),
+    /// The connections of a VM to all servers.
+    Path(VmIndex),
     /// The access of one VM to the store.
     StoreAccess(VmIndex),
     /// The store, for all VMs.
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -11,6 +11,7 @@
 use std::time::Duration;
 
 use anyhow::Context;
+use net::cut::Cut;
 use rustix::process::Signal;
 use smol::channel;
 use smol::io::AsyncWriteExt;
@@ -37,6 +38,7 @@
 use crate::record::Recorder;
 use crate::record::Span;
 use crate::record::Ticket;
+use crate::record::VmIndex;
 use crate::schedule;
 use crate::schedule::Action;
 use crate::schedule::Event;
@@ -531,6 +533,17 @@
                 self.locations[index].crash().await;
                 self.recover_crashed(index, change_service, from).await;
             }
+            Action::CutPaths(first, count, cut) => {
+                let vms: Vec<VmIndex> = (0..count).map(|n| (first + n) % self.vms.len()).collect();
+                for vm in &vms {
+                    self.vms[*vm].lock().await.cut_path(cut);
+                }
+                Timer::after(duration).await;
+                for vm in vms {
+                    self.vms[vm].lock().await.cut_path(Cut::None);
+                    self.record_fault(FaultTarget::Path(vm), cut.name(), from);
+                }
+            }
             Action::RepeatPoison(route) => {
                 let poison = self.poison_count.fetch_add(1, Ordering::SeqCst);
                 let caller =
--- a/crates/soak/src/schedule.rs
+++ b/crates/soak/src/schedule.rs
@@ -3,6 +3,8 @@
 
 use std::time::Duration;
 
+use net::cut::Cut;
+
 use crate::caller::ROUTES;
 use crate::link::LinkFault;
 use crate::record::VmIndex;
@@ -54,6 +56,14 @@
 const POISON_SHARE: f64 = 0.5;
 /// For how long such a request is repeated.
 const POISON_TIME: Duration = Duration::from_secs(8);
+/// Keeps the draws of partitions apart from those of the other events.
+const PARTITION_SEED: u64 = 0x7061_7274_6564;
+/// The share of runs in which VMs are cut off from all servers.
+const PARTITION_SHARE: f64 = 0.5;
+/// The minimum duration of a partition. It is checked only from the third second on.
+const PARTITION_MIN: Duration = Duration::from_secs(5);
+/// The maximum duration of a partition.
+const PARTITION_MAX: Duration = Duration::from_secs(8);
 /// The longest rest that a server asks for, in seconds.
 const REST_MAX_SECS: u64 = 3;
 /// The time between the starts of two events of a series.
@@ -155,6 +165,8 @@
     WriteTickets(u8),
     /// A caller repeats a request on the given route that makes servers crash.
     RepeatPoison(usize),
+    /// Cuts the connections to all servers of this many VMs, from the given one on.
+    CutPaths(VmIndex, usize, Cut),
 }
 
 /// A scheduled fault or planned change.
@@ -190,6 +202,7 @@
     events.extend(generate_outage(seed, size));
     events.extend(generate_rate_limits(seed, size));
     events.extend(generate_poison(seed, size));
+    events.extend(generate_partition(seed, size));
     events.sort_by_key(|event| event.at);
     events
 }
@@ -269,6 +282,20 @@
     has_poison.then_some(event)
 }
 
+/// Generates the partition of a run, if it has one. Some VMs keep their paths.
+fn generate_partition(seed: u64, size: &Size) -> Option<Event> {
+    let mut rng = fastrand::Rng::with_seed(seed ^ PARTITION_SEED);
+    let has_partition = rng.f64() < PARTITION_SHARE;
+    let count = rng.usize(1..size.vms.max(2));
+    let cut = Cut::ALL[rng.usize(..Cut::ALL.len())];
+    let event = Event {
+        at: WARM_UP_TIME + size.time.mul_f64(rng.f64() / 2.0),
+        duration: PARTITION_MIN + (PARTITION_MAX - PARTITION_MIN).mul_f64(rng.f64()),
+        action: Action::CutPaths(rng.usize(..size.vms), count, cut),
+    };
+    (has_partition && size.vms > 1).then_some(event)
+}
+
 fn draw_action(rng: &mut fastrand::Rng, size: &Size) -> Action {
     let vm = rng.usize(..size.vms);
     let location = rng.usize(..size.locations());
--- a/crates/soak/src/verify.rs
+++ b/crates/soak/src/verify.rs
@@ -8,6 +8,7 @@
 
 use crate::record::Arrival;
 use crate::record::CallId;
+use crate::record::Fault;
 use crate::record::FaultTarget;
 use crate::record::InstanceIndex;
 use crate::record::NoticeSent;
@@ -73,6 +74,11 @@
 /// The time after a VM has passed on a response with a rate limit from which on the VM
 /// counts as told.
 const RATE_LIMIT_DELAY: Duration = Duration::from_millis(500);
+/// The time after the start of a partition from which on it is checked.
+const PARTITION_SETTLE: Duration = Duration::from_secs(2);
+/// The number of requests that may fail at VMs in a partition whatever the others serve,
+/// beside one of 50 of all requests.
+const PARTITION_FAILURES_MAX: usize = 10;
 /// The number of servers that a request may end before it counts as one that makes them
 /// crash.
 const POISON_CRASHES: usize = 3;
@@ -110,6 +116,17 @@
     }
 }
 
+/// How many requests were served, of how many.
+#[derive(Clone, Copy, Debug, Default)]
+struct ServedCount {
+    served: usize,
+    total: usize,
+}
+
+fn is_served(end: &RequestEnd) -> bool {
+    matches!(end, RequestEnd::Response { status: 200, .. })
+}
+
 /// A record with an index of its arrivals, and the findings so far.
 struct Checker<'a> {
     record: &'a Record,
@@ -136,6 +153,7 @@
     checker.check_cold_rate();
     checker.check_second_attempts();
     checker.check_poison();
+    checker.check_partitions();
     checker.check_abandoned();
     checker.check_cut_requests();
     checker.check_stops();
@@ -700,6 +718,46 @@
         }
     }
 
+    /// Checks that callers of VMs that reach no server are served about as often as those
+    /// of the others.
+    fn check_partitions(&mut self) {
+        let record = self.record;
+        let is_cut = |fault: &&Fault| matches!(fault.target, FaultTarget::Path(_));
+        let Some(span) = record.faults.iter().find(is_cut).map(|fault| fault.span) else {
+            return;
+        };
+        let (mut partitioned, mut others) = (ServedCount::default(), ServedCount::default());
+        for request in &record.requests {
+            let Some((at, end)) = &request.end else {
+                continue;
+            };
+            let counts = request.at >= span.from + PARTITION_SETTLE
+                && *at <= span.to
+                && request.poison.is_none()
+                && *end != RequestEnd::Abandoned
+                && self.is_undisturbed(request.vm, request.at, *at);
+            if counts {
+                let path = FaultTarget::Path(request.vm);
+                let count = if self.overlaps_fault(&path, span.from, span.to) {
+                    &mut partitioned
+                } else {
+                    &mut others
+                };
+                count.total += 1;
+                count.served += usize::from(is_served(end));
+            }
+        }
+        let failed = partitioned.total - partitioned.served;
+        let unequal = partitioned.served * others.total * 3 < others.served * partitioned.total * 2;
+        if unequal && failed > PARTITION_FAILURES_MAX + (partitioned.total + others.total) / 50 {
+            let text = format!(
+                "VMs that reached no server served {} of {} requests, the others {} of {}",
+                partitioned.served, partitioned.total, others.served, others.total
+            );
+            self.report("VMs without a path", span.to, None, text);
+        }
+    }
+
     /// Checks that no attempts are sent for requests that their callers abandoned.
     fn check_abandoned(&mut self) {
         let mut late = Vec::new();
@@ -825,7 +883,6 @@
         let counted = ended
             .iter()
             .filter(|(_, end)| *end != RequestEnd::Abandoned);
-        let is_served = |end: &RequestEnd| matches!(end, RequestEnd::Response { status: 200, .. });
         let served = counted.clone().filter(|(_, end)| is_served(end)).count();
         let all = counted.count();
         if all > 0 && (served as f64) < SERVED_SHARE_MIN * all as f64 {
--- a/crates/soak/src/vm.rs
+++ b/crates/soak/src/vm.rs
@@ -12,6 +12,7 @@
 
 use anyhow::Context;
 use base::Time;
+use net::cut::Cut;
 use rustix::process::kill_process;
 use rustix::process::Pid;
 use rustix::process::Signal;
@@ -80,6 +81,8 @@
     index: VmIndex,
     program: PathBuf,
     settings: PathBuf,
+    /// Names how the VM's connections to servers are cut.
+    cut_file: PathBuf,
     logs: PathBuf,
     recorder: Recorder,
     child: Option<Child>,
@@ -101,6 +104,7 @@
         let store_link = Link::open(store_endpoint.address).await?;
         let seeds = (0..fleet.count.min(SEED_VMS)).map(|seed| self::vm_ip(fleet.subnet, seed));
         let seeds = seeds.map(|ip| SocketAddr::from((ip, PEER_PORT)));
+        let cut_file = fleet.directory.join(format!("vm-{at}.cut"));
         let settings = json!({
             "vm": format!("vm-{at}"), "domain": domain, "region": "r",
             "callers": { "listen": [SocketAddr::from((ip, CALLER_PORT))], "half_close": false },
@@ -116,7 +120,8 @@
             "platform": { "address": store_link.address(), "interface": "registry" },
             "second_attempts": { "share": SECOND_ATTEMPT_SHARE, "slack": SECOND_ATTEMPT_SLACK },
             "threads": 1, "notice": "800ms", "drain": "3500ms", "forget": "30s",
-            "logs": { "level": "info", "json": true }, "traces": { "share": 0.0 }
+            "logs": { "level": "info", "json": true }, "traces": { "share": 0.0 },
+            "faults": { "cut": cut_file }
         });
         let path = fleet.directory.join(format!("vm-{at}.json"));
         std::fs::write(&path, settings.to_string())?;
@@ -128,6 +133,7 @@
             index: at,
             program: fleet.program.into(),
             settings: path,
+            cut_file,
             logs: fleet.directory.join(format!("vm-{at}.log")),
             recorder: fleet.recorder.clone(),
             child: None,
@@ -158,6 +164,13 @@
         Ok(())
     }
 
+    /// Sets how the VM's connections to servers are cut.
+    pub fn cut_path(&self, cut: Cut) {
+        if let Err(error) = std::fs::write(&self.cut_file, cut.name()) {
+            eprintln!("cannot write {}: {error}", self.cut_file.display());
+        }
+    }
+
     /// Sends a signal to the process if there is one.
     pub fn signal(&mut self, signal: Signal) {
         if signal == Signal::TERM {
--- a/crates/soak/tests/verify.rs
+++ b/crates/soak/tests/verify.rs
@@ -517,3 +517,39 @@
     add_poison(&mut broken, 8, 4);
     assert_finds(&broken, "requests that crash servers");
 }
+
+/// Adds a partition of the VM 1 from 10 s to 20 s, in which 120 requests are sent to each
+/// of two VMs. `served` of those at VM 1 are served, and all of the others.
+fn add_partition(record: &mut Record, served: usize) {
+    let process = record.processes[0];
+    record.processes.push(Process { vm: 1, ..process });
+    record.faults.push(Fault {
+        span: Span {
+            from: ms(10_000),
+            to: ms(20_000),
+        },
+        target: FaultTarget::Path(1),
+        name: "refused",
+    });
+    for n in 0..120 {
+        let at = 12_500 + 50 * n as u64;
+        add_served_request(record, at, "read", 0);
+        if n < served {
+            let call = add_served_request(record, at, "read", 0);
+            record.requests[call as usize].vm = 1;
+        } else {
+            let call = add_request(record, at, "read", refused());
+            record.requests[call as usize].vm = 1;
+        }
+    }
+}
+
+#[test]
+fn verify_partitioned_vm_serves_less_than_the_others() {
+    let mut sound = record();
+    add_partition(&mut sound, 80);
+    assert_sound(&sound);
+    let mut broken = record();
+    add_partition(&mut broken, 79);
+    assert_finds(&broken, "VMs without a path");
+}
