Number the claims of keys from a random start

Since boot ids became the time at which a state was created, the ids of claims did too: a VM whose clock was set back before a restart could have given a claim the id of an earlier one, and the owners would have granted the key again as a repeat. They are now numbered from a random 64-bit start, and only the states of shards have instances.

--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -33,7 +33,6 @@
 use obs::Metrics;
 use obs::Spans;
 use plat::Store;
-use route::instance;
 use smol::net::TcpListener;
 use smol::Task;
 use wire::transport::Udp;
@@ -138,7 +137,6 @@
         let shared = Arc::new(Shared::new(Parts {
             clock: Clock::new(),
             members: new_membership(&settings),
-            instance: instance::at(SystemTime::now()),
             handle,
             store,
             registry: options.registry,
--- a/crates/node/src/ports.rs
+++ b/crates/node/src/ports.rs
@@ -308,8 +308,7 @@
 
     fn claim(&self, key: KeyHash) -> BoxFuture<'_, (ClaimDecision, KeyClaim)> {
         Box::pin(async move {
-            let count = self.next_claim.fetch_add(1, Ordering::Relaxed);
-            let call = (u64::from(self.instance) << 32) | (count & u64::from(u32::MAX));
+            let call = self.next_claim.fetch_add(1, Ordering::Relaxed);
             let claim = KeyClaim { key, call };
             let owners = keys::owners(key, &self.view().vms);
             let replies = self.claim_at_owners(&owners, claim).await;
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -43,7 +43,6 @@
 use plat::Store;
 use route::crashes::CrashTable;
 use route::instance;
-use route::instance::InstanceId;
 use route::keys::ClaimTable;
 use route::msg::Body;
 use route::notices::Notices;
@@ -136,8 +135,6 @@
     pub(crate) claims: PendingClaims,
     /// When the configuration in force was put in force.
     pub(crate) in_force_since: RwLock<Time>,
-    /// The instance of a state that was created at the start of the process.
-    pub(crate) instance: InstanceId,
     /// When `view` is replaced.
     view_schedule: Mutex<ViewSchedule>,
     /// The configuration in force.
@@ -197,8 +194,6 @@
     pub spans: Arc<Spans>,
     /// The membership, which so far knows this VM and its seeds only.
     pub members: Membership,
-    /// The instance of a state that was created at the start of the process.
-    pub instance: InstanceId,
     /// Receives the addresses of peers that have newer configuration.
     pub fetch_requests: async_channel::Sender<SocketAddr>,
     /// Receives the ids of servers that closed an idle connection soon after its
@@ -259,7 +254,6 @@
             fetch_requests: parts.fetch_requests,
             claims: PendingClaims::default(),
             in_force_since: RwLock::new(now),
-            instance: parts.instance,
             view_schedule: Mutex::default(),
             state: RwLock::default(),
             table: RwLock::default(),
@@ -270,7 +264,8 @@
             refresh_lock: Mutex::new(()),
             remembered_keys: Mutex::new(remembered_keys),
             last_active_ms: AtomicU64::new(now.as_millis() as u64),
-            next_claim: AtomicU64::new(1),
+            // The ids of an earlier process of this VM must not come again.
+            next_claim: AtomicU64::new(fastrand::u64(..)),
             weak_self: OnceLock::new(),
             waiting_calls: AtomicUsize::new(0),
             permit_requested: Event::new(),
@@ -477,8 +472,7 @@
             Policy::TwoChoices => Some(Box::<policy::TwoChoices>::default()),
             Policy::ProbePool => Some(Box::<policy::ProbePool>::default()),
         };
-        let seed = self.self_id ^ u64::from(self.instance);
-        let local = picker.map(|picker| LocalPolicy::new(picker, seed));
+        let local = picker.map(|picker| LocalPolicy::new(picker, fastrand::u64(..)));
         let instance = instance::at(SystemTime::now());
         ShardState::new(self.self_id, instance, spec, local)
     }
