--- a/crates/conf/src/catalog.rs
+++ b/crates/conf/src/catalog.rs
@@ -92,10 +92,10 @@
     pub doubt: Option<Doubt>,
 }
 
-/// An entry that the registry has after it was restored from a copy, and that may date
-/// from before the departure of its server, or from after a lapse of the entry.
+/// An entry that a restored registry has for a server that was taken for gone.
 ///
-/// A later announcement shows that the server is alive.
+/// Either the server left after the copy was made, or its entry had only lapsed and the
+/// server is alive. A later announcement shows the latter.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Doubt {
     /// The revision of the entry.
@@ -469,8 +469,8 @@
     /// It is out of date if it belongs to an earlier start of the server. It also may be
     /// if the server has left or drains, and the entry comes from a copy from which the
     /// registry was restored: its counter is then below that of the departure, and not
-    /// above `listed`. But if its entry lapsed rather than that the server left, the
-    /// server goes on announcing itself.
+    /// above `listed`. A server whose entry had only lapsed goes on announcing itself, so
+    /// such an entry is in doubt until the next announcement.
     fn judge(
         &mut self,
         next: &Instance,
@@ -495,15 +495,15 @@
             self.doubt = None;
             return Judgment::Current;
         }
-        let doubt = *self.doubt.get_or_insert(Doubt {
+        let known = self
+            .doubt
+            .filter(|doubt| revisions::era(doubt.revision) == era);
+        let doubt = known.unwrap_or(Doubt {
             revision,
             announced: next.announced,
             since: now,
         });
-        if revisions::era(doubt.revision) != era {
-            self.doubt = None;
-            return self.judge(next, revision, listed, now);
-        }
+        self.doubt = Some(doubt);
         if revision > doubt.revision || next.announced > doubt.announced {
             self.doubt = None;
             Judgment::Current
