Count each reported grant for a cold server once

Found by reading: a follower reports its recent grants with every acknowledgement, and a new home may ask for several, so it counted grants twice and held a cold server back for up to a second too long. Permits that followers still hold were counted again too. A grant is now counted once for each attempt, whoever reports it.

--- a/crates/route/src/cold_rate.rs
+++ b/crates/route/src/cold_rate.rs
@@ -11,6 +11,8 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::msg::AttemptId;
+
 /// The window in which grants count towards the call rate of a cold server. It is longer
 /// than the second that the rate is defined for, because the time from grant to arrival
 /// at the server varies.
@@ -19,6 +21,8 @@
 /// A grant for a server that may be cold.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ColdGrant {
+    /// The attempt that it was made for, as a grant may be reported several times.
+    pub call: AttemptId,
     /// The server.
     pub server: ServerId,
     /// How long ago the follower received the grant.
@@ -30,14 +34,25 @@
 #[derive(Clone, Debug, Default)]
 pub(crate) struct ColdGrants {
     /// Sorted by time.
-    received: Vec<(ServerId, Time)>,
+    received: Vec<ReceivedGrant>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct ReceivedGrant {
+    call: AttemptId,
+    server: ServerId,
+    at: Time,
 }
 
 impl ColdGrants {
     /// Records a grant that was received at `now`.
-    pub(crate) fn record(&mut self, server: ServerId, now: Time) {
-        self.received.retain(|(_, at)| now < *at + RATE_WINDOW);
-        self.received.push((server, now));
+    pub(crate) fn record(&mut self, call: AttemptId, server: ServerId, now: Time) {
+        self.received.retain(|grant| now < grant.at + RATE_WINDOW);
+        self.received.push(ReceivedGrant {
+            call,
+            server,
+            at: now,
+        });
     }
 
     /// Returns the grants as they are reported to a home.
@@ -45,10 +60,11 @@
         let recent = self
             .received
             .iter()
-            .filter(|(_, at)| now < *at + RATE_WINDOW);
-        let report = recent.map(|(server, at)| ColdGrant {
-            server: *server,
-            age: now.saturating_sub(*at),
+            .filter(|grant| now < grant.at + RATE_WINDOW);
+        let report = recent.map(|grant| ColdGrant {
+            call: grant.call,
+            server: grant.server,
+            age: now.saturating_sub(grant.at),
         });
         report.collect()
     }
--- a/crates/route/src/follower/mod.rs
+++ b/crates/route/src/follower/mod.rs
@@ -427,7 +427,7 @@
                 self.attempts[index].stage = Stage::Held(server);
                 self.events.push(Event::Granted { call, server });
                 if self.may_be_cold(server) {
-                    self.cold_grants.record(server, now);
+                    self.cold_grants.record(call, server, now);
                 }
             }
             Stage::Held(held) if held != server => self.next_refresh = Time::ZERO,
--- a/crates/route/src/ledger/grants.rs
+++ b/crates/route/src/ledger/grants.rs
@@ -79,7 +79,8 @@
             self.summaries_changed |= self.servers[index].forget_stale(&self.spec, now);
             self.servers[index].busy += 1;
             self.servers[index].last_grant = now;
-            self.servers[index].record_grant(now);
+            self.servers[index].record_grant((vm, call), now);
+            self.servers[index].spend_rate(now);
             self.servers[index].record_connection(vm, now);
         }
     }
--- a/crates/route/src/ledger/mod.rs
+++ b/crates/route/src/ledger/mod.rs
@@ -409,7 +409,7 @@
             }
             Body::ColdGrants { epoch, grants } => {
                 if self.is_current(from, epoch) {
-                    self.count_cold_grants(&grants, now);
+                    self.count_cold_grants(from, &grants, now);
                 }
             }
             Body::Lead { .. }
--- a/crates/route/src/ledger/servers.rs
+++ b/crates/route/src/ledger/servers.rs
@@ -16,6 +16,7 @@
 use crate::cold_rate::ColdGrant;
 use crate::cold_rate::RATE_WINDOW;
 use crate::limit::Limit;
+use crate::msg::AttemptId;
 use crate::msg::Body;
 use crate::msg::Load;
 use crate::msg::ProbeResult;
@@ -43,6 +44,13 @@
 /// The shortest time between two snapshots to a follower when nothing changes.
 const SNAPSHOT_PERIOD_MIN: Duration = Duration::from_secs(1);
 
+/// A grant that counts towards the call rate of a cold server.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct RecentGrant {
+    attempt: (VmId, AttemptId),
+    at: Time,
+}
+
 /// The origin of the ledger's state of a server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Source {
@@ -79,8 +87,8 @@
     pub(super) load: Option<Load>,
     /// What the server announces about its start.
     pub(super) announced: Announcement,
-    /// The times of the grants within the last [`RATE_WINDOW`].
-    pub(super) recent_grants: Vec<Time>,
+    /// The grants within the last [`RATE_WINDOW`], those of the previous home included.
+    pub(super) recent_grants: Vec<RecentGrant>,
     /// The rate limit that the server names; none if it names none.
     pub(super) rate_limit: Option<RateLimit>,
     /// The last reported slowdown of the server's host, with the time of the
@@ -222,16 +230,12 @@
         }
     }
 
-    /// Counts grants of the previous home that a follower reports. Those that are
-    /// reported after the epoch is complete may be this home's own.
-    pub(super) fn count_cold_grants(&mut self, grants: &[ColdGrant], now: Time) {
-        if self.complete {
-            return;
-        }
+    /// Counts grants that a follower reports, which the previous home made.
+    pub(super) fn count_cold_grants(&mut self, from: VmId, grants: &[ColdGrant], now: Time) {
         for grant in grants {
             if let Some(index) = self.find(grant.server) {
                 let granted = now.saturating_sub(grant.age);
-                self.servers[index].recent_grants.push(granted);
+                self.servers[index].record_grant((from, grant.call), granted);
             }
         }
     }
@@ -436,11 +440,20 @@
         self.limit.suspect_restart(now);
     }
 
-    /// Records a grant for the call rates of the server.
-    pub(super) fn record_grant(&mut self, now: Time) {
+    /// Records a grant at `granted` for the call rate of a cold server, once for each
+    /// `attempt`.
+    pub(super) fn record_grant(&mut self, attempt: (VmId, AttemptId), granted: Time) {
         self.recent_grants
-            .retain(|granted| now < *granted + RATE_WINDOW);
-        self.recent_grants.push(now);
+            .retain(|grant| granted < grant.at + RATE_WINDOW);
+        let counted = self.recent_grants.iter().any(|g| g.attempt == attempt);
+        if !counted {
+            let at = granted;
+            self.recent_grants.push(RecentGrant { attempt, at });
+        }
+    }
+
+    /// Counts a grant at `now` towards the rate that the server names.
+    pub(super) fn spend_rate(&mut self, now: Time) {
         if let Some(limit) = &mut self.rate_limit {
             limit.spend(now);
         }
@@ -471,7 +484,7 @@
         let recent = self
             .recent_grants
             .iter()
-            .filter(|granted| now < **granted + RATE_WINDOW);
+            .filter(|grant| now < grant.at + RATE_WINDOW);
         spec.cold_rate > 0.0 && recent.count() as f64 >= spec.cold_rate.floor().max(1.0)
     }
 
