--- a/crates/conf/src/catalog.rs
+++ b/crates/conf/src/catalog.rs
@@ -215,6 +215,12 @@
         self.servers.iter().any(|entry| entry.doubt.is_some())
     }
 
+    /// Returns whether the entry of the server `name` is in doubt.
+    pub fn is_doubtful(&self, name: &str) -> bool {
+        let found = self.servers.binary_search_by(|e| e.name.as_str().cmp(name));
+        found.is_ok_and(|index| self.servers[index].doubt.is_some())
+    }
+
     /// Records that a VM has listed the registry at `revision`. What is written later in
     /// the era does not come from the copy with which the era began.
     pub fn note_list(&mut self, revision: Revision) {
--- a/crates/node/src/registry.rs
+++ b/crates/node/src/registry.rs
@@ -520,7 +520,15 @@
                 catalog.set_layout(revision, Arc::from(layout))
             }
             (Topic::Servers, Some(EntryValue::Server(instance))) => {
-                catalog.set_server(&name, revision, Some(instance), now)
+                let was_doubtful = catalog.is_doubtful(&name);
+                let changed = catalog.set_server(&name, revision, Some(instance), now);
+                if !was_doubtful && catalog.is_doubtful(&name) {
+                    log::info!(
+                        "registry: server {name} of the restored copy may have left; waiting for \
+                         its next announcement"
+                    );
+                }
+                changed
             }
             (Topic::Servers, None) => catalog.set_server(&name, revision, None, now),
             (Topic::DomainsOut, value) => {
