Offer returned servers only after the held removals have been applied

The names of returned servers are kept, and offered once the time for returns is over and no removal is held. server_deleted_in_an_outage_has_time_to_return passes.

--- a/crates/node/src/registry.rs
+++ b/crates/node/src/registry.rs
@@ -86,6 +86,8 @@
     /// The number of failures since the last success.
     failures: u32,
     held_removals: Vec<HeldRemoval>,
+    /// The servers that were listed or written since an outage ended.
+    returned: Vec<String>,
 }
 
 impl Shared {
@@ -159,9 +161,11 @@
             listed_at: Time::ZERO,
             failures: 0,
             held_removals: Vec::new(),
+            returned: Vec::new(),
         };
         loop {
             self.apply_due_removals(&mut reader);
+            self.note_returns(&mut reader);
             let must_wait = reader.topic != Topic::Servers
                 && reader.failures >= TOPIC_FAILURES_MAX
                 && self.is_registry_down();
@@ -442,20 +446,14 @@
                 });
                 continue;
             }
-            let mut was_held = false;
             if !is_removal {
                 // The entry has come back, or an order has been revoked.
-                let count = reader.held_removals.len();
                 reader.held_removals.retain(|held| held.name != item.name);
-                was_held = reader.held_removals.len() < count;
+                if after_outage && reader.topic == Topic::Servers {
+                    reader.returned.push(item.name.clone());
+                }
             }
-            let is_server = !is_removal && reader.topic == Topic::Servers;
-            let returned = (is_server && (after_outage || was_held)).then(|| item.name.clone());
             changed += usize::from(self.apply_item(reader.topic, item, now, level));
-            if let Some(name) = returned {
-                // A peer may have applied a removal that this VM held back or never saw.
-                changed += usize::from(lock(&self.catalog).note_return(&name));
-            }
         }
         if changed > 0 {
             self.put_in_force();
@@ -496,6 +494,26 @@
         }
     }
 
+    /// Offers peers the servers that have returned since an outage, as one may have
+    /// applied a removal that this VM held back or never saw.
+    ///
+    /// Held removals come first: they need a later revision than any in the catalog.
+    fn note_returns(&self, reader: &mut TopicReader) {
+        let failed = Duration::from_millis(self.registry_failed_ms.load(Ordering::Relaxed));
+        let is_over = self.clock.now() >= failed + REMOVAL_DELAY;
+        if reader.returned.is_empty() || !reader.held_removals.is_empty() || !is_over {
+            return;
+        }
+        let returned = std::mem::take(&mut reader.returned);
+        let mut catalog = lock(&self.catalog);
+        let raised = returned.iter().filter(|name| catalog.note_return(name));
+        let changed = raised.count() > 0;
+        drop(catalog);
+        if changed {
+            self.put_in_force();
+        }
+    }
+
     /// Applies an entry to the catalog; returns whether it changed the catalog, and
     /// logs the change at `level`.
     fn apply_item(&self, topic: Topic, item: RegistryEntry, now: Time, level: log::Level) -> bool {
