--- a/crates/load/tests/partition.rs
+++ b/crates/load/tests/partition.rs
@@ -2,7 +2,9 @@
 
 mod harness;
 
+use std::io::Write;
 use std::net::SocketAddr;
+use std::net::TcpStream;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -18,9 +20,17 @@
 const SETTLE_TIME: Duration = Duration::from_secs(3);
 const CALLS: usize = 60;
 
+/// Responds as [`respond_whole`] does, and says to a call of `/leave` that the server leaves.
+fn respond_leaving(stream: &mut TcpStream, head: &str) {
+    if !head.contains("/leave") {
+        return respond_whole(stream, head);
+    }
+    let response = "HTTP/1.1 200 OK\r\nsnipepaddle-leaving: 1\r\ncontent-length: 5\r\n\r\nwhole";
+    let _ = stream.write_all(response.as_bytes());
+}
+
 /// Starts two VMs; the second one opens connections by `connector`.
-fn start(connector: &Arc<CutConnector>) -> Harness {
-    let servers: Vec<Scripted> = (0..SERVERS).map(|_| Scripted::new(respond_whole)).collect();
+fn start(connector: &Arc<CutConnector>, servers: &[Scripted]) -> Harness {
     let addresses: Vec<SocketAddr> = servers.iter().map(|server| server.address).collect();
     let mut harness = Harness::new(&addresses);
     let options = Options {
@@ -47,7 +57,8 @@
 
 fn check_partition(cut: Cut) {
     let connector = Arc::new(CutConnector::new());
-    let harness = start(&connector);
+    let servers: Vec<Scripted> = (0..SERVERS).map(|_| Scripted::new(respond_whole)).collect();
+    let harness = start(&connector, &servers);
     connector.set(cut);
     let callers = harness.all_callers();
     let began = std::time::Instant::now();
@@ -81,3 +92,31 @@
 fn vm_whose_new_connections_are_refused_fails_its_calls() {
     check_partition(Cut::NewRefused);
 }
+
+#[test]
+fn server_that_leaves_gets_calls_of_a_vm_that_relayed_its_response() {
+    let connector = Arc::new(CutConnector::new());
+    let servers: Vec<Scripted> = (0..2).map(|_| Scripted::new(respond_leaving)).collect();
+    let harness = start(&connector, &servers);
+    connector.set(Cut::Refused);
+    let partitioned = harness.all_callers()[1];
+    let began = std::time::Instant::now();
+    while began.elapsed() < SETTLE_TIME {
+        harness.call_at(partitioned, "GET", "/", "", "");
+        std::thread::sleep(Duration::from_millis(50));
+    }
+    let counts = || [servers[0].count(), servers[1].count()];
+    let before = counts();
+    let answer = harness.call_at(partitioned, "POST", "/leave", "", "x");
+    assert!(answer.ends_with("whole"), "{answer}");
+    let leaving = usize::from(counts()[1] > before[1]);
+    connector.set(Cut::None);
+    std::thread::sleep(Duration::from_secs(1));
+    let before = counts();
+    for n in 0..20 {
+        let answer = harness.call_at(partitioned, "POST", &format!("/{n}"), "", "x");
+        assert!(answer.ends_with("whole"), "{answer}");
+    }
+    assert!(connector.connections() > 0, "calls take a detour");
+    assert_eq!(counts()[leaving], before[leaving]);
+}
