--- a/crates/conf/src/catalog.rs
+++ b/crates/conf/src/catalog.rs
@@ -104,13 +104,13 @@
     since: Time,
 }
 
-/// What an entry read says about a server of which something is known already.
+/// Whether an entry that was read replaces what is known of its server.
 enum Judgment {
-    /// It holds.
+    /// It does.
     Current,
-    /// What is known holds, the entry is older.
+    /// It does not; the entry is older than what is known.
     Outdated,
-    /// It is not known yet which holds.
+    /// That depends on the server's next announcement.
     Doubtful,
 }
 
--- a/crates/entry/src/pool.rs
+++ b/crates/entry/src/pool.rs
@@ -148,11 +148,6 @@
 }
 
 impl Pools {
-    /// Returns where the connections are driven.
-    pub fn handle(&self) -> &Handle {
-        &self.handle
-    }
-
     /// Creates empty pools whose connections are driven on `handle`. The ids of servers
     /// that close an idle connection soon after its last use are sent to `suspects`.
     pub fn new(handle: Handle, clock: Clock, suspects: RestartSuspects) -> Self {
@@ -165,6 +160,11 @@
         }
     }
 
+    /// Returns the executor that drives the connections.
+    pub fn handle(&self) -> &Handle {
+        &self.handle
+    }
+
     /// Sets how connections are opened.
     pub fn with_connector(mut self, connector: Arc<dyn Connector>) -> Self {
         self.connector = connector;
--- a/crates/net/src/cut.rs
+++ b/crates/net/src/cut.rs
@@ -23,7 +23,7 @@
 /// What happens to the connections of a VM.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Cut {
-    /// Nothing.
+    /// Nothing is cut.
     #[default]
     None,
     /// Open connections are closed, and new ones refused.
--- a/crates/node/src/shard.rs
+++ b/crates/node/src/shard.rs
@@ -86,9 +86,9 @@
 }
 
 impl ShardState {
-    /// Makes the state of the shard that `spec` describes. `instance` tells
-    /// it from the earlier states of the shard at this VM. With `local`, that baseline policy chooses the servers instead of
-    /// the home.
+    /// Makes the state of the shard that `spec` describes. `instance` tells it from the
+    /// earlier states of the shard at this VM. With `local`, that baseline policy chooses
+    /// the servers instead of the home.
     pub fn new(
         self_id: VmId,
         instance: InstanceId,
--- a/crates/route/src/epoch.rs
+++ b/crates/route/src/epoch.rs
@@ -12,9 +12,8 @@
 
 /// A VM as home of one shard, for as long as it keeps the state of that shard.
 ///
-/// A VM that has lost its state does not know its last epoch. The instance keeps
-/// its next epoch distinct, so messages of the lost one are not taken for messages
-/// of the next.
+/// A VM that has lost its state does not know its last epoch. The instance keeps its
+/// next epoch distinct from that one, whose messages may still arrive.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct HomeId {
     /// The VM.
--- a/crates/route/src/ledger/mod.rs
+++ b/crates/route/src/ledger/mod.rs
@@ -61,8 +61,8 @@
 /// The time after its last permit request for which the state of a follower is
 /// kept.
 const FOLLOWER_RETENTION: Duration = Duration::from_secs(30);
-/// The time after which the last report of a follower keeps no report of an older
-/// instance from being accepted. Bounds what a clock that was set back can do.
+/// The time after a report of a follower for which reports of its older instances are
+/// ignored. It is bounded since the follower's clock may have been set back.
 const REPORT_RETENTION: Duration = Duration::from_secs(5);
 /// The time after the deadline of its call for which a permit is kept if no
 /// release arrives.
--- a/crates/route/src/ledger/servers.rs
+++ b/crates/route/src/ledger/servers.rs
@@ -230,7 +230,7 @@
         }
     }
 
-    /// Counts grants that a follower reports, which the previous home made.
+    /// Counts the grants of the previous home that a follower reports.
     pub(super) fn count_cold_grants(&mut self, from: VmId, grants: &[ColdGrant], now: Time) {
         for grant in grants {
             if let Some(index) = self.find(grant.server) {
--- a/crates/soak/src/server.rs
+++ b/crates/soak/src/server.rs
@@ -503,7 +503,11 @@
         let cold = if cold.is_zero() {
             String::new()
         } else {
-            format!("{}: {:.3}\r\n", fields::COLD_LEFT_SECS, cold.as_secs_f64())
+            format!(
+                "{}: {:.3}\r\n",
+                fields::REMAINING_COLD_SECS,
+                cold.as_secs_f64()
+            )
         };
         (self.response_head(status, 0) + &cold + "\r\n").into_bytes()
     }
