--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -2,4 +2,4 @@
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/release/snipepaddled ] && [ -x target/review/cases ] || exit 2
-exec target/review/cases crashing-request review/3
+exec target/review/cases watches-cut review/3
--- a/review/stand/cases.rs
+++ b/review/stand/cases.rs
@@ -261,7 +261,7 @@
     outcomes.iter().filter(is_lost).count()
 }
 
-/// One upstream sends interim heads without end in place of one answer.
+/// One upstream sends interim heads without end in place of its answers.
 fn interim_heads(trouble: bool) -> Option<Verdict> {
     const TIMEOUT_S: f64 = 2.0;
     let d = Deployment::start(120, TIMEOUT_S)?;
@@ -270,7 +270,7 @@
     sleep(3.0);
     let began = now();
     if trouble {
-        *d.servers[1].mode.lock().unwrap() = Mode::InterimOnce;
+        *d.servers[1].mode.lock().unwrap() = Mode::Interim;
     }
     sleep(20.0);
     for vm in &d.vms {
@@ -485,8 +485,11 @@
     outcomes
 }
 
-/// The store cuts off watches that wait, and right after that an upstream's entry goes.
+/// The store cuts off watches that wait, and right after that an upstream's entry goes, whose
+/// successor has just started.
 fn watches_cut(trouble: bool) -> Option<Verdict> {
+    /// The upstream serves on for four times `drain_s` before the last requests are sent.
+    const SERVES_ON_S: f64 = 4.0 * DRAIN_S;
     let d = Deployment::start(600, 4.0)?;
     let mut outcomes = batch(&d.vms, 12, "POST", "/hold/", 4000);
     sleep(4.0);
@@ -501,12 +504,23 @@
         "server {}: leaves, the entry is gone, accepted at {left:.3}",
         leaver.id
     ));
+    sleep(0.5);
+    let work = Duration::from_millis(600);
+    let _next = Server::start(
+        &d.store,
+        &d.log,
+        "i-16",
+        "reserve",
+        &leaver.zone,
+        SLOTS,
+        work,
+    );
     let ending = leaver.clone();
     std::thread::spawn(move || {
-        sleep_until(left + DRAIN_S + 0.5);
+        sleep_until(left + SERVES_ON_S + 0.4);
         ending.end();
     });
-    sleep_until(left + DRAIN_S + 0.05);
+    sleep_until(left + SERVES_ON_S);
     let sent = batch(&d.vms, UPSTREAMS * SLOTS, "POST", "/hold/", 4000);
     let late = report_late(&d.log, &sent, &leaver.id, left);
     outcomes.extend(sent);
@@ -576,6 +590,7 @@
             }
         }
     });
+    // With another path, the requests of others do not count as the same request.
     let path = if std::env::var("OTHER_PATH").is_ok() {
         "/hold/tomorrow"
     } else {
--- a/review/stand/server.rs
+++ b/review/stand/server.rs
@@ -60,8 +60,8 @@
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Mode {
     Normal,
-    /// Answers the next request with interim heads without end, until the caller closes.
-    InterimOnce,
+    /// Answers with interim heads without end, until the caller closes.
+    Interim,
     /// Runs requests, and answers that it failed, with status 503, to 9 in 20 of them.
     Fails503,
     /// Answers with bodies of this many bytes, and breaks off each `every`-th answer midway;
@@ -333,7 +333,7 @@
         }
         let mode = *self.mode.lock().unwrap();
         let until = match mode {
-            Mode::InterimOnce => Instant::now(),
+            Mode::Interim => Instant::now(),
             _ => Instant::now() + self.work,
         };
         let done = self.work_until(stream, until);
@@ -347,8 +347,7 @@
             return false;
         }
         self.log.0.lock().unwrap()[index].ended = Some(now());
-        if mode == Mode::InterimOnce {
-            *self.mode.lock().unwrap() = Mode::Normal;
+        if mode == Mode::Interim {
             record(&format!(
                 "server {}: interim heads without end to {id}",
                 self.id
