--- a/review/stand/cases.rs
+++ b/review/cases.rs
@@ -33,7 +33,6 @@
         "unreadable-entry" => unreadable_entry,
         "pipelined-behind-cut" => pipelined_behind_cut,
         "watches-cut" => watches_cut,
-        "false-refusal" => false_refusal,
         "crashing-request" => crashing_request,
         _ => panic!("no case {name}"),
     };
@@ -535,30 +534,6 @@
     Some(verdict(late > 0))
 }
 
-/// An upstream runs requests and answers that it failed, with status 503.
-fn false_refusal(trouble: bool) -> Option<Verdict> {
-    let d = Deployment::start(120, 2.0)?;
-    let writes = Load::start(&d.vms, "POST", "/hold/", 12, 0.1, 2000);
-    sleep(1.0);
-    if trouble {
-        *d.servers[UPSTREAMS].mode.lock().unwrap() = Mode::Fails503;
-    }
-    sleep(6.0);
-    *d.servers[UPSTREAMS].mode.lock().unwrap() = Mode::Normal;
-    let outcomes = writes.stop();
-    summary("requests", &outcomes);
-    let log = d.log.all();
-    let is_false = |o: &&Outcome| {
-        let refused = matches!(o.status, Some(408 | 421 | 429 | 503));
-        refused && log.iter().any(|arrival| arrival.id == o.id && arrival.ran)
-    };
-    let count = outcomes.iter().filter(is_false).count();
-    say(&format!(
-        "{count} requests that had run were answered with a promise that they had not"
-    ));
-    Some(verdict(count > 0))
-}
-
 /// A request of one caller crashes each upstream that begins to run it, and comes again;
 /// other callers send requests with the same path, which do no harm.
 fn crashing_request(trouble: bool) -> Option<Verdict> {
--- a/review/stand/main.rs
+++ b/review/main.rs
@@ -81,7 +81,7 @@
     now();
     let name = std::env::args().nth(1).expect("the number of the case");
     let folder = PathBuf::from(std::env::args().nth(2).expect("the folder of the case"));
-    let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
+    let trouble = std::env::args().nth(3).as_deref() != Some("0");
     let file = File::create(folder.join("record.txt")).expect("record.txt can be written");
     let _ = RECORD.set(Mutex::new(file));
     say(&format!("case {name}, trouble: {trouble}"));
--- a/review/stand/server.rs
+++ b/review/server.rs
@@ -62,8 +62,6 @@
     Normal,
     /// Answers with interim heads without end, until the caller closes.
     Interim,
-    /// Runs requests, and answers that it failed, with status 503, to 9 in 20 of them.
-    Fails503,
     /// Answers with bodies of this many bytes, and breaks off each `every`-th answer midway;
     /// none if `every` is 0.
     Large {
@@ -367,16 +365,6 @@
             let number = self.answers.fetch_add(1, Ordering::SeqCst);
             breaks = every > 0 && number % every == every - 1;
         }
-        if mode == Mode::Fails503 && self.answers.fetch_add(1, Ordering::SeqCst) % 20 < 9 {
-            let out = format!(
-                "HTTP/1.1 503 Service Unavailable\r\nX-Attempt-Id: {id}\r\nX-Response-Seal: seal-{id}-{}\r\n{common}\
-                 Content-Length: {}\r\n\r\n{body}",
-                self.id,
-                body.len()
-            );
-            record(&format!("server {}: request {id} ran and failed", self.id));
-            return stream.write_all(out.as_bytes()).is_ok();
-        }
         let out = format!(
             "HTTP/1.1 200 OK\r\nX-Attempt-Id: {id}\r\nX-Response-Seal: seal-{id}-{}\r\n{common}\
              Content-Length: {}\r\n\r\n{body}",
