Log why the removal of a server is held back, and that it is overdue

Hypotheses: (1) it is held because a cut watch counts as an outage, and is never due, as failures go on; (2) it is due, but cannot be applied, as the revision that was read last is that of another server; (3) it is applied and a peer brings the server back. The logs had one line for all.

The line of a held removal now has its revision and the age of the last failure; another line says that it is due and what keeps it back.

--- a/crates/node/src/registry.rs
+++ b/crates/node/src/registry.rs
@@ -72,6 +72,8 @@
     name: String,
     revision: Revision,
     due: Time,
+    /// Whether it was logged that the removal is due and cannot be applied.
+    overdue: bool,
 }
 
 /// The state of the task that reads one topic.
@@ -90,6 +92,24 @@
     returned: Vec<String>,
 }
 
+impl TopicReader {
+    /// Logs the held removals that are due, but cannot be applied while the catalog has an
+    /// entry of the revision `newest`, which is not below the one that was read last.
+    fn log_overdue(&mut self, newest: Revision) {
+        let (read, read_at) = (self.revision.unwrap_or(0), self.read_at);
+        for held in &mut self.held_removals {
+            if read_at >= held.due && !held.overdue {
+                held.overdue = true;
+                log::warn!(
+                    revision = held.revision, read, newest;
+                    "registry: the removal of {} is due, but nothing else has changed since",
+                    held.name
+                );
+            }
+        }
+    }
+}
+
 impl Shared {
     /// Records that a peer's catalog is the same as this VM's, and so was up to date
     /// `revisions.age` milliseconds ago.
@@ -411,6 +431,7 @@
             name: removal.name.clone(),
             revision: removal.revision,
             due,
+            overdue: false,
         });
         true
     }
@@ -435,7 +456,9 @@
         for item in items {
             let is_removal = item.value.is_none() && reader.topic == Topic::Servers;
             if is_removal && after_outage {
+                let failed_ago = now.saturating_sub(failed).as_millis() as u64;
                 log::info!(
+                    revision = item.revision, failed_ago_ms = failed_ago;
                     "registry: server {} was removed around an outage; waiting for its return",
                     item.name
                 );
@@ -443,6 +466,7 @@
                     name: item.name,
                     revision: item.revision,
                     due: failed + REMOVAL_DELAY,
+                    overdue: false,
                 });
                 continue;
             }
@@ -474,7 +498,11 @@
             Topic::DomainsOut => known.outs,
             Topic::Layout | Topic::Servers | Topic::Vms => known.servers,
         };
-        if reader.held_removals.is_empty() || read <= newest {
+        if reader.held_removals.is_empty() {
+            return;
+        }
+        if read <= newest {
+            reader.log_overdue(newest);
             return;
         }
         let held = std::mem::take(&mut reader.held_removals);
