Pass a server's return on through a VM that saw no removal

An entry that a peer sends never is a mere heartbeat, so its revision is taken over. Before: the new test has [i-2] in place of [i-1, i-2]; after: passes, as do the other cases of the catalog and of restores.

--- a/crates/conf/src/catalog.rs
+++ b/crates/conf/src/catalog.rs
@@ -325,6 +325,24 @@
         raised
     }
 
+    /// Gives the server `name`, which a peer has with the same value, the peer's higher
+    /// `revision`. Others that know of a deletion in between fetch it then from this VM too.
+    /// Returns whether that raised the revision.
+    fn raise_server(&mut self, name: &str, revision: Revision) -> bool {
+        let found = self.servers.binary_search_by(|e| e.name.as_str().cmp(name));
+        let Ok(index) = found else {
+            return false;
+        };
+        let entry = &mut self.servers[index];
+        let accepted = entry.value.is_some() && entry.confirmed >= revision;
+        let raised = accepted && entry.revision < revision;
+        if raised {
+            entry.revision = revision;
+            self.changes += 1;
+        }
+        raised
+    }
+
     /// Marks the failure domain `name` as out of service or as back in, and returns
     /// whether the entry changed.
     pub fn set_domain_out(&mut self, name: &str, revision: Revision, out: bool, now: Time) -> bool {
@@ -383,6 +401,7 @@
         }
         for entry in update.servers {
             changed |= self.set_server(&entry.name, entry.revision, entry.value, now);
+            changed |= self.raise_server(&entry.name, entry.revision);
         }
         for entry in update.outs {
             let out = entry.value.is_some();
--- a/crates/conf/tests/catalog.rs
+++ b/crates/conf/tests/catalog.rs
@@ -186,6 +186,31 @@
     });
 }
 
+// Guards against returns that are lost at a VM that never saw the deletion.
+#[test]
+fn merge_return_reaches_a_peer_through_a_vm_that_saw_no_removal() {
+    let announce = |catalog: &mut Catalog, name: &str, revision| {
+        catalog.set_server(name, revision, Some(instance(1)), Time::ZERO);
+    };
+    let (mut reader, mut relay, mut peer) = (Catalog::new(), Catalog::new(), Catalog::new());
+    for catalog in [&mut reader, &mut relay, &mut peer] {
+        announce(catalog, "i-1", 1);
+    }
+    peer.set_server("i-1", 2, None, Time::ZERO);
+    announce(&mut reader, "i-1", 3);
+    reader.note_return("i-1");
+    announce(&mut reader, "i-2", 4);
+    relay.merge(
+        reader.changes_since(&relay.revisions(), Time::ZERO),
+        Time::ZERO,
+    );
+    peer.merge(
+        relay.changes_since(&peer.revisions(), Time::ZERO),
+        Time::ZERO,
+    );
+    assert_eq!(live(&peer), ["i-1", "i-2"]);
+}
+
 /// Returns the names of the servers that `catalog` has.
 fn live(catalog: &Catalog) -> Vec<String> {
     let present = catalog.servers().iter().filter(|s| s.value.is_some());
