Hold removals back in the catalog, at their own revision

A removal that was read around an outage was kept beside the catalog, and got the revision that was read last when it took effect, so that peers would fetch it. It had to wait until that was above the revision of every known server. If the last change in the store is that of a server, it never is: read and newest were both 4938 at all three VMs, the removal 4937. The same held for orders that a restored copy lacks, and for the returns that wait for held removals.

The catalog now has the removal at its own revision with the time that is left; peers fetch it and hold it back too, and each VM ends it once it knows the store as of that time. Nothing needs a later revision. The field is optional in an update, so earlier builds read it: they fetch the entry again until the removal has taken effect.

--- a/crates/conf/src/catalog.rs
+++ b/crates/conf/src/catalog.rs
@@ -90,6 +90,47 @@
     /// drains; none if there is no such entry.
     #[serde(skip)]
     pub doubt: Option<Doubt>,
+    /// A deletion that has not taken effect yet; none if there is none.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub removal: Option<HeldRemoval>,
+}
+
+/// The deletion of an entry around an outage of the registry.
+///
+/// The entry may have lapsed because of the outage, or be missing from the copy from
+/// which the registry was restored, so it has time to come back. Peers learn of the
+/// deletion at its own revision meanwhile, and hold it back too; an earlier build ignores
+/// it until it takes effect.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HeldRemoval {
+    /// The revision of the deletion.
+    pub revision: Revision,
+    /// How long after `since` the deletion takes effect.
+    wait: Duration,
+    /// When this VM learned of the deletion.
+    #[serde(skip)]
+    since: Time,
+}
+
+impl HeldRemoval {
+    /// Creates the deletion at `revision` that takes effect `wait` after `now`.
+    pub fn new(revision: Revision, wait: Duration, now: Time) -> Self {
+        Self {
+            revision,
+            wait,
+            since: now,
+        }
+    }
+
+    /// Returns when the deletion takes effect, if the entry has not come back by then.
+    pub fn due(&self) -> Time {
+        self.since + self.wait
+    }
+
+    /// Returns the deletion as a peer learns of it at `now`.
+    fn at(&self, now: Time) -> Self {
+        Self::new(self.revision, self.due().saturating_sub(now), now)
+    }
 }
 
 /// An entry that a restored registry has for a server that was taken for gone.
@@ -307,6 +348,72 @@
         changed
     }
 
+    /// Holds back the deletion `removal` of the server `name`. Returns whether the catalog
+    /// changed, as [`Self::set_server`] does.
+    pub fn hold_server(&mut self, name: &str, removal: HeldRemoval) -> bool {
+        let found = self.servers.binary_search_by(|e| e.name.as_str().cmp(name));
+        let Ok(index) = found else {
+            return false;
+        };
+        let entry = &self.servers[index];
+        if entry.value.is_none() {
+            return self.set_server(name, removal.revision, None, removal.since);
+        }
+        if removal.revision < entry.confirmed {
+            return self.note_return(name);
+        }
+        let changed = hold_entry(&mut self.servers[index], removal);
+        self.changes += u64::from(changed);
+        changed
+    }
+
+    /// Holds back the order `removal` that the failure domain `name` is in service again.
+    /// Returns whether the catalog changed.
+    pub fn hold_domain_out(&mut self, name: &str, removal: HeldRemoval) -> bool {
+        let found = self.outs.binary_search_by(|e| e.name.as_str().cmp(name));
+        let changed = found.is_ok_and(|index| hold_entry(&mut self.outs[index], removal));
+        self.changes += u64::from(changed);
+        changed
+    }
+
+    /// Returns when the next deletion of a server that is held back takes effect; none if
+    /// none is held back.
+    pub fn next_server_removal(&self) -> Option<Time> {
+        next_removal(&self.servers)
+    }
+
+    /// Returns when the next order is dropped that is missing from a restored copy; none
+    /// if there is no such order.
+    pub fn next_domain_removal(&self) -> Option<Time> {
+        next_removal(&self.outs)
+    }
+
+    /// Returns the number of deletions that are held back.
+    pub fn held_count(&self) -> usize {
+        let servers = self.servers.iter().filter(|e| e.removal.is_some()).count();
+        servers + self.outs.iter().filter(|e| e.removal.is_some()).count()
+    }
+
+    /// Deletes the servers whose deletions were held back until `known` or before, the time
+    /// up to which this VM knows the entries of servers. Returns their names and the
+    /// revisions of the deletions.
+    pub fn remove_due_servers(&mut self, known: Time, now: Time) -> Vec<(String, Revision)> {
+        let due = due_removals(&self.servers, known);
+        for (name, revision) in &due {
+            self.set_server(name, *revision, None, now);
+        }
+        due
+    }
+
+    /// Does the same for the orders that domains are out of service.
+    pub fn remove_due_domains_out(&mut self, known: Time, now: Time) -> Vec<(String, Revision)> {
+        let due = due_removals(&self.outs, known);
+        for (name, revision) in &due {
+            self.set_domain_out(name, *revision, false, now);
+        }
+        due
+    }
+
     /// Records that the server `name` was deleted and has returned, although its entry
     /// here never changed: gives the entry the revision at which it was last read, so
     /// that peers that applied the deletion fetch it. Returns whether that raised the
@@ -376,7 +483,7 @@
     /// servers have left at `now`.
     pub fn changes_since(&self, known: &RegistryRevisions, now: Time) -> Update {
         let newer = |(_, layout): &&(Revision, Arc<Layout>)| layout.ticket > known.layout;
-        let mut servers = entries_after(&self.servers, known.servers);
+        let mut servers = entries_after(&self.servers, known.servers, now);
         for entry in &mut servers {
             if let Some(instance) = &mut entry.value {
                 let age = now.saturating_sub(entry.since);
@@ -387,7 +494,7 @@
             age: None,
             layout: self.layout.as_ref().filter(newer).cloned(),
             servers,
-            outs: entries_after(&self.outs, known.outs),
+            outs: entries_after(&self.outs, known.outs, now),
             listed: self.listed,
         }
     }
@@ -402,10 +509,18 @@
         for entry in update.servers {
             changed |= self.set_server(&entry.name, entry.revision, entry.value, now);
             changed |= self.raise_server(&entry.name, entry.revision);
+            if let Some(HeldRemoval { revision, wait, .. }) = entry.removal {
+                let removal = HeldRemoval::new(revision, wait, now);
+                changed |= self.hold_server(&entry.name, removal);
+            }
         }
         for entry in update.outs {
             let out = entry.value.is_some();
             changed |= self.set_domain_out(&entry.name, entry.revision, out, now);
+            if let Some(HeldRemoval { revision, wait, .. }) = entry.removal {
+                let removal = HeldRemoval::new(revision, wait, now);
+                changed |= self.hold_domain_out(&entry.name, removal);
+            }
         }
         changed
     }
@@ -540,22 +655,60 @@
     }
 }
 
+impl<T> CatalogEntry<T> {
+    /// Returns the revision of the last change, deletions that are held back included.
+    fn newest(&self) -> Revision {
+        self.revision.max(self.removal.map_or(0, |r| r.revision))
+    }
+}
+
 /// Returns the highest revision of `entries`, 0 if there are none.
 fn newest_revision<T>(entries: &[CatalogEntry<T>]) -> Revision {
-    entries
-        .iter()
-        .map(|entry| entry.revision)
-        .max()
-        .unwrap_or(0)
+    entries.iter().map(CatalogEntry::newest).max().unwrap_or(0)
 }
 
-/// Returns the entries that changed after `revision`.
+/// Returns the entries that changed after `revision`, as a peer learns of them at `now`.
 fn entries_after<T: Clone>(
     entries: &[CatalogEntry<T>],
     revision: Revision,
+    now: Time,
 ) -> Vec<CatalogEntry<T>> {
-    let newer = entries.iter().filter(|entry| entry.revision > revision);
-    newer.cloned().collect()
+    let newer = entries.iter().filter(|entry| entry.newest() > revision);
+    let mut newer: Vec<_> = newer.cloned().collect();
+    for entry in &mut newer {
+        entry.removal = entry.removal.map(|removal| removal.at(now));
+    }
+    newer
+}
+
+/// Holds back the deletion `removal` of `entry`; returns whether that is news. The entry
+/// has no more time to come back if it is found to be missing once more.
+fn hold_entry<T>(entry: &mut CatalogEntry<T>, removal: HeldRemoval) -> bool {
+    if entry.value.is_none() || removal.revision < entry.newest() {
+        return false;
+    }
+    match &mut entry.removal {
+        Some(held) if held.revision == removal.revision => return false,
+        Some(held) => held.revision = removal.revision,
+        None => entry.removal = Some(removal),
+    }
+    true
+}
+
+fn next_removal<T>(entries: &[CatalogEntry<T>]) -> Option<Time> {
+    let removals = entries.iter().filter_map(|entry| entry.removal);
+    removals.map(|removal| removal.due()).min()
+}
+
+/// Returns the names of the entries whose deletion is due at `known`, and the revision
+/// that it has, which is not below that of the entry.
+fn due_removals<T>(entries: &[CatalogEntry<T>], known: Time) -> Vec<(String, Revision)> {
+    let held = entries
+        .iter()
+        .filter_map(|e| e.removal.map(|removal| (e, removal)));
+    let due = held.filter(|(_, removal)| removal.due() <= known);
+    due.map(|(entry, _)| (entry.name.clone(), entry.newest()))
+        .collect()
 }
 
 /// Returns the names of the entries that have a value, are not in the sorted
@@ -591,6 +744,7 @@
         confirmed: revision,
         left_born: 0,
         doubt: None,
+        removal: None,
     };
     match entries.binary_search_by(|entry| entry.name.as_str().cmp(name)) {
         Ok(index) => {
@@ -598,10 +752,23 @@
             // A deletion may have the same revision as the entry's last change.
             let deleted = revision == old.revision && old.value.is_some() && value.is_none();
             let newer = revision > old.revision || deleted;
-            if !newer || !differs(&old.value, &value) {
+            // An entry that came back may be the same as before its deletion.
+            let returned = value.is_some() && old.removal.is_some_and(|r| revision > r.revision);
+            if !newer || !(returned || differs(&old.value, &value)) {
                 return false;
             }
-            entries[index] = new_entry(value);
+            let known = old.newest();
+            let removal = old.removal.filter(|_| value.is_some() && !returned);
+            let entry = new_entry(value);
+            entries[index] = CatalogEntry {
+                // Peers that know of a later deletion fetch nothing older.
+                revision: match entry.value {
+                    None => known.max(revision),
+                    Some(_) => revision,
+                },
+                removal,
+                ..entry
+            };
             true
         }
         Err(_) if value.is_none() => false,
--- a/crates/node/src/gauges.rs
+++ b/crates/node/src/gauges.rs
@@ -39,6 +39,13 @@
         "Restores of the registry from a copy that were noticed",
         |s| s.restores.count(),
     );
+    gauge(
+        &meter,
+        &weak,
+        "held_removals",
+        "Removals of servers and orders that wait for the return of their entries",
+        |s| crate::shared::lock(&s.catalog).held_count() as u64,
+    );
     gauge(
         &meter,
         &weak,
--- a/crates/node/src/registry.rs
+++ b/crates/node/src/registry.rs
@@ -14,11 +14,13 @@
 use base::revisions::RegistryRevisions;
 use base::Revision;
 use base::Time;
+use conf::catalog::HeldRemoval;
 use conf::catalog::Update;
 use conf::registry::EntryValue;
 use conf::registry::Page;
 use conf::registry::RegistryEntry;
 use conf::registry::Topic;
+use conf::Catalog;
 use conf::Registry;
 use member::Membership;
 
@@ -65,17 +67,6 @@
 /// should register its address in the registry.
 const REGISTER_CHECK_INTERVAL: Duration = Duration::from_millis(1500);
 
-/// The removal of an entry around an outage of the registry. The entry may have lapsed
-/// because of the outage, or be missing from the copy from which the registry was
-/// restored, so the removal takes effect only if the entry has not come back by `due`.
-struct HeldRemoval {
-    name: String,
-    revision: Revision,
-    due: Time,
-    /// Whether it was logged that the removal is due and cannot be applied.
-    overdue: bool,
-}
-
 /// The state of the task that reads one topic.
 struct TopicReader {
     topic: Topic,
@@ -87,29 +78,10 @@
     listed_at: Time,
     /// The number of failures since the last success.
     failures: u32,
-    held_removals: Vec<HeldRemoval>,
     /// The servers that were listed or written since an outage ended.
     returned: Vec<String>,
 }
 
-impl TopicReader {
-    /// Logs the held removals that are due, but cannot be applied while the catalog has an
-    /// entry of the revision `newest`, which is not below the one that was read last.
-    fn log_overdue(&mut self, newest: Revision) {
-        let (read, read_at) = (self.revision.unwrap_or(0), self.read_at);
-        for held in &mut self.held_removals {
-            if read_at >= held.due && !held.overdue {
-                held.overdue = true;
-                log::warn!(
-                    revision = held.revision, read, newest;
-                    "registry: the removal of {} is due, but nothing else has changed since",
-                    held.name
-                );
-            }
-        }
-    }
-}
-
 impl Shared {
     /// Records that a peer's catalog is the same as this VM's, and so was up to date
     /// `revisions.age` milliseconds ago.
@@ -180,11 +152,10 @@
             read_at: Time::ZERO,
             listed_at: Time::ZERO,
             failures: 0,
-            held_removals: Vec::new(),
             returned: Vec::new(),
         };
         loop {
-            self.apply_due_removals(&mut reader);
+            self.apply_due_removals(topic);
             self.note_returns(&mut reader);
             let must_wait = reader.topic != Topic::Servers
                 && reader.failures >= TOPIC_FAILURES_MAX
@@ -193,11 +164,8 @@
                 smol::Timer::after(CHECK_DELAY_MIN).await;
                 continue;
             }
-            // Only a later read shows whether an entry has come back.
-            let now = self.clock.now();
-            let must_read = reader.held_removals.iter().any(|held| now >= held.due);
             self.list_if_in_doubt(&mut reader);
-            if !must_read && !self.should_read(topic) {
+            if !self.should_read(topic) {
                 if reader.topic == Topic::Servers && !self.is_confirmed() {
                     self.with_members(Membership::exchange_revisions);
                 }
@@ -321,12 +289,16 @@
     ) -> plat::Result<Page> {
         let waits = reader.failures == 0 && self.is_reader();
         let wait = if waits {
-            let since_last = self.clock.now().saturating_sub(reader.read_at);
-            let wait = watch_wait(reader.topic, since_last);
-            if reader.topic == Topic::Servers && lock(&self.catalog).has_doubts() {
-                wait.min(DOUBT_LIST_INTERVAL)
+            let now = self.clock.now();
+            let wait = watch_wait(reader.topic, now.saturating_sub(reader.read_at));
+            let catalog = lock(&self.catalog);
+            // Only a later read shows whether an entry has come back.
+            let removal = next_removal(&catalog, reader.topic);
+            let until_due = removal.map_or(wait, |due| due.saturating_sub(now));
+            if reader.topic == Topic::Servers && catalog.has_doubts() {
+                wait.min(until_due).min(DOUBT_LIST_INTERVAL)
             } else {
-                wait
+                wait.min(until_due)
             }
         } else {
             Duration::ZERO
@@ -372,7 +344,7 @@
         let mut items: Vec<RegistryEntry> = items.into_iter().chain(removed).collect();
         let count = items.len();
         if reader.topic == Topic::DomainsOut {
-            items.retain(|item| item.value.is_some() || !self.hold_order(reader, item));
+            items.retain(|item| item.value.is_some() || !self.hold_order(item));
         }
         let changed = self.apply_items(reader, items);
         log::info!(
@@ -412,27 +384,22 @@
 
     /// Holds back `removal`, by which a list lacks the order that a domain is out, if the
     /// registry has just been restored. Returns whether it did.
-    fn hold_order(&self, reader: &mut TopicReader, removal: &RegistryEntry) -> bool {
+    fn hold_order(&self, removal: &RegistryEntry) -> bool {
         let Some(noticed) = self.restores.last_noticed() else {
             return false;
         };
-        let due = noticed + RESTORED_ORDER_DELAY;
-        if self.clock.now() >= due {
+        let (now, due) = (self.clock.now(), noticed + RESTORED_ORDER_DELAY);
+        if now >= due {
             return false;
         }
         log::info!(
             "registry: the restored copy lacks the order that {} is out; it stays out",
             removal.name
         );
-        reader
-            .held_removals
-            .retain(|held| held.name != removal.name);
-        reader.held_removals.push(HeldRemoval {
-            name: removal.name.clone(),
-            revision: removal.revision,
-            due,
-            overdue: false,
-        });
+        let held = HeldRemoval::new(removal.revision, due.saturating_sub(now), now);
+        if lock(&self.catalog).hold_domain_out(&removal.name, held) {
+            self.put_in_force();
+        }
         true
     }
 
@@ -462,20 +429,13 @@
                     "registry: server {} was removed around an outage; waiting for its return",
                     item.name
                 );
-                reader.held_removals.push(HeldRemoval {
-                    name: item.name,
-                    revision: item.revision,
-                    due: failed + REMOVAL_DELAY,
-                    overdue: false,
-                });
+                let wait = (failed + REMOVAL_DELAY).saturating_sub(now);
+                let removal = HeldRemoval::new(item.revision, wait, now);
+                changed += usize::from(lock(&self.catalog).hold_server(&item.name, removal));
                 continue;
             }
-            if !is_removal {
-                // The entry has come back, or an order has been revoked.
-                reader.held_removals.retain(|held| held.name != item.name);
-                if after_outage && reader.topic == Topic::Servers {
-                    reader.returned.push(item.name.clone());
-                }
+            if !is_removal && after_outage && reader.topic == Topic::Servers {
+                reader.returned.push(item.name.clone());
             }
             changed += usize::from(self.apply_item(reader.topic, item, now, level));
         }
@@ -485,51 +445,37 @@
         changed
     }
 
-    /// Applies the held removals that are due and were confirmed by a read since: their
-    /// entries have not come back after an outage.
-    ///
-    /// The removals get the revision up to which this VM has read since. Peers that
-    /// have already read past the revision of a removal would not fetch it otherwise.
-    fn apply_due_removals(&self, reader: &mut TopicReader) {
-        let (now, read_at) = (self.clock.now(), reader.read_at);
-        let read = reader.revision.unwrap_or(0);
-        let known = lock(&self.catalog).revisions();
-        let newest = match reader.topic {
-            Topic::DomainsOut => known.outs,
-            Topic::Layout | Topic::Servers | Topic::Vms => known.servers,
+    /// Applies the removals of `topic` that were held back and are due, if this VM has
+    /// learned since that their entries have not come back: by a read of its own, or from a
+    /// peer.
+    fn apply_due_removals(&self, topic: Topic) {
+        let confirmed = Time::from_millis(self.confirmed_ms.load(Ordering::Relaxed));
+        let known = confirmed.max(self.topic_reads.read_at(topic));
+        let now = self.clock.now();
+        let mut catalog = lock(&self.catalog);
+        let removed = match topic {
+            Topic::Servers => catalog.remove_due_servers(known, now),
+            Topic::DomainsOut => catalog.remove_due_domains_out(known, now),
+            Topic::Layout | Topic::Vms => return,
         };
-        if reader.held_removals.is_empty() {
-            return;
-        }
-        if read <= newest {
-            reader.log_overdue(newest);
-            return;
-        }
-        let held = std::mem::take(&mut reader.held_removals);
-        let (due, kept): (Vec<_>, Vec<_>) = held.into_iter().partition(|held| read_at >= held.due);
-        reader.held_removals = kept;
-        let mut changed = false;
-        for removal in due {
-            let item = RegistryEntry {
-                name: removal.name,
-                revision: read.max(removal.revision),
-                value: None,
-            };
-            changed |= self.apply_item(reader.topic, item, now, log::Level::Info);
+        drop(catalog);
+        for (name, revision) in &removed {
+            log::info!(
+                "registry: {} {name} has not come back since its removal at revision {revision}",
+                topic.name()
+            );
         }
-        if changed {
+        if !removed.is_empty() {
             self.put_in_force();
         }
     }
 
     /// Offers peers the servers that have returned since an outage, as one may have
-    /// applied a removal that this VM held back or never saw.
-    ///
-    /// Held removals come first: they need a later revision than any in the catalog.
+    /// applied a removal that this VM never saw.
     fn note_returns(&self, reader: &mut TopicReader) {
         let failed = Duration::from_millis(self.registry_failed_ms.load(Ordering::Relaxed));
         let is_over = self.clock.now() >= failed + REMOVAL_DELAY;
-        if reader.returned.is_empty() || !reader.held_removals.is_empty() || !is_over {
+        if reader.returned.is_empty() || !is_over {
             return;
         }
         let returned = std::mem::take(&mut reader.returned);
@@ -641,6 +587,16 @@
     }
 }
 
+/// Returns when the next removal of `topic` that is held back takes effect; none if there
+/// is none.
+fn next_removal(catalog: &Catalog, topic: Topic) -> Option<Time> {
+    match topic {
+        Topic::Servers => catalog.next_server_removal(),
+        Topic::DomainsOut => catalog.next_domain_removal(),
+        Topic::Layout | Topic::Vms => None,
+    }
+}
+
 /// Reads all pages of a list. Returns the revision of the first page, since entries
 /// that were deleted after it may still be in the list.
 async fn list(
