Take a cut watch or a limited rate of reads for no outage of the registry

A watch that waits may be cut off at any time, and a read over the rate limit is refused by a store that works. The read after a cut watch does not wait; if it fails too, it counts.

--- a/crates/node/src/registry.rs
+++ b/crates/node/src/registry.rs
@@ -243,6 +243,9 @@
         }
         let now = self.clock.now().as_millis() as u64;
         self.registry_failed_ms.fetch_max(now, Ordering::Relaxed);
+        if shows_outage(error) {
+            self.outage_ms.fetch_max(now, Ordering::Relaxed);
+        }
         let scale = if self.is_registry_down_for_all() {
             (self.fleet_size() / VMS_PER_BACKOFF).max(1)
         } else {
@@ -318,7 +321,7 @@
     fn note_outage_end(&self, reader: &TopicReader) {
         if reader.failures > 0 && self.is_registry_down_for_all() {
             let now = self.clock.now().as_millis() as u64;
-            self.registry_failed_ms.fetch_max(now, Ordering::Relaxed);
+            self.outage_ms.fetch_max(now, Ordering::Relaxed);
         }
     }
 
@@ -369,7 +372,7 @@
             "registry: restored from an earlier copy; entries that it lacks have time to \
              return"
         );
-        self.registry_failed_ms
+        self.outage_ms
             .fetch_max(now.as_millis() as u64, Ordering::Relaxed);
     }
 
@@ -417,7 +420,7 @@
             log::Level::Info
         };
         let now = self.clock.now();
-        let failed = Duration::from_millis(self.registry_failed_ms.load(Ordering::Relaxed));
+        let failed = Duration::from_millis(self.outage_ms.load(Ordering::Relaxed));
         let after_outage = !failed.is_zero() && now < failed + REMOVAL_DELAY;
         let mut changed = 0;
         for item in items {
@@ -473,7 +476,7 @@
     /// Offers peers the servers that have returned since an outage, as one may have
     /// applied a removal that this VM never saw.
     fn note_returns(&self, reader: &mut TopicReader) {
-        let failed = Duration::from_millis(self.registry_failed_ms.load(Ordering::Relaxed));
+        let failed = Duration::from_millis(self.outage_ms.load(Ordering::Relaxed));
         let is_over = self.clock.now() >= failed + REMOVAL_DELAY;
         if reader.returned.is_empty() || !is_over {
             return;
@@ -587,6 +590,16 @@
     }
 }
 
+/// Returns whether a read that failed with `error` may have met an outage, in which entries
+/// of servers lapse. A registry that cuts off a watch or limits the rate of reads works;
+/// after a watch that was cut off, the next read, which does not wait, tells.
+fn shows_outage(error: &plat::Error) -> bool {
+    !matches!(
+        error,
+        plat::Error::WatchCut(_) | plat::Error::RateLimited(_)
+    )
+}
+
 /// Returns when the next removal of `topic` that is held back takes effect; none if there
 /// is none.
 fn next_removal(catalog: &Catalog, topic: Topic) -> Option<Time> {
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -122,9 +122,12 @@
     pub(crate) applied_changes: AtomicU64,
     /// When the catalog was last found to be up to date.
     pub(crate) confirmed_ms: AtomicU64,
-    /// When the last failed read of the registry ended, or the registry was first
-    /// read again after an outage for all VMs; 0 if neither has happened.
+    /// When the last failed read of the registry ended; 0 if none has failed.
     pub(crate) registry_failed_ms: AtomicU64,
+    /// When a failed read last showed that the registry was away, the registry was first
+    /// read again after an outage for all VMs, or a restore was noticed; 0 if none of this
+    /// has happened.
+    pub(crate) outage_ms: AtomicU64,
     pub(crate) restores: Restores,
     /// When this VM last read each topic of the registry.
     pub(crate) topic_reads: TopicReads,
@@ -237,6 +240,7 @@
             applied_changes: AtomicU64::new(0),
             confirmed_ms: AtomicU64::new(0),
             registry_failed_ms: AtomicU64::new(0),
+            outage_ms: AtomicU64::new(0),
             restores: Restores::default(),
             topic_reads: TopicReads::default(),
             transport: parts.transport,
--- a/crates/plat/src/lib.rs
+++ b/crates/plat/src/lib.rs
@@ -56,6 +56,10 @@
     /// effect.
     #[error("no response from the platform ({0}); read the object before retrying")]
     OutcomeUnknown(String),
+    /// The connection ended while the platform waited for changes. Platforms cut such
+    /// reads off now and then, so that alone shows no outage.
+    #[error("the platform cut off a read that waited for changes ({0}); read again")]
+    WatchCut(String),
     /// The platform refused the call because of its rate limit. Nothing was done. The
     /// value is the delay that the platform demands before the next call.
     #[error("the platform limits the rate of calls; retry after {0:?}")]
