--- a/crates/load/tests/endless.rs
+++ b/crates/load/tests/endless.rs
@@ -45,6 +45,7 @@
         "/slow/chunks" => b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n",
         "/slow/chunk" => b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\nfffffffff\r\n",
         "/slow/to-the-end" => b"HTTP/1.1 200 OK\r\n\r\n",
+        "/slow/interim" => b"",
         "/slow/after" => b"HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nwhole",
         _ => return respond_whole(stream, head),
     };
@@ -52,6 +53,7 @@
     match path {
         "/slow/head" => send_endlessly(stream, b"name: value\r\n"),
         "/slow/chunks" => send_endlessly(stream, b"4\r\nabcd\r\n"),
+        "/slow/interim" => send_endlessly(stream, b"HTTP/1.1 100 Continue\r\n\r\n"),
         _ => send_endlessly(stream, b"x"),
     }
 }
@@ -134,6 +136,12 @@
     check_unknown(&call_endless("/slow/head"));
 }
 
+// Guards against a VM that hangs while a server sends interim heads.
+#[test]
+fn call_interim_heads_without_end_may_have_run() {
+    check_unknown(&call_endless("/slow/interim"));
+}
+
 #[test]
 fn call_field_without_end_may_have_run() {
     check_unknown(&call_endless("/slow/field"));
--- a/crates/net/src/client.rs
+++ b/crates/net/src/client.rs
@@ -1,8 +1,11 @@
 //! Single HTTP client connections. The `entry` crate pools them.
 
 use std::net::SocketAddr;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use async_channel::Receiver;
 use http::Request;
 use http::Response;
 use hyper::body::Incoming;
@@ -13,9 +16,14 @@
 
 use crate::body;
 use crate::exec::Handle;
+use crate::fair::Fair;
 use crate::Body;
 use crate::BoxFuture;
 
+/// The most interim responses (1xx) to a request. A peer that sends more is taken for
+/// faulty: they have no use here, and cost time.
+pub const INTERIM_MAX: usize = 64;
+
 /// Why a request got no complete response.
 #[derive(Debug, thiserror::Error)]
 pub enum Error {
@@ -28,6 +36,9 @@
     /// The body of the response was truncated or too long.
     #[error("the response body is truncated or too long: {0}")]
     Body(body::BoxError),
+    /// The peer sent more interim responses than [`INTERIM_MAX`].
+    #[error("the peer sent over {INTERIM_MAX} interim responses; check the server")]
+    Interim,
     /// The response was not complete within the time limit.
     #[error("no complete response within {0:?}")]
     Timeout(Duration),
@@ -52,8 +63,8 @@
 
 /// The failure to send a request or to receive the head of its response.
 pub struct SendError {
-    /// The error of the connection.
-    pub error: hyper::Error,
+    /// What failed.
+    pub error: Error,
     /// The request, if no byte of it was written, so that it can be sent elsewhere.
     pub unsent: Option<Request<Body>>,
 }
@@ -85,18 +96,51 @@
     }
 
     /// Sends `request` and waits for the head of the response.
-    pub async fn send(&mut self, request: Request<Body>) -> Result<Response<Incoming>, SendError> {
-        let result = match &mut self.requests {
-            Requests::Http1(sender) => sender.try_send_request(request).await,
-            Requests::Http2(sender) => sender.try_send_request(request).await,
+    ///
+    /// Fails if the peer sends too many interim responses. The connection must not be used
+    /// again then.
+    pub async fn send(
+        &mut self,
+        mut request: Request<Body>,
+    ) -> Result<Response<Incoming>, SendError> {
+        let exceeded = limit_interim(&mut request);
+        let sent = async {
+            let result = match &mut self.requests {
+                Requests::Http1(sender) => sender.try_send_request(request).await,
+                Requests::Http2(sender) => sender.try_send_request(request).await,
+            };
+            result.map_err(|mut failed| SendError {
+                unsent: failed.take_message(),
+                error: failed.into_error().into(),
+            })
         };
-        result.map_err(|mut failed| SendError {
-            unsent: failed.take_message(),
-            error: failed.into_error(),
+        futures_lite::future::or(sent, async {
+            if exceeded.recv().await.is_err() {
+                // The request was sent or dropped, so `sent` ends.
+                std::future::pending::<()>().await;
+            }
+            Err(SendError {
+                error: Error::Interim,
+                unsent: None,
+            })
         })
+        .await
     }
 }
 
+/// Has the interim responses to `request` counted; the channel returned says when there
+/// are more than [`INTERIM_MAX`].
+fn limit_interim(request: &mut Request<Body>) -> Receiver<()> {
+    let (exceed, exceeded) = async_channel::bounded(1);
+    let count = AtomicUsize::new(0);
+    hyper::ext::on_informational(request, move |_| {
+        if count.fetch_add(1, Ordering::Relaxed) >= INTERIM_MAX {
+            let _ = exceed.try_send(());
+        }
+    });
+    exceeded
+}
+
 /// Opens TCP connections.
 pub trait Connector: Send + Sync {
     /// Opens a connection to `address`.
@@ -133,7 +177,7 @@
         .await
         .map_err(|error| Error::Connect(address, error))?;
     let _ = stream.set_nodelay(true);
-    let io = FuturesIo::new(stream);
+    let io = FuturesIo::new(Fair::new(stream));
     if http2 {
         let (sender, driver) = conn::http2::Builder::new(handle.clone())
             .timer(smol_hyper::rt::SmolTimer::new())
@@ -170,10 +214,7 @@
 ) -> Result<Response<bytes::Bytes>, Error> {
     let exchange = async {
         let mut sender = connect(handle, address, false).await?;
-        let response = sender
-            .send(request)
-            .await
-            .map_err(|failed| Error::Http(failed.error))?;
+        let response = sender.send(request).await.map_err(|failed| failed.error)?;
         let (parts, incoming) = response.into_parts();
         let bytes = body::collect(incoming, max_bytes)
             .await
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod cut;
 pub mod deferred;
 pub mod exec;
+pub mod fair;
 pub mod linger;
 pub mod lookahead;
 pub mod server;
--- a/crates/net/src/server.rs
+++ b/crates/net/src/server.rs
@@ -31,6 +31,8 @@
 
 use crate::deferred::DeferredErrorBody;
 use crate::exec::Handle;
+use crate::fair::Fair;
+use crate::fair::Yields;
 use crate::lookahead::Lookahead;
 use crate::lookahead::Turns;
 use crate::stop::Stop;
@@ -152,6 +154,7 @@
     /// Accepts connections from `listener` until the shutdown signal, and returns without
     /// waiting for the open connections.
     pub async fn run(self, listener: TcpListener) {
+        let mut accepts = Yields::default();
         loop {
             let accepted =
                 futures_lite::future::or(async { Some(listener.accept().await) }, async {
@@ -161,7 +164,10 @@
                 .await;
             match accepted {
                 None => return,
-                Some(Ok((stream, peer))) => self.admit(stream, peer),
+                Some(Ok((stream, peer))) => {
+                    self.admit(stream, peer);
+                    accepts.count_item().await;
+                }
                 Some(Err(error)) => {
                     log::warn!("net: cannot accept a connection: {error}");
                     smol::Timer::after(ACCEPT_RETRY_DELAY).await;
@@ -195,13 +201,15 @@
         let Some(tls) = &self.tls else {
             let is_http2 = timeout(self.limits.head_timeout, self.is_http2(&stream)).await;
             match is_http2 {
-                Some(true) => self.serve_http2(stream, peer).await,
-                Some(false) => self.serve_http1(stream, peer).await,
+                Some(true) => self.serve_http2(Fair::new(stream), peer).await,
+                Some(false) => self.serve_http1(Fair::new(stream), peer).await,
                 None => {}
             }
             return;
         };
-        let Some(Ok(stream)) = timeout(self.limits.head_timeout, tls.accept(stream)).await else {
+        let Some(Ok(stream)) =
+            timeout(self.limits.head_timeout, tls.accept(Fair::new(stream))).await
+        else {
             return;
         };
         if stream.get_ref().1.alpn_protocol() == Some(b"h2") {
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -8,6 +8,7 @@
 use base::ServerId;
 use entry::Ports;
 use http::Request;
+use net::fair::Yields;
 use route::msg::Load;
 use route::msg::ProbeResult;
 use route::notices::Notice;
@@ -64,7 +65,9 @@
     /// cancelled.
     pub(crate) async fn receive_datagrams(self: Arc<Self>) {
         let mut buffer = vec![0; datagram::RECEIVE_MAX_BYTES];
+        let mut yields = Yields::default();
         loop {
+            yields.count_item().await;
             let received = self.transport.receive(&mut buffer).await;
             let (length, address) = match received {
                 Ok(received) => received,
@@ -88,7 +91,9 @@
 
     /// Serves other VMs' requests over TCP. Runs until the task is cancelled.
     pub(crate) async fn serve_streams(self: Arc<Self>, listener: TcpListener) {
+        let mut yields = Yields::default();
         loop {
+            yields.count_item().await;
             match listener.accept().await {
                 Ok((stream, address)) => {
                     let shared = self.clone();
