--- a/crates/conf/src/catalog.rs
+++ b/crates/conf/src/catalog.rs
@@ -25,6 +25,7 @@
 use crate::layout::Layout;
 use crate::server::Mode;
 use crate::server::Server;
+use crate::server::MAX_SLOTS;
 use crate::service::Service;
 use crate::state::State;
 
@@ -582,7 +583,8 @@
                 instance: entry.name.clone(),
                 address: instance.address,
                 domain: instance.domain.clone(),
-                slots: instance.slots.max(1),
+                // An earlier build may pass an entry on that is out of range.
+                slots: instance.slots.clamp(1, MAX_SLOTS),
                 connections: service.connections.max(1),
                 mode: if instance.draining {
                     Mode::Drain
--- a/crates/conf/src/server.rs
+++ b/crates/conf/src/server.rs
@@ -12,7 +12,7 @@
 
 /// The maximum number of slots of a server; a service that needs more per server
 /// should be split.
-const MAX_SLOTS: u32 = 1024;
+pub const MAX_SLOTS: u32 = 1024;
 /// The limit on connections to a server for which the ticket sets none.
 const DEFAULT_CONNECTIONS: u32 = 220;
 
