Believe a refusal only if it cannot be an earlier one

Report of other operators: a faulty server writes an earlier refusal once more on a kept connection; callers are told that a call has not run which runs, or it runs twice. Here a call's next attempt could get the connection of its own refusal, whose copy names the same call, and refusals without an id were believed anywhere.

A connection remembers the calls that were refused on it: further attempts of these get another one, and a refusal that names no call is not believed any more. A response that names a call fails a health check.

--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -145,9 +145,13 @@
     pub async fn run(self, request: Request<Body>) -> Result<ServerResponse, FailedAttempt> {
         let mut guard = PermitGuard::new(self.ports.clone(), self.permit);
         let share = spec::connections_per_vm(self.server.connections, self.ports.fleet_size());
-        let connecting = self
-            .pools
-            .get(self.permit.server, &self.server, self.http2, share);
+        let connecting = self.pools.get_for_call(
+            self.permit.server,
+            &self.server,
+            self.http2,
+            share,
+            self.call_id.as_ref(),
+        );
         let mut conn = match timeout(self.left, connecting).await {
             Some(Ok(conn)) => conn,
             Some(Err(error)) => {
@@ -255,7 +259,8 @@
             load,
             interval: self.dialect.call_interval(&parts.headers),
         });
-        match self.dialect.classify(self.call_id.as_ref(), &parts) {
+        let kind = self.dialect.classify(self.call_id.as_ref(), &parts);
+        match self.check_refusal(kind, &parts, &conn) {
             ResponseKind::Valid => {}
             ResponseKind::Refused => {
                 guard.end(Outcome::Shed);
@@ -286,10 +291,23 @@
         })
     }
 
+    /// Returns `kind`, or that the response is invalid if it may be an earlier refusal that
+    /// the server has sent once more: one that names no call, on a connection on which the
+    /// server has refused something. The server may be running this call.
+    fn check_refusal(&self, kind: ResponseKind, parts: &Parts, conn: &Conn) -> ResponseKind {
+        let refuses = matches!(kind, ResponseKind::Refused | ResponseKind::Misdirected);
+        let named = self.dialect.call_id(&parts.headers) == self.call_id;
+        if refuses && !named && conn.had_refusals() {
+            return ResponseKind::Invalid("it may be an earlier refusal");
+        }
+        kind
+    }
+
     /// Returns the connection of a refusal to the pool if the body arrives within
     /// [`REFUSAL_BODY_TIMEOUT`]; otherwise closes the connection, so that the call does
     /// not wait for the body.
-    async fn reuse_connection(&self, incoming: Incoming, conn: Conn) {
+    async fn reuse_connection(&self, incoming: Incoming, mut conn: Conn) {
+        conn.note_refusal(self.call_id.clone());
         let read = timeout(
             REFUSAL_BODY_TIMEOUT,
             body::collect(incoming, BUFFERED_RESPONSE_MAX_BYTES),
--- a/crates/entry/src/pool.rs
+++ b/crates/entry/src/pool.rs
@@ -22,6 +22,7 @@
 use base::Time;
 use conf::Server;
 use event_listener::Event;
+use http::HeaderValue;
 use net::client;
 use net::client::Connector;
 use net::client::Direct;
@@ -39,11 +40,20 @@
 /// The time after its last use at which an idle connection is closed.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(20);
 
+/// The most refusals on a connection; after these it is closed.
+const REFUSALS_MAX: usize = 16;
+
 struct IdleConn {
     sender: Sender,
     since: Time,
+    refused: RefusedCalls,
 }
 
+/// The ids of the calls that the server has refused on a connection, `None` for those
+/// without one. A faulty server may send one of these refusals once more, in place of the
+/// response to a later call.
+type RefusedCalls = Vec<Option<HeaderValue>>;
+
 /// The connections to one server.
 struct Pool {
     id: ServerId,
@@ -75,6 +85,7 @@
 pub struct Conn {
     sender: Option<Sender>,
     pool: Arc<Pool>,
+    refused: RefusedCalls,
     /// Whether the connection has been returned to its pool.
     pooled: bool,
 }
@@ -92,11 +103,11 @@
 
     /// Takes the most recently used idle connection that is still usable. Connections that
     /// were used later but are no longer usable are closed.
-    fn take_idle(&self) -> Option<Sender> {
+    fn take_idle(&self) -> Option<IdleConn> {
         loop {
             let idle = lock(&self.idle).pop()?;
             if idle.sender.is_ready() && !idle.sender.is_closed() {
-                return Some(idle.sender);
+                return Some(idle);
             }
             self.close();
         }
@@ -199,8 +210,10 @@
         let pool = self.pool(id);
         loop {
             let freed = pool.freed.listen();
-            if let Some(sender) = pool.take_idle() {
-                return Ok(Conn::new(Some(sender), pool));
+            if let Some(idle) = pool.take_idle() {
+                let mut conn = Conn::new(Some(idle.sender), pool);
+                conn.refused = idle.refused;
+                return Ok(conn);
             }
             if pool.open(share) {
                 break;
@@ -225,12 +238,39 @@
         Ok(conn)
     }
 
+    /// Returns a connection to `server`, as [`Self::get`] does, on which a refusal of the call
+    /// `call_id` can only be the server's response to it: one on which the server has not
+    /// refused that call before.
+    ///
+    /// # Errors
+    ///
+    /// Fails as [`Self::get`] does.
+    pub async fn get_for_call(
+        &self,
+        id: ServerId,
+        server: &Server,
+        http2: bool,
+        share: usize,
+        call_id: Option<&HeaderValue>,
+    ) -> Result<Conn, client::Error> {
+        loop {
+            let conn = self.get(id, server, http2, share).await?;
+            let ambiguous = call_id.is_some() && conn.refused.iter().any(|r| r.as_ref() == call_id);
+            if !ambiguous {
+                return Ok(conn);
+            }
+        }
+    }
+
     /// Returns a connection to its pool after a complete response, as soon as it can
     /// take another request. Closes it if it cannot within [`READY_TIMEOUT`], since a
     /// server that has responded early need not read the rest of the request body.
     pub fn keep(&self, conn: Conn, now: Time) {
         let returned = async move {
             let mut conn = conn;
+            if conn.refused.len() >= REFUSALS_MAX {
+                return;
+            }
             if let Some(sender) = &mut conn.sender {
                 if let Some(Ok(())) = net::timeout(READY_TIMEOUT, sender.ready()).await {
                     conn.put_back(now);
@@ -273,6 +313,7 @@
         Self {
             sender,
             pool,
+            refused: Vec::new(),
             pooled: false,
         }
     }
@@ -283,9 +324,23 @@
         self.sender.as_mut()
     }
 
+    /// Returns whether the server has refused calls or health checks on this connection.
+    pub fn had_refusals(&self) -> bool {
+        !self.refused.is_empty()
+    }
+
+    /// Records that the server has refused the call `call_id` on this connection.
+    pub fn note_refusal(&mut self, call_id: Option<HeaderValue>) {
+        self.refused.push(call_id);
+    }
+
     fn put_back(mut self, now: Time) {
         if let Some(sender) = self.sender.take() {
-            let idle = IdleConn { sender, since: now };
+            let idle = IdleConn {
+                sender,
+                since: now,
+                refused: std::mem::take(&mut self.refused),
+            };
             self.pooled = true;
             lock(&self.pool.idle).push(idle);
             self.pool.freed.notify(1);
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -210,6 +210,13 @@
         net::body::collect(incoming, PROBE_BODY_MAX_BYTES)
             .await
             .ok()?;
+        if shared.dialect.call_id(&parts.headers).is_some() {
+            // A late response to a call, behind which that of the probe may follow.
+            return None;
+        }
+        if !parts.status.is_success() {
+            conn.note_refusal(None);
+        }
         pools.keep(conn, shared.clock.now());
         let idle = Load {
             busy: 0,
