--- a/crates/net/tests/fair.rs
+++ b/crates/net/tests/fair.rs
@@ -1,6 +1,7 @@
 //! Peers that send as fast as they are read do not stop the other tasks of a thread.
 
 use std::io;
+use std::io::Read;
 use std::io::Write;
 use std::net::Ipv4Addr;
 use std::pin::Pin;
@@ -67,6 +68,8 @@
     let address = listener.local_addr().unwrap();
     let sending = std::thread::spawn(move || {
         let (mut stream, _) = listener.accept().unwrap();
+        // Bytes before the request would belong to no request.
+        assert!(stream.read(&mut [0; 1024]).unwrap() > 0);
         let block = b"HTTP/1.1 103 Early Hints\r\nlink: x\r\n\r\n".repeat(1000);
         while stream.write_all(&block).is_ok() {}
     });
