Say what two items hold, without a figure that no run shows

From reading the change as a newcomer would: a constant's comment named a time that was not measured, and the doc comment of hold_domain_out named the opposite of what is held back. Comments only.

--- a/crates/conf/src/catalog.rs
+++ b/crates/conf/src/catalog.rs
@@ -368,8 +368,8 @@
         changed
     }
 
-    /// Holds back the order `removal` that the failure domain `name` is in service again.
-    /// Returns whether the catalog changed.
+    /// Holds back the deletion `removal` of the order that the failure domain `name` is out
+    /// of service. Returns whether the catalog changed.
     pub fn hold_domain_out(&mut self, name: &str, removal: HeldRemoval) -> bool {
         let found = self.outs.binary_search_by(|e| e.name.as_str().cmp(name));
         let changed = found.is_ok_and(|index| hold_entry(&mut self.outs[index], removal));
--- a/crates/net/src/fair.rs
+++ b/crates/net/src/fair.rs
@@ -14,8 +14,7 @@
 use futures_lite::AsyncRead;
 use futures_lite::AsyncWrite;
 
-/// The number of bytes that are read in a row before other tasks run, a few buffers'
-/// worth, which take far less than a millisecond to parse.
+/// The number of bytes that are read in a row before other tasks run.
 const TURN_BYTES: usize = 64 << 10;
 /// The number of reads, or of items that a loop receives, in a row before other tasks run.
 const TURN_ITEMS: usize = 64;
