--- a/crates/daemon/tests/harness/mod.rs
+++ b/crates/daemon/tests/harness/mod.rs
@@ -7,7 +7,6 @@
 use std::io::Read;
 use std::io::Write;
 use std::net::Ipv4Addr;
-use std::net::SocketAddr;
 use std::net::TcpListener;
 use std::net::TcpStream;
 use std::path::PathBuf;
