Log calls that end without a response, and what a stop cuts off

A call that was dropped, because its caller had left or the VM stopped, left no line at all, so logs could not tell the hypotheses of docs/incidents/late-bodies.md apart. It now has a line with its id and what it waited for, and a stop says how many connections it closes.

--- a/crates/entry/src/call.rs
+++ b/crates/entry/src/call.rs
@@ -28,6 +28,7 @@
 use crate::local_response::LocalResponse;
 use crate::ports::Permit;
 use crate::ports::Refusal;
+use crate::progress::Progress;
 use crate::record::ServedBy;
 
 /// A call in progress.
@@ -44,6 +45,8 @@
     pub(crate) id: Option<HeaderValue>,
     /// Identifies the request over all calls that repeat it.
     pub(crate) fingerprint: Fingerprint,
+    /// How far the call has come.
+    pub(crate) progress: &'a Progress,
     /// The servers for which first attempts and retries of the call got permits. Hedges
     /// and rescues add none.
     pub(crate) tried: Vec<ServerId>,
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod local_response;
 pub mod pool;
 pub mod ports;
+mod progress;
 pub mod proxy;
 pub mod record;
 pub mod relay;
--- a/crates/entry/src/ports.rs
+++ b/crates/entry/src/ports.rs
@@ -68,6 +68,9 @@
     /// Returns the current time.
     fn now(&self) -> Time;
 
+    /// Returns whether the VM has been asked to stop.
+    fn is_stopping(&self) -> bool;
+
     /// Requests a permit for an attempt at some server of `service`. Dropping the
     /// future cancels the request.
     fn acquire(
--- a/crates/entry/src/proxy.rs
+++ b/crates/entry/src/proxy.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use base::DomainId;
+use base::Time;
 use bytes::Bytes;
 use conf::service::CallRule;
 use conf::state::RouteMatch;
@@ -65,6 +66,8 @@
 use crate::ports::Ports;
 use crate::ports::Refusal;
 use crate::ports::ServerReport;
+use crate::progress::Progress;
+use crate::progress::Stage;
 use crate::record;
 use crate::record::RequestSummary;
 use crate::record::ServedBy;
@@ -201,6 +204,7 @@
         let time_left = self.dialect.timeout(request.headers());
         let limit = time_left.map_or(rule.deadline, |left| left.min(rule.deadline));
         let max_body = self.max_body(&state);
+        let progress = self.track_call(id.as_ref(), &service.name, began);
         let (parts, incoming) = request.into_parts();
         let reading = OutgoingRequest::new(parts, incoming, peer, max_body, &self.identity.bodies);
         let result = match net::timeout(limit, reading).await {
@@ -208,11 +212,13 @@
                 let left = (began + limit).saturating_sub(self.ports.now());
                 let set_fields =
                     |fields: &mut HeaderMap| self.dialect.set_attempt_fields(fields, left, "");
+                progress.set_stage(Stage::Response);
                 self.relays.send(&mut outgoing, set_fields, left).await
             }
             Some(Err(response)) => Err(response),
             None => Err(slow_body()),
         };
+        progress.end();
         let took = self.ports.now().saturating_sub(began);
         let reason = result.as_ref().err().map_or("", |response| response.reason);
         self.metrics.record_call(&service.name, "relayed", "", took);
@@ -228,6 +234,12 @@
         result.unwrap_or_else(|response| response.into_response(&self.identity.vm, &*self.dialect))
     }
 
+    fn track_call(&self, id: Option<&HeaderValue>, service: &str, began: Time) -> Progress {
+        let id = id.and_then(|id| id.to_str().ok()).unwrap_or_default();
+        let (ports, metrics) = (self.ports.clone(), self.metrics.clone());
+        Progress::new(ports, metrics, id, service, began)
+    }
+
     /// Returns the limit of request bodies in bytes.
     fn max_body(&self, state: &State) -> usize {
         let limits = state.caller_limits();
@@ -253,10 +265,13 @@
         let method = request.method().as_str();
         let route = state.route(&summary.host, &summary.path, method, random);
         let service = route.map(|route| route.service);
+        let name = service.map_or("", |service| service.name.as_str());
+        let progress = self.track_call(id.as_ref(), name, began);
         let result = match route {
             Some(route) => {
                 let max_body = self.max_body(&state);
-                self.serve(route, request, peer, max_body, &span).await
+                self.serve(route, request, peer, max_body, &span, &progress)
+                    .await
             }
             None if !state.is_configured() => Err(LocalResponse::not_run(
                 StatusCode::SERVICE_UNAVAILABLE,
@@ -276,7 +291,7 @@
                 "no service has this host and path; check them or the tickets",
             )),
         };
-        let name = service.map_or("", |service| service.name.as_str());
+        progress.end();
         let took = self.ports.now().saturating_sub(began);
         let disposition = result
             .as_ref()
@@ -318,6 +333,7 @@
         peer: SocketAddr,
         max_body: usize,
         span: &ActiveSpan,
+        progress: &Progress,
     ) -> Result<Served, LocalResponse> {
         let began = self.ports.now();
         let RouteMatch { service, rule, .. } = route;
@@ -336,7 +352,10 @@
             .await
             .unwrap_or_else(|| Err(slow_body()))?;
         let claim = match key {
-            Some(key) => Some(self.claim(key).await?),
+            Some(key) => {
+                progress.set_stage(Stage::Claim);
+                Some(self.claim(key).await?)
+            }
             None => None,
         };
         let call = Call {
@@ -347,6 +366,7 @@
             span,
             id,
             fingerprint: outgoing.fingerprint(),
+            progress,
             tried: Vec::new(),
             sends: AtomicU32::new(0),
             may_have_run: Mutex::default(),
@@ -479,6 +499,9 @@
         kind: AttemptKind,
     ) -> Result<Granted, AttemptError> {
         let began = self.ports.now();
+        if kind == AttemptKind::First || kind == AttemptKind::Retry {
+            call.progress.set_stage(Stage::Permit);
+        }
         self.check_rejected(call)?;
         if let Some(retry_after) = self.ports.rest_left(call.service) {
             return Err(AttemptError::Refused(Refusal {
@@ -578,6 +601,7 @@
             left,
         };
         call.sends.fetch_add(1, Ordering::Relaxed);
+        call.progress.set_stage(Stage::Response);
         let began = self.ports.now();
         let result = attempt.run(request).await;
         log_attempt(call, &permit, server, &result, self.ports.now() - began);
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -51,6 +51,9 @@
 const IDLE_COORDINATOR_TICK: Duration = Duration::from_millis(200);
 /// The interval at which the connection pools are swept for idle connections.
 const SWEEP_INTERVAL: Duration = Duration::from_secs(2);
+/// How long the connections that are still open at the end of a planned stop may take to
+/// close.
+const CLOSE_TIMEOUT: Duration = Duration::from_millis(50);
 /// The most lost connections that are queued to be reported. If the queue is full, a
 /// lost connection is not reported, and only the next call to the server shows that
 /// the server may have restarted.
@@ -342,12 +345,29 @@
     ///
     /// Returns whether all calls ended in time.
     pub async fn stop(self) -> bool {
-        log::info!("node: stopping; readiness is off");
         self.ready.store(false, Ordering::SeqCst);
-        smol::Timer::after(self.shared.settings.notice).await;
+        let (notice, drain) = (self.shared.settings.notice, self.shared.settings.drain);
+        // Set once, since `stop` consumes the node.
+        let _ = self
+            .shared
+            .drain_end
+            .set(self.shared.clock.now() + notice + drain);
+        log::info!(
+            notice_ms = notice.as_millis() as u64,
+            drain_ms = drain.as_millis() as u64,
+            connections = self.shared.stop.active_tasks() as u64;
+            "node: stopping; readiness is off"
+        );
+        smol::Timer::after(notice).await;
         self.shared.stop.trigger();
-        let drain = self.shared.settings.drain;
         let ended = net::timeout(drain, self.shared.stop.wait_finished()).await;
+        if ended.is_none() {
+            // The calls in flight are dropped, which logs each of them.
+            let connections = self.shared.stop.active_tasks() as u64;
+            log::warn!(connections = connections; "node: the drain time is over; closing connections");
+            self.kill.trigger();
+            net::timeout(CLOSE_TIMEOUT, self.shared.stop.wait_finished()).await;
+        }
         self.shared.with_members(Membership::leave);
         self.shared.outbox.flush(&*self.shared.transport).await;
         self.shared.spans.flush();
--- a/crates/node/src/ports.rs
+++ b/crates/node/src/ports.rs
@@ -193,6 +193,10 @@
         self.clock.now()
     }
 
+    fn is_stopping(&self) -> bool {
+        self.drain_end.get().is_some()
+    }
+
     fn acquire(
         &self,
         service: ServiceId,
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -111,6 +111,9 @@
     pub calls: Arc<RecentCalls>,
     /// The signal to stop accepting callers, which also counts unfinished calls.
     pub stop: Stop,
+    /// When a planned stop ends, whether or not all calls have; empty until the VM is asked
+    /// to stop.
+    pub(crate) drain_end: OnceLock<Time>,
     /// The rate limit of this VM's calls to the platform.
     pub budget: Mutex<Budget>,
     pub(crate) members: Mutex<Membership>,
@@ -250,6 +253,7 @@
             spans: parts.spans,
             calls: Arc::default(),
             stop: Stop::new(),
+            drain_end: OnceLock::new(),
             budget: Mutex::new(Budget::new()),
             view: RwLock::new(Arc::new(view)),
             members: Mutex::new(parts.members),
--- a/crates/obs/src/metrics.rs
+++ b/crates/obs/src/metrics.rs
@@ -97,6 +97,17 @@
         self.call_time.record(took.as_secs_f64(), &[service]);
     }
 
+    /// Counts a call of `service` that ended without a response: its caller left, or the VM
+    /// stopped.
+    pub fn record_abandoned(&self, service: &str) {
+        let labels = [
+            KeyValue::new("service", service.to_owned()),
+            KeyValue::new("outcome", "abandoned"),
+            KeyValue::new("domain", ""),
+        ];
+        self.calls.add(1, &labels);
+    }
+
     /// Records the time that a served call spent in the load balancer and not at the
     /// server.
     pub fn record_added_time(&self, service: &str, added: Duration) {
