Refuse calls that a planned stop would cut

Callers whose request was complete only after the VM had closed its listeners got no answer: it was passed on and cut at the end of the drain, also if it must not be repeated.

Cause: whether the VM stops was asked when a connection or a request came, and not when it was sent on, after its body, its permit and its connection had been waited for. Class: a decision on a state that has changed before it is used.

From the moment the listeners close, a call is sent on only if its time limit ends before the stop does; others get 503 with the reason 'stopping' at once, which says truthfully that they have not run. This covers first attempts, retries, hedges, relayed calls and calls that wait for a permit or a connection.

Test: call_whose_body_comes_late_in_a_stop_is_not_passed_on_and_cut.

--- a/crates/daemon/tests/harness/mod.rs
+++ b/crates/daemon/tests/harness/mod.rs
@@ -63,6 +63,8 @@
     /// The first three octets of the VMs' addresses. Tests that run at the same time have
     /// different ones.
     network: (u8, u8, u8),
+    /// The time after SIGTERM at which the platform kills a process, in seconds.
+    grace_s: u32,
     directory: PathBuf,
 }
 
@@ -99,18 +101,36 @@
             store,
             endpoint,
             network,
+            grace_s: 6,
             directory,
         }
     }
 
+    /// Sets the time after SIGTERM at which the platform kills a process.
+    pub(crate) fn with_grace(mut self, grace_s: u32) -> Self {
+        self.grace_s = grace_s;
+        self
+    }
+
     /// Adds a server whose responses take `work` and have a body of `body_bytes`.
     pub(crate) fn add_server(&self, name: &str, work: Duration, body_bytes: usize) -> Server {
+        self.add_server_with_slots(name, 64, work, body_bytes)
+    }
+
+    /// Adds a server as [`Self::add_server`] does, which takes `slots` calls at once.
+    pub(crate) fn add_server_with_slots(
+        &self,
+        name: &str,
+        slots: u32,
+        work: Duration,
+        body_bytes: usize,
+    ) -> Server {
         let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).unwrap();
         let entry = ServerEntry {
             address: listener.local_addr().unwrap(),
             service: "s".into(),
             domain: "north".into(),
-            slots: 64,
+            slots,
             draining: false,
             cold_left: Duration::ZERO,
             started_ms: unix_time().as_millis() as u64,
@@ -146,7 +166,7 @@
             ("region|json", "\"island\"".into()),
             ("limits.cpu_share", "0.2".into()),
             ("limits.link_mbps", "1000.0".into()),
-            ("bounds.grace_s", "6".into()),
+            ("bounds.grace_s", self.grace_s.to_string()),
             ("listen.front|json", format!("\"{ip}:8381\"")),
             ("listen.control|json", format!("\"{ip}:8382\"")),
             ("listen.ready|json", format!("\"{ip}:8388\"")),
@@ -182,6 +202,13 @@
     }
 }
 
+impl Server {
+    /// Returns the number of requests that have reached the server.
+    pub(crate) fn count(&self) -> usize {
+        self.requests.load(Ordering::SeqCst)
+    }
+}
+
 impl Drop for Deployment {
     fn drop(&mut self) {
         let _ = std::fs::remove_dir_all(&self.directory);
--- /dev/null
+++ b/crates/daemon/tests/stop.rs
@@ -0,0 +1,109 @@
+//! What becomes of calls at a planned stop.
+
+mod harness;
+
+use std::io::Write;
+use std::net::TcpStream;
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+use conf::Settings;
+use harness::request;
+use harness::request_head;
+use harness::Daemon;
+use harness::Deployment;
+use harness::Response;
+use rustix::process::Signal;
+
+const BODY: &[u8] = b"body";
+
+fn sleep_until(time: Instant) {
+    thread::sleep(time.saturating_duration_since(Instant::now()));
+}
+
+/// Returns the settings of a VM, with a free port for the administration API, since tests run
+/// side by side.
+fn settings(deployment: &Deployment) -> Settings {
+    let mut settings = deployment.settings(0);
+    settings.admin.listen.set_port(0);
+    settings
+}
+
+/// Sends the head of a POST with [`BODY`] on a new connection.
+fn send_head(daemon: &Daemon) -> TcpStream {
+    let mut stream = daemon.connect().unwrap();
+    stream
+        .write_all(request_head("POST", "/write/x", BODY.len()).as_bytes())
+        .unwrap();
+    stream
+}
+
+/// Returns the end of the process' life, as its callers see it, of a call whose head is sent
+/// at `head` and whose body is complete at `body` after the signal: the status, if any, and
+/// whether a server got the call.
+fn late_body(grace: u32, work: Duration, head: Duration, body: Duration) -> (Option<u16>, usize) {
+    let deployment = Deployment::new().with_grace(grace);
+    let server = deployment.add_server("i-1", work, 10);
+    let mut daemon = deployment.start(&settings(&deployment));
+    daemon.wait_serving();
+    let before = server.count();
+    let began = Instant::now();
+    daemon.signal(Signal::TERM);
+    sleep_until(began + head);
+    let mut stream = send_head(&daemon);
+    sleep_until(began + body);
+    let _ = stream.write_all(BODY);
+    let response = Response::read(&mut stream);
+    (
+        response.map(|response| response.status),
+        server.count() - before,
+    )
+}
+
+#[test]
+fn call_whose_body_comes_late_in_a_stop_is_not_passed_on_and_cut() {
+    let late = [3100, 4000, 5000].map(|body_ms| {
+        thread::spawn(move || {
+            let (head, body) = (Duration::from_millis(1800), Duration::from_millis(body_ms));
+            late_body(6, Duration::from_secs(3), head, body)
+        })
+    });
+    for call in late {
+        assert_eq!(call.join().unwrap(), (Some(503), 0));
+    }
+}
+
+#[test]
+fn call_that_can_end_within_the_drain_is_served() {
+    let (head, body) = (Duration::from_millis(200), Duration::from_millis(2500));
+    let served = late_body(6, Duration::from_secs(1), head, body);
+    assert_eq!(served, (Some(200), 1));
+}
+
+#[test]
+fn calls_that_wait_for_a_permit_in_a_stop_get_an_answer() {
+    let deployment = Deployment::new();
+    // One call keeps the only slot and the only place beside it.
+    deployment.add_server_with_slots("i-1", 1, Duration::from_millis(2500), 10);
+    let mut daemon = deployment.start(&settings(&deployment));
+    assert!(harness::wait_until(harness::SOON, || daemon.readiness() == Some(200)));
+    let began = Instant::now();
+    daemon.signal(Signal::TERM);
+    sleep_until(began + Duration::from_millis(1500));
+    let mut streams: Vec<TcpStream> = (0..6).map(|_| daemon.connect().unwrap()).collect();
+    for stream in &mut streams {
+        let text = request("POST", "/write/x", BODY);
+        stream.write_all(text.as_bytes()).unwrap();
+    }
+    for mut stream in streams {
+        let response = Response::read(&mut stream);
+        let status = response.map(|response| response.status);
+        assert!(
+            matches!(status, Some(200 | 503)),
+            "{status:?}\n{}",
+            daemon.logs()
+        );
+    }
+    assert!(daemon.wait_ended(Duration::from_secs(8)));
+}
--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -144,6 +144,7 @@
     /// buffered, otherwise by the [`Completion`] in the response.
     pub async fn run(self, request: Request<Body>) -> Result<ServerResponse, FailedAttempt> {
         let mut guard = PermitGuard::new(self.ports.clone(), self.permit);
+        let deadline = self.ports.now() + self.left;
         let share = spec::connections_per_vm(self.server.connections, self.ports.fleet_size());
         let connecting = self.pools.get_for_call(
             self.permit.server,
@@ -175,6 +176,12 @@
             let detail = "the server leaves or asked for no calls";
             return Err(FailedAttempt::new(Failure::Unsent, Some(request), detail));
         }
+        if !self.ports.may_end_at(deadline) {
+            guard.end(Outcome::Unused);
+            self.pools.keep(conn, self.ports.now());
+            let detail = "the VM stops";
+            return Err(FailedAttempt::new(Failure::Unsent, Some(request), detail));
+        }
         if conn.sender().is_none() {
             guard.end(Outcome::Unreachable);
             return Err(FailedAttempt::new(
--- a/crates/entry/src/call.rs
+++ b/crates/entry/src/call.rs
@@ -205,6 +205,16 @@
     }
 }
 
+/// Returns the response to a call that might not end before this VM does.
+pub(crate) fn stopping_response() -> LocalResponse {
+    LocalResponse::not_run(
+        StatusCode::SERVICE_UNAVAILABLE,
+        RefusalReason::Stopping.name(),
+        "this VM stops before the call might end; send it again on a new connection",
+    )
+    .with_retry_after(Duration::ZERO)
+}
+
 /// Returns the response to a call whose last attempt failed with `error`.
 pub(crate) fn failure_response(verdict: Verdict, error: &AttemptError) -> LocalResponse {
     match error {
@@ -219,6 +229,11 @@
             )
             .with_retry_after(refused.retry_after)
         }
+        AttemptError::Refused(refused)
+            if verdict == Verdict::NotRun && refused.reason == RefusalReason::Stopping =>
+        {
+            stopping_response()
+        }
         AttemptError::Refused(refused) if verdict == Verdict::NotRun => LocalResponse::not_run(
             StatusCode::SERVICE_UNAVAILABLE,
             refused.reason.name(),
--- a/crates/entry/src/ports.rs
+++ b/crates/entry/src/ports.rs
@@ -71,6 +71,13 @@
     /// Returns whether the VM has been asked to stop.
     fn is_stopping(&self) -> bool;
 
+    /// Returns whether a call that may take until `deadline` can be sent on: false if the VM
+    /// has stopped to accept calls and may end before that.
+    fn may_end_at(&self, deadline: Time) -> bool;
+
+    /// Waits until the VM stops to accept calls.
+    fn closed(&self) -> BoxFuture<'_, ()>;
+
     /// Requests a permit for an attempt at some server of `service`. Dropping the
     /// future cancels the request.
     fn acquire(
--- a/crates/entry/src/proxy.rs
+++ b/crates/entry/src/proxy.rs
@@ -51,6 +51,7 @@
 use crate::call::log_attempt;
 use crate::call::log_call;
 use crate::call::set_served_fields;
+use crate::call::stopping_response;
 use crate::call::AttemptError;
 use crate::call::Call;
 use crate::call::Granted;
@@ -90,6 +91,13 @@
 /// configuration to change that.
 const UNUSABLE_RETRY_AFTER: Duration = Duration::from_secs(5);
 
+/// The refusal of a call that might not end before this VM does. Another VM can take it at
+/// once.
+const STOPPING: Refusal = Refusal {
+    reason: RefusalReason::Stopping,
+    retry_after: Duration::ZERO,
+};
+
 /// The properties of this VM that the proxy needs.
 #[derive(Clone, Debug)]
 pub struct Identity {
@@ -208,6 +216,7 @@
         let (parts, incoming) = request.into_parts();
         let reading = OutgoingRequest::new(parts, incoming, peer, max_body, &self.identity.bodies);
         let result = match net::timeout(limit, reading).await {
+            Some(Ok(_)) if !self.ports.may_end_at(began + limit) => Err(stopping_response()),
             Some(Ok(mut outgoing)) => {
                 let left = (began + limit).saturating_sub(self.ports.now());
                 let set_fields =
@@ -503,6 +512,7 @@
             call.progress.set_stage(Stage::Permit);
         }
         self.check_rejected(call)?;
+        self.check_stop(call)?;
         if let Some(retry_after) = self.ports.rest_left(call.service) {
             return Err(AttemptError::Refused(Refusal {
                 reason: RefusalReason::NoServer,
@@ -523,7 +533,15 @@
         let span = self
             .spans
             .start("permit", SpanKind::Internal, call.span.context());
-        let granted = self.ports.acquire(call.service.id(), permit_request).await;
+        let acquired = self.ports.acquire(call.service.id(), permit_request);
+        let stopped = async {
+            self.ports.closed().await;
+            match self.check_stop(call) {
+                Ok(()) => std::future::pending().await,
+                Err(_) => Err(STOPPING),
+            }
+        };
+        let granted = smol::future::or(acquired, stopped).await;
         match granted {
             Ok(permit) => {
                 let wait = self.ports.now().saturating_sub(began);
@@ -547,6 +565,12 @@
         })
     }
 
+    /// Fails if the VM stops, and might end before the call does.
+    fn check_stop(&self, call: &Call<'_>) -> Result<(), AttemptError> {
+        let may_end = self.ports.may_end_at(call.deadline);
+        may_end.then_some(()).ok_or(AttemptError::Refused(STOPPING))
+    }
+
     /// Releases a permit that is not used, and returns the attempt's error.
     fn release_unused(&self, permit: Permit, detail: &str) -> AttemptError {
         let took = Duration::ZERO;
@@ -580,6 +604,10 @@
             self.release_unused(permit, "the request crashes servers");
             return Err(rejected);
         }
+        if let Err(stopping) = self.check_stop(call) {
+            self.release_unused(permit, "the VM stops");
+            return Err(stopping);
+        }
         let left = self.time_left(call);
         self.dialect
             .set_attempt_fields(request.headers_mut(), left, server.instance());
--- a/crates/node/src/ports.rs
+++ b/crates/node/src/ports.rs
@@ -197,6 +197,15 @@
         self.drain_end.get().is_some()
     }
 
+    fn may_end_at(&self, deadline: Time) -> bool {
+        let end = self.drain_end.get().filter(|_| self.stop.is_triggered());
+        end.is_none_or(|end| deadline <= *end)
+    }
+
+    fn closed(&self) -> BoxFuture<'_, ()> {
+        Box::pin(self.stop.wait())
+    }
+
     fn acquire(
         &self,
         service: ServiceId,
--- a/crates/route/src/msg.rs
+++ b/crates/route/src/msg.rs
@@ -76,6 +76,8 @@
     Expired,
     /// Servers crashed while they ran the same request.
     CrashesServers,
+    /// The VM stops, and the call might not end before the VM does.
+    Stopping,
 }
 
 /// The result of a health check of a server.
@@ -105,6 +107,7 @@
             Self::Budget => "budget",
             Self::Expired => "expired",
             Self::CrashesServers => "crashes-servers",
+            Self::Stopping => "stopping",
         }
     }
 }
