End a planned stop by the grace that the platform grants

Durations may have decimals, as the figures of the platform have.

Test: call_at_work_is_not_cut_before_the_grace_ends. Before: no answer; now 200.

--- a/crates/base/src/units.rs
+++ b/crates/base/src/units.rs
@@ -9,7 +9,8 @@
 use serde_with::DeserializeAs;
 use serde_with::SerializeAs;
 
-/// Reads and writes a `Duration` as a string with a unit, such as `250ms` or `2s`.
+/// Reads and writes a `Duration` as a string with a unit, such as `250ms` or `2s`. Seconds
+/// may have decimals.
 pub struct Span;
 
 impl SerializeAs<Duration> for Span {
@@ -21,7 +22,11 @@
 impl<'de> DeserializeAs<'de, Duration> for Span {
     fn deserialize_as<D: Deserializer<'de>>(deserializer: D) -> Result<Duration, D::Error> {
         let text = String::deserialize(deserializer)?;
-        humantime::parse_duration(&text).map_err(|error| {
+        let parsed = match parse_secs(&text) {
+            Some(duration) => return Ok(duration),
+            None => humantime::parse_duration(&text),
+        };
+        parsed.map_err(|error| {
             D::Error::custom(format!(
                 "\"{text}\" is not a duration ({error}); write a number with a unit, \
                  such as \"250ms\" or \"2s\""
@@ -30,6 +35,14 @@
     }
 }
 
+/// Parses a number of seconds with decimals, such as `2.5s`; returns none for other texts.
+fn parse_secs(text: &str) -> Option<Duration> {
+    let number = text.strip_suffix('s')?;
+    let digits = number.bytes().all(|c| c.is_ascii_digit() || c == b'.');
+    let secs = number.parse().ok().filter(|_| digits)?;
+    Duration::try_from_secs_f64(secs).ok()
+}
+
 /// Reads and writes a size in bytes as a string with a unit, such as `64KiB`.
 pub struct Size;
 
--- a/crates/conf/src/settings.rs
+++ b/crates/conf/src/settings.rs
@@ -349,6 +349,11 @@
     #[serde_as(as = "Span")]
     #[serde(default = "forget_time")]
     pub forget: Duration,
+    /// The time after SIGTERM at which the platform kills the process, so that a planned stop
+    /// ends before; `None` if it never does.
+    #[serde_as(as = "Option<Span>")]
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub grace: Option<Duration>,
     /// The maximum time that a planned stop waits for calls in flight.
     #[serde_as(as = "Span")]
     #[serde(default = "drain_time")]
@@ -384,6 +389,9 @@
     Duration::from_secs(30)
 }
 
+/// The time that a process needs at its end, after the calls in flight.
+const EXIT_TIME: Duration = Duration::from_millis(300);
+
 /// Why settings could not be loaded.
 #[derive(Debug, thiserror::Error)]
 pub enum Error {
@@ -410,6 +418,14 @@
         Ok(settings)
     }
 
+    /// Returns how long a planned stop waits for calls in flight: the drain time, or what
+    /// is left of the grace after the notice.
+    pub fn drain_limit(&self) -> Duration {
+        let grace = self.grace.unwrap_or(Duration::MAX);
+        let left = grace.saturating_sub(self.notice).saturating_sub(EXIT_TIME);
+        self.drain.min(left)
+    }
+
     /// Returns the id of this VM, the hash of its name.
     pub fn vm_id(&self) -> VmId {
         base::id::vm(&self.vm)
@@ -443,6 +459,11 @@
             "traces.share",
             "out of range; write 0 to 1",
         );
+        errors.require(
+            !self.drain_limit().is_zero(),
+            "grace",
+            "leaves no time for calls in flight after the notice; write a shorter notice",
+        );
         self.check_faults(&mut errors);
         errors.into_result(())
     }
--- a/crates/daemon/tests/stop.rs
+++ b/crates/daemon/tests/stop.rs
@@ -16,6 +16,8 @@
 use harness::Response;
 use rustix::process::Signal;
 
+/// The time after the signal at which the deployments' VMs close their listeners.
+const NOTICE: Duration = Duration::from_millis(2200);
 const BODY: &[u8] = b"body";
 
 fn sleep_until(time: Instant) {
@@ -81,6 +83,21 @@
     assert_eq!(served, (Some(200), 1));
 }
 
+#[test]
+fn call_at_work_is_not_cut_before_the_grace_ends() {
+    let deployment = Deployment::new().with_grace(10);
+    deployment.add_server("i-1", Duration::from_millis(4500), 10);
+    let daemon = deployment.start(&settings(&deployment));
+    assert!(harness::wait_until(harness::SOON, || daemon.readiness() == Some(200)));
+    let began = Instant::now();
+    daemon.signal(Signal::TERM);
+    sleep_until(began + NOTICE - Duration::from_millis(300));
+    let mut stream = send_head(&daemon);
+    stream.write_all(BODY).unwrap();
+    let response = Response::read(&mut stream);
+    assert_eq!(response.map(|response| response.status), Some(200));
+}
+
 #[test]
 fn calls_that_wait_for_a_permit_in_a_stop_get_an_answer() {
     let deployment = Deployment::new();
--- a/crates/load/src/fleet.rs
+++ b/crates/load/src/fleet.rs
@@ -421,6 +421,7 @@
         forget: Duration::from_secs(3600),
         policy: options.policy,
         threads: Some(plan.threads),
+        grace: None,
         drain: Duration::from_secs(5),
         logs: Logs::default(),
         traces: Traces {
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -340,13 +340,17 @@
     }
 
     /// Stops the VM gracefully. Turns readiness off, waits for `settings.notice`,
-    /// stops accepting connections, waits up to `settings.drain` for the calls in
-    /// flight, and then sends the peers notice that this VM leaves.
+    /// stops accepting connections, waits up to `settings.drain_limit()` for the calls in
+    /// flight, and then sends the peers notice that this VM leaves. Once connections are no
+    /// longer accepted, only calls that end within that time are sent on.
     ///
     /// Returns whether all calls ended in time.
     pub async fn stop(self) -> bool {
         self.ready.store(false, Ordering::SeqCst);
-        let (notice, drain) = (self.shared.settings.notice, self.shared.settings.drain);
+        let (notice, drain) = (
+            self.shared.settings.notice,
+            self.shared.settings.drain_limit(),
+        );
         // Set once, since `stop` consumes the node.
         let _ = self
             .shared
