Log the start and the end of a process, its panics and its limits

Users saw processes that end by themselves and had no logs of them: an error at the start was a plain line on standard error, a panic was only the runtime's text, nothing told the limits, and no metric showed memory, descriptors or connections.

The daemon logs one line at its start with its version and limits, one at its end with the exit code and the reason, and one for each panic, through the usual logger, whose handle now outlives the run and waits for the queued lines. The lines on standard error stay. The gauges connections, resident_bytes, resident_peak_bytes, descriptors, descriptors_max and panics are read when metrics are scraped. A process that is killed has no line of its end; its absence shows that.

--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -4,6 +4,8 @@
 //! until SIGTERM or SIGINT. It then waits for the calls in flight, up to the drain
 //! time in the settings. It reads the settings again on SIGHUP or when the file changes.
 
+use std::panic;
+use std::panic::AssertUnwindSafe;
 use std::path::Path;
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -34,9 +36,13 @@
   --version         show the version
 
 Exit codes: 0 stopped after all calls had ended, 1 failed, 2 invalid arguments
-or settings, 3 stopped while calls were still in flight.
+or settings, 3 stopped while calls were still in flight, 101 panicked.
 ";
 
+/// The exit code for an error while the daemon runs.
+const EXIT_FAILED: u8 = 1;
+/// The exit code for a panic of the main thread.
+const EXIT_PANICKED: u8 = 101;
 /// The exit code for invalid arguments or settings.
 const EXIT_INVALID: u8 = 2;
 /// The exit code for a stop that ended while calls were in flight.
@@ -46,6 +52,14 @@
 /// without a signal.
 const SETTINGS_POLL_INTERVAL: Duration = Duration::from_secs(5);
 
+/// How the daemon stopped.
+struct End {
+    /// Whether all calls had ended before the drain time was over.
+    drained: bool,
+    /// What the daemon was stopped by.
+    reason: &'static str,
+}
+
 /// The parsed command line.
 struct Args {
     /// The path of the settings file.
@@ -62,22 +76,76 @@
     };
     let settings = match Settings::load(&args.settings) {
         Ok(settings) => settings,
-        Err(error) => return report_invalid(&error.into()),
+        Err(error) if args.check => return report_invalid(&error.into()),
+        Err(error) => {
+            let _logs = start_default_logs();
+            return report_error(EXIT_INVALID, &error.into());
+        }
     };
     if args.check {
         println!("{}: no faults", args.settings.display());
         return ExitCode::SUCCESS;
     }
-    match smol::block_on(run(settings, &args.settings)) {
-        Ok(true) => ExitCode::SUCCESS,
-        Ok(false) => ExitCode::from(EXIT_CALLS_CUT),
+    let logs = obs::logs::start(&settings.logs.level, settings.logs.json)
+        .context("logs.level is not a valid level or filter; write \"info\"");
+    let logs = match logs {
+        Ok(logs) => logs,
         Err(error) => {
-            eprintln!("snipepaddled: {error:#}");
-            ExitCode::FAILURE
+            let _logs = start_default_logs();
+            return report_error(EXIT_FAILED, &error);
         }
+    };
+    obs::panics::install_hook();
+    log_start(&settings);
+    let running = || smol::block_on(run(settings, &args.settings, &logs));
+    match panic::catch_unwind(AssertUnwindSafe(running)) {
+        Ok(Ok(end)) if end.drained => report_end(0, end.reason),
+        Ok(Ok(_)) => report_end(EXIT_CALLS_CUT, "stopped while calls were in flight"),
+        Ok(Err(error)) => report_error(EXIT_FAILED, &error),
+        Err(_) => report_end(EXIT_PANICKED, "panic of the main thread"),
     }
 }
 
+/// Logs the limits under which the process starts, and the settings that bound its use
+/// of resources.
+fn log_start(settings: &Settings) {
+    let limits = obs::process::limits();
+    let callers = &settings.callers;
+    log::info!(
+        version = env!("CARGO_PKG_VERSION"),
+        vm = settings.vm.as_str(),
+        pid = std::process::id(),
+        descriptors_max = limits.descriptors,
+        address_space_max = limits.address_space,
+        connections_max = callers.connections,
+        buffer_bytes = callers.buffer;
+        "process: started"
+    );
+}
+
+/// Starts logging before the settings are known. If a logger has been started, it stays.
+fn start_default_logs() -> Option<obs::logs::Handle> {
+    obs::logs::start("info", true).ok()
+}
+
+/// Prints `error`, logs the end of the process and returns its exit code.
+fn report_error(code: u8, error: &anyhow::Error) -> ExitCode {
+    let reason = format!("{error:#}");
+    eprintln!("snipepaddled: {reason}");
+    log::error!(exit_code = code, reason = reason.as_str(); "process: ended");
+    ExitCode::from(code)
+}
+
+/// Logs the end of the process and returns its exit code.
+fn report_end(code: u8, reason: &str) -> ExitCode {
+    let level = match code {
+        0 => log::Level::Info,
+        _ => log::Level::Error,
+    };
+    log::log!(level, exit_code = code, reason = reason; "process: ended");
+    ExitCode::from(code)
+}
+
 /// Prints an error in the arguments or settings and returns its exit code.
 fn report_invalid(error: &anyhow::Error) -> ExitCode {
     eprintln!("snipepaddled: {error:#}");
@@ -111,11 +179,8 @@
     Ok(Some(args))
 }
 
-/// Runs the daemon until SIGTERM or SIGINT. Returns whether all calls had ended before
-/// the drain time was over.
-async fn run(settings: Settings, file: &Path) -> anyhow::Result<bool> {
-    let logs = obs::logs::start(&settings.logs.level, settings.logs.json)
-        .context("logs.level is not a valid level or filter; write \"info\"")?;
+/// Runs the daemon until SIGTERM or SIGINT.
+async fn run(settings: Settings, file: &Path, logs: &obs::logs::Handle) -> anyhow::Result<End> {
     let mut signals = Signals::new([Signal::Term, Signal::Int, Signal::Hup])?;
     let pool = Node::new_pool(&settings);
     let options = node_options(&settings, &pool);
@@ -124,24 +189,26 @@
     admin::serve(&node, stop.clone()).await?;
     admin::monitoring::serve(&node, stop.clone()).await?;
     let mut last_text = read_settings(file);
-    loop {
+    let reason = loop {
         let signal = net::timeout(SETTINGS_POLL_INTERVAL, signals.next()).await;
         let requested = match signal {
             Some(Some(Ok(Signal::Hup))) => true,
             // SIGTERM or SIGINT, or signals can no longer be received. The daemon could
             // then not be asked to stop, so it stops at once.
-            Some(_) => break,
+            Some(Some(Ok(Signal::Term))) => break "SIGTERM",
+            Some(Some(Ok(Signal::Int))) => break "SIGINT",
+            Some(_) => break "signals can no longer be received",
             None => false,
         };
         let text = read_settings(file);
         if requested || text != last_text {
-            reload(&node, &logs, text.as_deref());
+            reload(&node, logs, text.as_deref());
             last_text = text;
         }
-    }
+    };
     let drained = node.stop().await;
     stop.trigger();
-    Ok(drained)
+    Ok(End { drained, reason })
 }
 
 /// Returns the text of the settings file, or `None` if it cannot be read.
--- a/crates/net/src/server.rs
+++ b/crates/net/src/server.rs
@@ -49,6 +49,17 @@
 /// The result that hyper expects of a service.
 type ServiceResult = Result<Response<DeferredErrorBody>, std::convert::Infallible>;
 
+/// The number of open connections of a [`Server`]. All clones share one number.
+#[derive(Clone, Debug, Default)]
+pub struct Connections(Arc<AtomicUsize>);
+
+impl Connections {
+    /// Returns the number of open connections.
+    pub fn count(&self) -> usize {
+        self.0.load(Ordering::SeqCst)
+    }
+}
+
 /// The application behind a [`Server`].
 pub trait Handler: Send + Sync + 'static {
     /// Returns the response to a request that was received from `peer`.
@@ -115,7 +126,7 @@
     stop: Stop,
     tls: Option<TlsAcceptor>,
     kill: Option<Stop>,
-    open_connections: Arc<AtomicUsize>,
+    open_connections: Connections,
 }
 
 impl Server {
@@ -129,7 +140,7 @@
             stop,
             tls: None,
             kill: None,
-            open_connections: Arc::default(),
+            open_connections: Connections::default(),
         }
     }
 
@@ -145,6 +156,13 @@
         self
     }
 
+    /// Returns the server with `connections` as the number of its open connections, which
+    /// it shares with the clones of `connections`.
+    pub fn with_connections(mut self, connections: Connections) -> Self {
+        self.open_connections = connections;
+        self
+    }
+
     /// Returns the server with a signal that aborts all of its connections, including
     /// those with requests in progress.
     pub fn with_kill(mut self, kill: Stop) -> Self {
@@ -182,8 +200,8 @@
     }
 
     fn admit(&self, stream: TcpStream, peer: SocketAddr) {
-        if self.open_connections.fetch_add(1, Ordering::SeqCst) >= self.limits.connections {
-            self.open_connections.fetch_sub(1, Ordering::SeqCst);
+        if self.open_connections.0.fetch_add(1, Ordering::SeqCst) >= self.limits.connections {
+            self.open_connections.0.fetch_sub(1, Ordering::SeqCst);
             return;
         }
         let server = self.clone();
@@ -196,7 +214,7 @@
                 }
                 None => server.serve_connection(stream, peer).await,
             }
-            server.open_connections.fetch_sub(1, Ordering::SeqCst);
+            server.open_connections.0.fetch_sub(1, Ordering::SeqCst);
             drop(task_guard);
         });
     }
--- a/crates/node/src/gauges.rs
+++ b/crates/node/src/gauges.rs
@@ -53,6 +53,48 @@
         "Bytes of request bodies that are buffered",
         |s| s.bodies.used() as u64,
     );
+    gauge(
+        &meter,
+        &weak,
+        "connections",
+        "Open connections of callers",
+        |s| s.caller_connections.count() as u64,
+    );
+    gauge(
+        &meter,
+        &weak,
+        "resident_bytes",
+        "Resident memory of the process",
+        |_| obs::process::memory().resident,
+    );
+    gauge(
+        &meter,
+        &weak,
+        "resident_peak_bytes",
+        "Most resident memory of the process since its start",
+        |_| obs::process::memory().peak,
+    );
+    gauge(
+        &meter,
+        &weak,
+        "descriptors",
+        "Open descriptors of the process",
+        |_| obs::process::descriptors(),
+    );
+    gauge(
+        &meter,
+        &weak,
+        "descriptors_max",
+        "Descriptors that the process may have open",
+        |_| obs::process::limits().descriptors.unwrap_or(u64::MAX),
+    );
+    gauge(
+        &meter,
+        &weak,
+        "panics",
+        "Panics since the process started",
+        |_| obs::panics::count(),
+    );
     gauge(
         &meter,
         &weak,
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -319,6 +319,7 @@
         self.tasks.push(self.pool.spawn(relay_server.run(listener)));
         let mut server = Server::new(proxy, handle, shared.stop.clone())
             .with_limits(limits)
+            .with_connections(shared.caller_connections.clone())
             .with_kill(self.kill.clone());
         if let Some(tls) = &callers.tls {
             server = server.with_tls(net::tls::acceptor(&tls.certificate, &tls.key)?);
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -35,6 +35,7 @@
 use member::Membership;
 use net::client::Connector;
 use net::exec::Handle;
+use net::server::Connections;
 use net::Stop;
 use obs::Metrics;
 use obs::RecentCalls;
@@ -149,6 +150,8 @@
     table: RwLock<Arc<ShardTable>>,
     /// The memory for buffered request bodies.
     pub(crate) bodies: BodyBudget,
+    /// The open connections of callers.
+    pub(crate) caller_connections: Connections,
     /// What servers asked this VM for.
     pub(crate) notices: Mutex<Notices>,
     /// The requests under which servers crashed.
@@ -266,6 +269,7 @@
             state: RwLock::default(),
             table: RwLock::default(),
             bodies: BodyBudget::new(buffer),
+            caller_connections: Connections::default(),
             notices: Mutex::default(),
             crashes: Mutex::default(),
             reach: Reach::default(),
--- a/crates/obs/src/lib.rs
+++ b/crates/obs/src/lib.rs
@@ -5,6 +5,8 @@
 pub mod calls;
 pub mod logs;
 pub mod metrics;
+pub mod panics;
+pub mod process;
 pub mod spans;
 
 pub use calls::CallRecord;
