Do not abort the process when a destructor of a task panics

Users would see a VM end by itself with signal 6, and all of its connections cut, for a panic while one call is cancelled, for instance because its caller has left or the connection is closed at the end of the drain time.

But async-task drops the future of a task under abort_on_panic. Tasks now run in a future whose own destructor contains the panic; the hook reports it. A thread that still unwinds, as after a panic of the reactor, runs its tasks again.

Not covered: a destructor that panics while another panic unwinds, which always aborts, and one of a result that nobody takes.

--- a/crates/net/src/exec.rs
+++ b/crates/net/src/exec.rs
@@ -1,14 +1,18 @@
 //! A thread pool that runs one smol executor.
 
 use std::future::Future;
+use std::panic;
+use std::panic::AssertUnwindSafe;
+use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::Condvar;
 use std::sync::Mutex;
 use std::sync::PoisonError;
+use std::task::Context;
+use std::task::Poll;
 use std::thread;
 
 use event_listener::Event;
-
 use smol::Executor;
 use smol::Task;
 
@@ -102,7 +106,10 @@
                 .name(format!("{name}-{i}"))
                 .spawn(move || {
                     while control.wait_while_paused() {
-                        smol::block_on(executor.run(control.wait_interrupted()));
+                        let run = || smol::block_on(executor.run(control.wait_interrupted()));
+                        if panic::catch_unwind(AssertUnwindSafe(run)).is_err() {
+                            log::error!("net: a thread panicked outside of its tasks; it runs on");
+                        }
                     }
                 });
             if let Err(error) = started {
@@ -131,7 +138,7 @@
         &self,
         future: impl Future<Output = T> + Send + 'static,
     ) -> Task<T> {
-        self.executor.spawn(future)
+        self.executor.spawn(Contained::new(future))
     }
 
     /// Returns a handle with which hyper and other code spawn tasks on the pool.
@@ -150,7 +157,7 @@
     F::Output: Send + 'static,
 {
     fn execute(&self, future: F) {
-        self.0.spawn(future).detach();
+        self.0.spawn(Contained::new(future)).detach();
     }
 }
 
@@ -160,11 +167,40 @@
         &self,
         future: impl Future<Output = T> + Send + 'static,
     ) -> Task<T> {
-        self.0.spawn(future)
+        self.0.spawn(Contained::new(future))
     }
 
     /// Runs `future` to its end on the pool. The task cannot be cancelled.
     pub fn spawn_detached(&self, future: impl Future<Output = ()> + Send + 'static) {
-        self.0.spawn(future).detach();
+        self.0.spawn(Contained::new(future)).detach();
+    }
+}
+
+/// A future whose destructor does not panic. The executor contains a panic of a poll, and
+/// aborts the process on one of a destructor.
+struct Contained<F>(Option<Pin<Box<F>>>);
+
+impl<F> Contained<F> {
+    fn new(future: F) -> Self {
+        Self(Some(Box::pin(future)))
+    }
+}
+
+impl<F: Future> Future for Contained<F> {
+    type Output = F::Output;
+
+    fn poll(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<F::Output> {
+        match &mut self.0 {
+            Some(future) => future.as_mut().poll(cx),
+            None => Poll::Pending,
+        }
+    }
+}
+
+impl<F> Drop for Contained<F> {
+    fn drop(&mut self) {
+        let future = self.0.take();
+        // The panic hook reports the panic.
+        let _ = panic::catch_unwind(AssertUnwindSafe(move || drop(future)));
     }
 }
