Release the connection of a caller when its task panics

Users would see a VM that accepts and closes all connections at once, after as many panics as callers.connections: the number of open connections was lowered after the connection had been served, which a panic skips. The guard of net::Stop was released, since it was dropped with the future.

The number is held by a guard now, which drops also when the task unwinds. The other counts in the crates were already held by guards, apart from Call::sends, which belongs to the call that panics.

Evidence: run_handler_panics (server with a limit of one connection) failed before: the connection that panicked still counted.

--- a/crates/net/src/server.rs
+++ b/crates/net/src/server.rs
@@ -58,6 +58,22 @@
     pub fn count(&self) -> usize {
         self.0.load(Ordering::SeqCst)
     }
+
+    /// Counts a connection until the returned guard is dropped. Returns none if `max`
+    /// connections are open.
+    fn open(&self, max: usize) -> Option<ConnectionGuard> {
+        let guard = ConnectionGuard(self.clone());
+        (self.0.fetch_add(1, Ordering::SeqCst) < max).then_some(guard)
+    }
+}
+
+/// Represents an open connection in its number.
+struct ConnectionGuard(Connections);
+
+impl Drop for ConnectionGuard {
+    fn drop(&mut self) {
+        self.0 .0.fetch_sub(1, Ordering::SeqCst);
+    }
 }
 
 /// The application behind a [`Server`].
@@ -200,13 +216,14 @@
     }
 
     fn admit(&self, stream: TcpStream, peer: SocketAddr) {
-        if self.open_connections.0.fetch_add(1, Ordering::SeqCst) >= self.limits.connections {
-            self.open_connections.0.fetch_sub(1, Ordering::SeqCst);
+        let Some(open) = self.open_connections.open(self.limits.connections) else {
             return;
-        }
+        };
         let server = self.clone();
         let task_guard = self.stop.register_task();
         self.handle.spawn_detached(async move {
+            // Dropped at the end and also if the connection panics.
+            let _guards = (open, task_guard);
             match server.kill.clone() {
                 Some(kill) => {
                     futures_lite::future::or(server.serve_connection(stream, peer), kill.wait())
@@ -214,8 +231,6 @@
                 }
                 None => server.serve_connection(stream, peer).await,
             }
-            server.open_connections.0.fetch_sub(1, Ordering::SeqCst);
-            drop(task_guard);
         });
     }
 
--- a/crates/net/tests/server.rs
+++ b/crates/net/tests/server.rs
@@ -18,6 +18,7 @@
 use hyper::body::Incoming;
 use net::body;
 use net::server::Handler;
+use net::server::Limits;
 use net::server::Server;
 use net::Body;
 use net::BoxFuture;
@@ -79,3 +80,48 @@
     assert!(answer.contains("content-length: 10"), "{answer:?}");
     assert!(answer.ends_with("\r\n\r\nhal"), "{answer:?}");
 }
+
+/// Panics on requests of `/panic`, and responds to others.
+struct Panics;
+
+impl Handler for Panics {
+    fn call(
+        self: Arc<Self>,
+        request: Request<Incoming>,
+        _peer: SocketAddr,
+    ) -> BoxFuture<'static, Response<Body>> {
+        Box::pin(async move {
+            assert_ne!(request.uri().path(), "/panic", "for the test");
+            Response::new(body::full("fine"))
+        })
+    }
+}
+
+#[test]
+fn run_handler_panics() {
+    let pool = ThreadPool::new("test", 1);
+    let listener = smol::block_on(TcpListener::bind((Ipv4Addr::LOCALHOST, 0))).unwrap();
+    let address = listener.local_addr().unwrap();
+    let limits = Limits {
+        connections: 1,
+        ..Limits::default()
+    };
+    let server = Server::new(Arc::new(Panics), pool.handle(), Stop::new()).with_limits(limits);
+    let task = pool.spawn(server.run(listener));
+    let get = |path: &str| {
+        let mut stream = TcpStream::connect(address).unwrap();
+        let head = format!("GET {path} HTTP/1.1\r\nhost: s\r\nconnection: close\r\n\r\n");
+        let _ = stream.write_all(head.as_bytes());
+        let mut received = Vec::new();
+        let _ = stream.read_to_end(&mut received);
+        String::from_utf8_lossy(&received).into_owned()
+    };
+    assert_eq!(get("/panic"), "");
+    // The caller may see the end of its connection before the server has counted it.
+    let served = (0..100).any(|_| {
+        std::thread::sleep(std::time::Duration::from_millis(10));
+        get("/").starts_with("HTTP/1.1 200")
+    });
+    assert!(served, "the connection that panicked still counts");
+    smol::block_on(task.cancel());
+}
