Start the tasks of a VM again after a panic

Users would see a VM that runs and is ready, but no longer accepts callers, answers its peers or follows the configuration: a panic in an accept loop or in one of the tasks that the node starts ended that task for good, without a log line.

net::exec::supervise runs a future and starts another one 200 ms after a panic, with a log line. The node's tasks and the accept loops of all servers run under it. What these tasks share with others is changed under mutexes that recover from poisoning, as after a panic of a call, so the process need not end; a registry topic is listed anew, since its progress is part of the future. Node stop cancels the tasks as before, and no longer unwinds with the panic of one.

Evidence: supervise_starts_again. No panic of these tasks is known, and no test makes one panic in a running VM; before, nothing started them again.

--- a/crates/net/src/exec.rs
+++ b/crates/net/src/exec.rs
@@ -11,11 +11,16 @@
 use std::task::Context;
 use std::task::Poll;
 use std::thread;
+use std::time::Duration;
 
 use event_listener::Event;
+use futures_lite::FutureExt;
 use smol::Executor;
 use smol::Task;
 
+/// The delay before a supervised future that panicked is started again.
+const RESTART_DELAY: Duration = Duration::from_millis(200);
+
 /// The threads that run the tasks of one daemon.
 ///
 /// The threads exit when the last clone of the pool is dropped.
@@ -204,3 +209,17 @@
         let _ = panic::catch_unwind(AssertUnwindSafe(move || drop(future)));
     }
 }
+
+/// Runs the future that `start` returns to its end. If it panics, starts another one
+/// after a short delay. For tasks without which the VM would serve nothing. `name` is for
+/// the log.
+pub async fn supervise<F: Future<Output = ()>>(name: &str, start: impl Fn() -> F) {
+    while AssertUnwindSafe(async { start().await })
+        .catch_unwind()
+        .await
+        .is_err()
+    {
+        log::error!("net: the task {name} panicked; it starts again");
+        smol::Timer::after(RESTART_DELAY).await;
+    }
+}
--- a/crates/net/src/server.rs
+++ b/crates/net/src/server.rs
@@ -31,6 +31,7 @@
 use smol_hyper::rt::SmolTimer;
 
 use crate::deferred::DeferredErrorBody;
+use crate::exec::supervise;
 use crate::exec::Handle;
 use crate::fair::Fair;
 use crate::fair::Yields;
@@ -189,6 +190,10 @@
     /// Accepts connections from `listener` until the shutdown signal, and then those that had
     /// been established before it. Returns without waiting for the open connections.
     pub async fn run(self, listener: TcpListener) {
+        supervise("accept", || self.accept(&listener)).await;
+    }
+
+    async fn accept(&self, listener: &TcpListener) {
         let mut accepts = Yields::default();
         loop {
             let accepted =
--- a/crates/net/tests/exec.rs
+++ b/crates/net/tests/exec.rs
@@ -1,8 +1,11 @@
 //! Panics in the tasks of a thread pool.
 
 use std::future;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use net::exec;
 use net::ThreadPool;
 
 const SOON: Duration = Duration::from_secs(10);
@@ -45,3 +48,14 @@
     drop(task);
     assert!(runs_tasks(&pool));
 }
+
+#[test]
+fn supervise_starts_again() {
+    let starts = AtomicUsize::new(0);
+    let supervised = exec::supervise("test", || async {
+        // The third one ends.
+        assert!(starts.fetch_add(1, Ordering::SeqCst) >= 2, "for the test");
+    });
+    assert!(smol::block_on(net::timeout(SOON, supervised)).is_some());
+    assert_eq!(starts.load(Ordering::SeqCst), 3);
+}
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -1,5 +1,6 @@
 //! Starts and stops an entry VM.
 
+use std::future::Future;
 use std::net::SocketAddr;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
@@ -165,10 +166,10 @@
             tasks: Vec::new(),
             kill: Stop::new(),
         };
-        node.tasks.push(
-            node.pool
-                .spawn(node.shared.clone().report_lost_connections(lost_servers)),
-        );
+        let shared = node.shared.clone();
+        node.tasks.push(node.supervise("lost connections", move || {
+            shared.clone().report_lost_connections(lost_servers.clone())
+        }));
         node.start_peers(fetch_sources).await?;
         node.start_ticks();
         node.start_callers().await?;
@@ -207,70 +208,105 @@
         let listener = TcpListener::bind(peers)
             .await
             .with_context(|| bind_error("peers", peers))?;
-        let sender = shared.clone();
-        self.tasks.push(self.pool.spawn(async move {
-            sender.outbox.run(&*sender.transport).await;
-        }));
+        let [sender, receiver, server, fetcher] = [(); 4].map(|()| shared.clone());
         let tasks = [
-            self.pool.spawn(shared.clone().receive_datagrams()),
-            self.pool.spawn(shared.clone().serve_streams(listener)),
-            self.pool
-                .spawn(shared.clone().fetch_from_peers(fetch_sources)),
+            self.supervise("sender", move || {
+                let sender = sender.clone();
+                async move { sender.outbox.run(&*sender.transport).await }
+            }),
+            self.supervise("receiver", move || receiver.clone().receive_datagrams()),
+            self.supervise("streams", move || {
+                server.clone().serve_streams(listener.clone())
+            }),
+            self.supervise("fetches", move || {
+                fetcher.clone().fetch_from_peers(fetch_sources.clone())
+            }),
         ];
-        self.tasks.extend(tasks);
-        let tasks = match &shared.registry {
+        let [registrar, head, domains, vms] = [(); 4].map(|()| shared.clone());
+        let watches = match &shared.registry {
             Some(registry) => vec![
                 self.follow_topic(registry, Topic::Layout),
                 self.follow_topic(registry, Topic::Servers),
                 self.follow_topic(registry, Topic::DomainsOut),
-                self.pool
-                    .spawn(shared.clone().keep_registered(registry.clone())),
+                {
+                    let registry = registry.clone();
+                    self.supervise("registration", move || {
+                        registrar.clone().keep_registered(registry.clone())
+                    })
+                },
             ],
             None => vec![
-                self.pool.spawn(shared.clone().watch(WatchedObject::Head)),
-                self.pool
-                    .spawn(shared.clone().watch(WatchedObject::Domains)),
-                self.pool.spawn(shared.clone().poll_vm_list()),
+                self.supervise("head", move || head.clone().watch(WatchedObject::Head)),
+                self.supervise("domains", move || {
+                    domains.clone().watch(WatchedObject::Domains)
+                }),
+                self.supervise("VM list", move || vms.clone().poll_vm_list()),
             ],
         };
-        self.tasks.extend(tasks);
+        self.tasks.extend(tasks.into_iter().chain(watches));
         Ok(())
     }
 
     fn follow_topic(&self, registry: &Arc<dyn Registry>, topic: Topic) -> Task<()> {
-        let shared = self.shared.clone();
+        let (shared, registry) = (self.shared.clone(), registry.clone());
+        self.supervise("topic", move || {
+            shared.clone().follow_topic(registry.clone(), topic)
+        })
+    }
+
+    /// Runs the future that `start` returns, and another one whenever it panics. What it
+    /// shares with other tasks is as consistent as after a panic of a call, since each
+    /// change is made under a mutex that recovers.
+    fn supervise<F>(
+        &self,
+        name: &'static str,
+        start: impl Fn() -> F + Send + Sync + 'static,
+    ) -> Task<()>
+    where
+        F: Future<Output = ()> + Send + 'static,
+    {
         self.pool
-            .spawn(shared.follow_topic(registry.clone(), topic))
+            .spawn(async move { net::exec::supervise(name, start).await })
     }
 
     /// Starts the periodic tasks.
     fn start_ticks(&mut self) {
-        let shared = self.shared.clone();
-        self.tasks.push(self.pool.spawn(async move {
-            loop {
-                shared.next_tick().await;
-                shared.tick_followers();
-            }
-        }));
-        let shared = self.shared.clone();
-        self.tasks.push(self.pool.spawn(async move {
-            loop {
-                let busy = shared.tick_coordinators();
-                let delay = if busy {
-                    COORDINATOR_TICK
-                } else {
-                    IDLE_COORDINATOR_TICK
-                };
-                smol::Timer::after(delay).await;
-            }
-        }));
-        let shared = self.shared.clone();
-        self.tasks.push(self.pool.spawn(async move {
-            loop {
-                smol::Timer::after(SWEEP_INTERVAL).await;
-                shared.pools.close_idle(shared.clock.now());
-            }
-        }));
+        let [followers, coordinators, pools] = [(); 3].map(|()| self.shared.clone());
+        let tasks = [
+            self.supervise("followers", move || {
+                let shared = followers.clone();
+                async move {
+                    loop {
+                        shared.next_tick().await;
+                        shared.tick_followers();
+                    }
+                }
+            }),
+            self.supervise("coordinators", move || {
+                let shared = coordinators.clone();
+                async move {
+                    loop {
+                        let busy = shared.tick_coordinators();
+                        let delay = if busy {
+                            COORDINATOR_TICK
+                        } else {
+                            IDLE_COORDINATOR_TICK
+                        };
+                        smol::Timer::after(delay).await;
+                    }
+                }
+            }),
+            self.supervise("sweeps", move || {
+                let shared = pools.clone();
+                async move {
+                    loop {
+                        smol::Timer::after(SWEEP_INTERVAL).await;
+                        shared.pools.close_idle(shared.clock.now());
+                    }
+                }
+            }),
+        ];
+        self.tasks.extend(tasks);
     }
 
     /// Listens for callers and starts the proxy that serves them.
