Fail the start of a VM without a thread to run on

Users would see a process that lives, is never ready and logs one line only: a pool without any thread was returned like any other, and the start waited for tasks that nothing ran.

ThreadPool::try_new fails if no thread can be started, and the error names the limits to raise; the daemon then ends with exit code 1 and this reason, and is started again by whatever watches it. With some of the threads it runs, as before. The tools keep ThreadPool::new, which panics with the same text.

Evidence: with_starter_lacks_threads starts pools with a function that fails for some or all threads; the case of none could not be written before, as there was no error to return. No run with a real limit of processes was made.

--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -182,7 +182,7 @@
 /// Runs the daemon until SIGTERM or SIGINT.
 async fn run(settings: Settings, file: &Path, logs: &obs::logs::Handle) -> anyhow::Result<End> {
     let mut signals = Signals::new([Signal::Term, Signal::Int, Signal::Hup])?;
-    let pool = Node::new_pool(&settings);
+    let pool = Node::new_pool(&settings)?;
     let options = node_options(&settings, &pool);
     let node = Node::start_on(pool, settings, options).await?;
     let stop = Stop::new();
--- a/crates/net/src/exec.rs
+++ b/crates/net/src/exec.rs
@@ -1,6 +1,7 @@
 //! A thread pool that runs one smol executor.
 
 use std::future::Future;
+use std::io;
 use std::panic;
 use std::panic::AssertUnwindSafe;
 use std::pin::Pin;
@@ -21,6 +22,14 @@
 /// The delay before a supervised future that panicked is started again.
 const RESTART_DELAY: Duration = Duration::from_millis(200);
 
+/// No thread of a pool can be started.
+#[derive(Debug, thiserror::Error)]
+#[error(
+    "cannot start a thread: {0}; raise the limit of processes (ulimit -u, or pids.max of the \
+     control group) or of memory, and start again"
+)]
+pub struct StartError(#[source] io::Error);
+
 /// The threads that run the tasks of one daemon.
 ///
 /// The threads exit when the last clone of the pool is dropped.
@@ -97,35 +106,69 @@
 
 impl ThreadPool {
     /// Starts `threads` threads, at least one, with names of the form `NAME-0`.
+    ///
+    /// # Panics
+    ///
+    /// Panics if no thread can be started; see [`Self::try_new`].
     pub fn new(name: &str, threads: usize) -> Self {
+        match Self::try_new(name, threads) {
+            Ok(pool) => pool,
+            Err(error) => panic!("{error}"),
+        }
+    }
+
+    /// Starts `threads` threads, at least one, with names of the form `NAME-0`. If only
+    /// some of them can be started, the pool runs with these.
+    ///
+    /// Fails if none can be started.
+    pub fn try_new(name: &str, threads: usize) -> Result<Self, StartError> {
+        Self::with_starter(name, threads, |name, run| {
+            thread::Builder::new().name(name).spawn(run).map(drop)
+        })
+    }
+
+    /// Starts the threads as [`Self::try_new`] does, each with a call of `start` with the
+    /// name of the thread and what it has to run.
+    pub fn with_starter(
+        name: &str,
+        threads: usize,
+        mut start: impl FnMut(String, Box<dyn FnOnce() + Send>) -> io::Result<()>,
+    ) -> Result<Self, StartError> {
         let executor = Arc::new(Executor::new());
         let control = Arc::new(Control {
             mode: Mutex::new(Mode::Run),
             changed: Event::new(),
             unpaused: Condvar::new(),
         });
+        let mut last_error = None;
+        let mut started = 0;
         for i in 0..threads.max(1) {
             let executor = executor.clone();
             let control = control.clone();
-            let started = thread::Builder::new()
-                .name(format!("{name}-{i}"))
-                .spawn(move || {
-                    while control.wait_while_paused() {
-                        let run = || smol::block_on(executor.run(control.wait_interrupted()));
-                        if panic::catch_unwind(AssertUnwindSafe(run)).is_err() {
-                            log::error!("net: a thread panicked outside of its tasks; it runs on");
-                        }
+            let run = move || {
+                while control.wait_while_paused() {
+                    let run = || smol::block_on(executor.run(control.wait_interrupted()));
+                    if panic::catch_unwind(AssertUnwindSafe(run)).is_err() {
+                        log::error!("net: a thread panicked outside of its tasks; it runs on");
                     }
-                });
-            if let Err(error) = started {
-                log::error!("net: cannot start thread {i} of {threads}: {error}");
+                }
+            };
+            match start(format!("{name}-{i}"), Box::new(run)) {
+                Ok(()) => started += 1,
+                Err(error) => {
+                    log::error!("net: cannot start thread {i} of {threads}: {error}");
+                    last_error = Some(error);
+                }
             }
         }
-        Self {
+        if let (0, Some(error)) = (started, last_error) {
+            return Err(StartError(error));
+        }
+        Ok(Self {
             executor,
             _exit: Arc::new(ExitOnDrop(control.clone())),
             control,
-        }
+        })
     }
 
     /// Suspends all tasks, as if the VM were paused. Tests of failures use this.
--- a/crates/net/tests/exec.rs
+++ b/crates/net/tests/exec.rs
@@ -1,11 +1,14 @@
 //! Panics in the tasks of a thread pool.
 
 use std::future;
+use std::io;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
+use std::thread;
 use std::time::Duration;
 
 use net::exec;
+use net::exec::StartError;
 use net::ThreadPool;
 
 const SOON: Duration = Duration::from_secs(10);
@@ -59,3 +62,23 @@
     assert!(smol::block_on(net::timeout(SOON, supervised)).is_some());
     assert_eq!(starts.load(Ordering::SeqCst), 3);
 }
+
+/// Starts a pool of three threads, of which those in `failing` cannot be started.
+fn start_with_failures(failing: &[usize]) -> Result<ThreadPool, StartError> {
+    let mut calls = 0;
+    ThreadPool::with_starter("test", 3, |name, run| {
+        calls += 1;
+        if failing.contains(&(calls - 1)) {
+            return Err(io::ErrorKind::WouldBlock.into());
+        }
+        thread::Builder::new().name(name).spawn(run).map(drop)
+    })
+}
+
+#[test]
+fn with_starter_lacks_threads() {
+    let pool = start_with_failures(&[0, 2]).unwrap();
+    assert!(runs_tasks(&pool));
+    let error = start_with_failures(&[0, 1, 2]).err().unwrap();
+    assert!(error.to_string().contains("raise the limit"), "{error}");
+}
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -27,6 +27,7 @@
 use member::Profile;
 use net::client::Connector;
 use net::client::Direct;
+use net::exec::StartError;
 use net::server::Limits;
 use net::server::Server;
 use net::Stop;
@@ -98,14 +99,14 @@
     /// Returns an error if a listen address is in use, or if the trace file, the
     /// TLS files or the VM's name cannot be used.
     pub async fn start(settings: Settings, options: Options) -> anyhow::Result<Self> {
-        let pool = Self::new_pool(&settings);
+        let pool = Self::new_pool(&settings)?;
         Self::start_on(pool, settings, options).await
     }
 
     /// Returns a new pool of `settings.threads` threads, or of one thread per processor
-    /// core if the setting is missing.
-    pub fn new_pool(settings: &Settings) -> ThreadPool {
-        ThreadPool::new(&settings.vm, settings.threads.unwrap_or_else(cores))
+    /// core if the setting is missing. Fails if no thread can be started.
+    pub fn new_pool(settings: &Settings) -> Result<ThreadPool, StartError> {
+        ThreadPool::try_new(&settings.vm, settings.threads.unwrap_or_else(cores))
     }
 
     /// Starts an entry VM on `pool`; the errors are those of [`Self::start`].
