Bound the log lines of a VM whose descriptors are all in use

Users would see a hundred warnings a second for each listener while a VM has no descriptor left, which also push other lines out of the log's queue, since warnings are exempt from the rate limit.

Each listener logs one line a second at most, with the number of failed accepts and its address. The accepts themselves are tried as often as before, so the VM serves again as soon as descriptors are free.

--- a/crates/net/src/server.rs
+++ b/crates/net/src/server.rs
@@ -7,6 +7,7 @@
 
 use std::future::poll_fn;
 use std::future::Future;
+use std::io;
 use std::net::SocketAddr;
 use std::pin::pin;
 use std::pin::Pin;
@@ -15,6 +16,7 @@
 use std::sync::Arc;
 use std::task::Poll;
 use std::time::Duration;
+use std::time::Instant;
 
 use futures_lite::future::poll_once;
 use futures_lite::AsyncRead;
@@ -44,6 +46,8 @@
 
 /// The delay after a failed accept, for instance for lack of file descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(10);
+/// The shortest interval between two lines that report failed accepts.
+const ACCEPT_REPORT_INTERVAL: Duration = Duration::from_secs(1);
 /// The first bytes of an HTTP/2 connection without TLS (RFC 9113, section 3.4).
 const HTTP2_PREFACE: &[u8] = b"PRI * HTTP/2.0";
 
@@ -195,6 +199,7 @@
 
     async fn accept(&self, listener: &TcpListener) {
         let mut accepts = Yields::default();
+        let mut failures = AcceptFailures::default();
         loop {
             let accepted =
                 futures_lite::future::or(async { Some(listener.accept().await) }, async {
@@ -209,7 +214,7 @@
                     accepts.count_item().await;
                 }
                 Some(Err(error)) => {
-                    log::warn!("net: cannot accept a connection: {error}");
+                    failures.report(&error, listener);
                     smol::Timer::after(ACCEPT_RETRY_DELAY).await;
                 }
             }
@@ -347,6 +352,35 @@
     }
 }
 
+/// The failed accepts of one listener that have not been logged.
+#[derive(Debug, Default)]
+struct AcceptFailures {
+    count: u64,
+    reported: Option<Instant>,
+}
+
+impl AcceptFailures {
+    /// Counts a failed accept, and logs the count if the last line is old enough.
+    fn report(&mut self, error: &io::Error, listener: &TcpListener) {
+        self.count += 1;
+        let now = Instant::now();
+        let recent = self
+            .reported
+            .is_some_and(|at| now.saturating_duration_since(at) < ACCEPT_REPORT_INTERVAL);
+        if recent {
+            return;
+        }
+        let address = listener.local_addr().map(|address| address.to_string());
+        log::warn!(
+            failures = self.count,
+            address = address.unwrap_or_default().as_str();
+            "net: cannot accept a connection: {error}"
+        );
+        self.count = 0;
+        self.reported = Some(now);
+    }
+}
+
 /// Polls `connection` to its end. Once `stop` is triggered, calls `shut_down` after each
 /// poll until it returns true, so that the connection has read what its peer had sent.
 async fn run_connection<C: Future>(
