Serve no administration API on the deployment platform

Users saw: of the VMs of one host, with an address each and the same ports, all but one end with code 1 at their start; and a VM whose own address is 127.0.0.1 ends in the same way by itself.

Cause: the template has admin.listen 127.0.0.1 with the second internal port for every VM, which is also the port of watch.metrics.

Settings::check compares all listen addresses, names both fields, and lets port 0 occur any number of times, as each stands for another free port.

--- a/crates/admin/src/api.rs
+++ b/crates/admin/src/api.rs
@@ -45,25 +45,28 @@
 
 /// Serves the API of `node` on the address `admin.listen` of the settings until `stop`
 /// is triggered. Returns the address that is listened on, which differs from the setting
-/// if the setting has port 0.
+/// if the setting has port 0; none without a section `admin`.
 ///
 /// Fails if the address cannot be listened on.
-pub async fn serve(node: &Node, stop: Stop) -> anyhow::Result<SocketAddr> {
+pub async fn serve(node: &Node, stop: Stop) -> anyhow::Result<Option<SocketAddr>> {
     let shared = node.shared().clone();
-    let address = shared.settings.admin.listen;
+    let Some(settings) = &shared.settings.admin else {
+        return Ok(None);
+    };
+    let address = settings.listen;
     let listener = TcpListener::bind(address).await.with_context(|| {
         format!("cannot listen on {address} (admin.listen); free the port or choose another")
     })?;
     let address = listener.local_addr()?;
     let api = Arc::new(Api {
-        authenticator: Authenticator::new(&shared.settings.admin),
+        authenticator: Authenticator::new(settings),
         ready: node.ready(),
-        shared,
+        shared: shared.clone(),
     });
     let handle = node.pool().handle();
     handle.spawn_detached(Server::new(api, handle.clone(), stop).run(listener));
     log::info!("admin: listening on {address}");
-    Ok(address)
+    Ok(Some(address))
 }
 
 impl Handler for Api {
--- a/crates/conf/src/settings.rs
+++ b/crates/conf/src/settings.rs
@@ -321,8 +321,9 @@
     pub callers: Callers,
     /// How to communicate with the other entry VMs.
     pub peers: Peers,
-    /// The settings of the administration API.
-    pub admin: Admin,
+    /// The settings of the administration API; `None` if this VM serves none.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub admin: Option<Admin>,
     /// How to reach the platform.
     pub platform: Platform,
     /// Endpoints for readiness and metrics without an access token; `None` if
@@ -444,6 +445,7 @@
         self.check_callers(&mut errors);
         self.check_peers(&mut errors);
         self.check_admin(&mut errors);
+        self.check_addresses(&mut errors);
         errors.require(
             self.threads != Some(0),
             "threads",
@@ -493,15 +495,33 @@
             "callers.patience",
             "0s refuses every caller; write a longer time",
         );
-        let mut addresses: Vec<String> = self
-            .callers
-            .listen
-            .iter()
-            .map(ToString::to_string)
-            .collect();
-        addresses.push(self.peers.listen.to_string());
-        addresses.push(self.admin.listen.to_string());
-        check_unique(errors, "listen", addresses.iter().map(String::as_str));
+    }
+
+    /// Checks that no two listen addresses are the same.
+    fn check_addresses(&self, errors: &mut ValidationErrors) {
+        let callers = self.callers.listen.iter();
+        let mut addresses: Vec<_> = callers.map(|at| ("callers.listen", *at)).collect();
+        addresses.push(("peers.listen", self.peers.listen));
+        addresses.extend(self.peers.relay.map(|at| ("peers.relay", at)));
+        addresses.extend(
+            self.admin
+                .iter()
+                .map(|admin| ("admin.listen", admin.listen)),
+        );
+        if let Some(watch) = &self.watch {
+            addresses.push(("watch.ready", watch.ready));
+            addresses.push(("watch.metrics", watch.metrics));
+        }
+        // Each port 0 stands for another free port.
+        addresses.retain(|(_, address)| address.port() != 0);
+        for (i, (field, address)) in addresses.iter().enumerate() {
+            if let Some((other, _)) = addresses[..i].iter().find(|(_, known)| known == address) {
+                errors.add(
+                    *field,
+                    format!("{address} is also in {other}; write another port"),
+                );
+            }
+        }
     }
 
     fn check_peers(&self, errors: &mut ValidationErrors) {
@@ -530,13 +550,16 @@
     }
 
     fn check_admin(&self, errors: &mut ValidationErrors) {
-        let no_tokens = self.admin.tokens.is_empty() && self.admin.file.is_none();
+        let Some(admin) = &self.admin else {
+            return;
+        };
+        let no_tokens = admin.tokens.is_empty() && admin.file.is_none();
         errors.require(
-            !no_tokens || self.admin.listen.ip().is_loopback(),
+            !no_tokens || admin.listen.ip().is_loopback(),
             "admin.tokens",
             "empty although admin.listen is not a loopback address; write tokens or listen on loopback",
         );
-        check_tokens(errors, "admin.tokens", &self.admin.tokens);
+        check_tokens(errors, "admin.tokens", &admin.tokens);
     }
 }
 
--- a/crates/conf/tests/settings.rs
+++ b/crates/conf/tests/settings.rs
@@ -63,6 +63,36 @@
     }
 }
 
+#[test]
+fn check_listen_addresses_that_are_equal_are_refused() {
+    let watch = r#""watch": { "ready": "127.0.0.1:9001", "metrics": "127.0.0.1:9002" },"#;
+    let text = GOOD
+        .replace("\"admin\"", &format!("{watch} \"admin\""))
+        .replace("\"seeds\"", "\"relay\": \"127.0.0.1:7002\", \"seeds\"");
+    Settings::parse(&text).unwrap();
+    for (address, field) in [
+        ("7002", "peers.relay"),
+        ("9001", "watch.ready"),
+        ("9002", "watch.metrics"),
+        ("9100", "admin.listen"),
+    ] {
+        let faults = faults(&text.replace(address, "8080"));
+        assert_eq!(
+            faults,
+            format!("{field}: 127.0.0.1:8080 is also in callers.listen; write another port")
+        );
+        // Any number of addresses may have a free port.
+        let free = text.replace(address, "0").replace(":8080", ":0");
+        Settings::parse(&free).unwrap();
+    }
+}
+
+#[test]
+fn parse_without_administration_api() {
+    let text = GOOD.replace("\"admin\": { \"listen\": \"127.0.0.1:9100\" },", "");
+    assert_eq!(Settings::parse(&text).unwrap().admin, None);
+}
+
 #[test]
 fn check_faults_are_refused_outside_of_loopback() {
     let cut = "\"vm\": \"vm-1\", \"faults\": { \"cut\": \"/tmp/cut\" },";
--- a/crates/load/src/fleet.rs
+++ b/crates/load/src/fleet.rs
@@ -224,6 +224,7 @@
             let name = settings.vm.clone();
             let node = Node::start(settings, node_options).await?;
             let admin = admin::serve(&node, self.stop.clone()).await?;
+            let admin = admin.context("the administration API does not listen")?;
             self.vms.push(Vm {
                 name,
                 domain,
@@ -405,11 +406,11 @@
             seeds: seeds.take(3).collect(),
             keys: vec![PEER_KEY.into()],
         },
-        admin: Admin {
+        admin: Some(Admin {
             listen: any,
             tokens: Vec::new(),
             file: None,
-        },
+        }),
         platform: PlatformSettings {
             address: platform,
             interface: Interface::Tickets,
--- a/crates/load/tests/admin.rs
+++ b/crates/load/tests/admin.rs
@@ -65,9 +65,10 @@
     std::fs::write(&file, serde_json::to_vec(&tokens).unwrap()).unwrap();
     let path = file.clone();
     let harness = Harness::with_settings(&[server.address], |settings| {
-        settings.admin.file = Some(path)
+        settings.admin.as_mut().unwrap().file = Some(path)
     });
     let api = smol::block_on(admin::serve(&harness.node, Stop::new())).unwrap();
+    let api = api.unwrap();
     AdminHarness {
         harness,
         _server: server,
