Wait for listen addresses that are not free in place of ending

Users saw: a daemon ends with code 1 within 0.1 s of its start, and again at each restart, while any one of its addresses is taken or does not exist yet: by another program, by a connection that has the port as its own end, or by its predecessor, which drains.

Cause: the daemon binds all addresses one after another and ends at the first error, also at those that callers do not need.

net::listen binds an address at once if it is free, as before. After an error that may pass (AddrInUse, AddrNotAvailable, lack of descriptors or memory) it warns, tries every 100 ms, repeats the line every 10 s, and logs when it listens. The UDP socket of peers is waited for before the VM is built. All other addresses are waited for in the background: without one of the callers' addresses the VM is not ready (503 with the address); without relay, peers TCP, admin, or watch it serves. Errors that cannot pass end the start as before. SIGTERM and SIGINT end the wait with code 0; a VM that was never ready skips `notice`. The gauge listeners_waiting counts the addresses.

--- a/crates/admin/src/api.rs
+++ b/crates/admin/src/api.rs
@@ -6,7 +6,6 @@
 use std::time::SystemTime;
 use std::time::UNIX_EPOCH;
 
-use anyhow::Context;
 use conf::accept;
 use conf::accept::ApplyContext;
 use conf::domains::DomainOrder;
@@ -26,7 +25,6 @@
 use net::Stop;
 use node::Node;
 use node::Shared;
-use smol::net::TcpListener;
 
 use crate::auth::Authenticator;
 use crate::auth::Principal;
@@ -45,28 +43,31 @@
 
 /// Serves the API of `node` on the address `admin.listen` of the settings until `stop`
 /// is triggered. Returns the address that is listened on, which differs from the setting
-/// if the setting has port 0; none without a section `admin`.
+/// if the setting has port 0; none without a section `admin`, and if the address is not
+/// free, in which case it is listened on once it is.
 ///
-/// Fails if the address cannot be listened on.
+/// Fails if the address can never be bound.
 pub async fn serve(node: &Node, stop: Stop) -> anyhow::Result<Option<SocketAddr>> {
     let shared = node.shared().clone();
     let Some(settings) = &shared.settings.admin else {
         return Ok(None);
     };
-    let address = settings.listen;
-    let listener = TcpListener::bind(address).await.with_context(|| {
-        format!("cannot listen on {address} (admin.listen); free the port or choose another")
-    })?;
-    let address = listener.local_addr()?;
+    let listener = shared
+        .listeners
+        .tcp("admin.listen", settings.listen)
+        .await?;
+    let address = listener.local_address();
     let api = Arc::new(Api {
         authenticator: Authenticator::new(settings),
         ready: node.ready(),
         shared: shared.clone(),
     });
     let handle = node.pool().handle();
-    handle.spawn_detached(Server::new(api, handle.clone(), stop).run(listener));
-    log::info!("admin: listening on {address}");
-    Ok(Some(address))
+    handle.spawn_detached(Server::new(api, handle.clone(), stop).run_when_bound(listener));
+    if let Some(address) = address {
+        log::info!("admin: listening on {address}");
+    }
+    Ok(address)
 }
 
 impl Handler for Api {
--- a/crates/admin/src/monitoring.rs
+++ b/crates/admin/src/monitoring.rs
@@ -8,7 +8,6 @@
 use std::sync::atomic::Ordering;
 use std::sync::Arc;
 
-use anyhow::Context;
 use entry::Ports;
 use http::Request;
 use http::Response;
@@ -21,7 +20,6 @@
 use net::Stop;
 use node::Node;
 use node::Shared;
-use smol::net::TcpListener;
 
 use crate::response;
 
@@ -37,7 +35,8 @@
 /// Serves readiness and metrics on the addresses in the `watch` section of the
 /// settings until `stop` is triggered. Does nothing if there is no such section.
 ///
-/// Fails if an address cannot be listened on.
+/// An address that is not free is listened on once it is. Fails if an address can never
+/// be bound.
 pub async fn serve(node: &Node, stop: Stop) -> anyhow::Result<()> {
     let shared = node.shared().clone();
     let Some(monitoring) = shared.settings.watch.clone() else {
@@ -49,12 +48,14 @@
         shared,
     });
     let handle = node.pool().handle();
-    for (address, field) in [(monitoring.ready, "ready"), (monitoring.metrics, "metrics")] {
-        let listener = TcpListener::bind(address).await.with_context(|| {
-            format!("cannot listen on {address} (watch.{field}); free the port or choose another")
-        })?;
+    let addresses = [
+        ("watch.ready", monitoring.ready),
+        ("watch.metrics", monitoring.metrics),
+    ];
+    for (field, address) in addresses {
+        let listener = node.shared().listeners.tcp(field, address).await?;
         let server = Server::new(handler.clone(), handle.clone(), stop.clone());
-        handle.spawn_detached(server.run(listener));
+        handle.spawn_detached(server.run_when_bound(listener));
     }
     Ok(())
 }
@@ -80,16 +81,18 @@
 }
 
 /// Returns 200 if this VM is to receive calls, and 503 with the reason if not: the VM
-/// is stopping, or no configuration is in force yet.
+/// is stopping, an address for callers is not listened on, or no configuration is in
+/// force yet.
 pub(crate) fn readiness(ready: &AtomicBool, shared: &Shared) -> Response<Body> {
     let ready = ready.load(Ordering::SeqCst);
-    if ready && shared.state().is_configured() {
+    let waiting = shared.waiting_callers();
+    if ready && waiting.is_none() && shared.state().is_configured() {
         return response::text(StatusCode::OK, "ready\n");
     }
-    let text = if ready {
-        "no configuration is in force yet\n"
-    } else {
-        "stopping\n"
+    let text = match waiting {
+        _ if !ready => "stopping\n".to_owned(),
+        Some(address) => format!("cannot listen on {address} (callers.listen) yet\n"),
+        None => "no configuration is in force yet\n".to_owned(),
     };
     response::text(StatusCode::SERVICE_UNAVAILABLE, text)
 }
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -1,9 +1,10 @@
 //! `snipepaddled`: the daemon of an entry VM.
 //!
 //! The daemon validates all of its settings before it starts anything, and serves
-//! until SIGTERM or SIGINT. It then waits for the calls in flight, up to the drain
+//! until SIGTERM or SIGINT. Addresses that are not free do not end it (`net::listen`). It then waits for the calls in flight, up to the drain
 //! time in the settings. It reads the settings again on SIGHUP or when the file changes.
 
+use std::future::Future;
 use std::panic;
 use std::panic::AssertUnwindSafe;
 use std::path::Path;
@@ -52,12 +53,12 @@
 /// without a signal.
 const SETTINGS_POLL_INTERVAL: Duration = Duration::from_secs(5);
 
-/// How the daemon stopped.
+/// How the process ends.
 struct End {
-    /// Whether all calls had ended before the drain time was over.
-    drained: bool,
-    /// What the daemon was stopped by.
-    reason: &'static str,
+    /// The exit code.
+    code: u8,
+    /// The signal or the error.
+    reason: String,
 }
 
 /// The parsed command line.
@@ -74,35 +75,48 @@
         Ok(None) => return ExitCode::SUCCESS,
         Err(error) => return report_invalid(&error),
     };
-    let settings = match Settings::load(&args.settings) {
-        Ok(settings) => settings,
-        Err(error) if args.check => return report_invalid(&error.into()),
-        Err(error) => {
-            let _logs = start_default_logs();
-            return report_error(EXIT_INVALID, &error.into());
-        }
-    };
     if args.check {
-        println!("{}: no faults", args.settings.display());
-        return ExitCode::SUCCESS;
+        return match Settings::load(&args.settings) {
+            Ok(_) => {
+                println!("{}: no faults", args.settings.display());
+                ExitCode::SUCCESS
+            }
+            Err(error) => report_invalid(&error.into()),
+        };
     }
-    let logs = obs::logs::start(&settings.logs.level, settings.logs.json)
-        .context("logs.level is not a valid level or filter; write \"info\"");
-    let logs = match logs {
-        Ok(logs) => logs,
-        Err(error) => {
-            let _logs = start_default_logs();
-            return report_error(EXIT_FAILED, &error);
-        }
-    };
     obs::panics::install_hook();
-    log_start(&settings);
-    let running = || smol::block_on(run(settings, &args.settings, &logs));
-    match panic::catch_unwind(AssertUnwindSafe(running)) {
-        Ok(Ok(end)) if end.drained => report_end(0, end.reason),
-        Ok(Ok(_)) => report_end(EXIT_CALLS_CUT, "stopped while calls were in flight"),
-        Ok(Err(error)) => report_error(EXIT_FAILED, &error),
-        Err(_) => report_end(EXIT_PANICKED, "panic of the main thread"),
+    let mut logs = None;
+    let running = || smol::block_on(run(&args.settings, &mut logs));
+    let end = match panic::catch_unwind(AssertUnwindSafe(running)) {
+        Ok(Ok(end)) => end,
+        Ok(Err(error)) => End::error(EXIT_FAILED, &error),
+        Err(_) => End::new(EXIT_PANICKED, "panic of the main thread"),
+    };
+    // Writes the queued lines when it is dropped.
+    let _logs = logs.or_else(start_default_logs);
+    end.report()
+}
+
+impl End {
+    fn new(code: u8, reason: &str) -> Self {
+        let reason = reason.to_owned();
+        Self { code, reason }
+    }
+
+    /// Creates the end by `error`, and prints it.
+    fn error(code: u8, error: &anyhow::Error) -> Self {
+        eprintln!("snipepaddled: {error:#}");
+        Self::new(code, &format!("{error:#}"))
+    }
+
+    /// Logs the end of the process and returns its exit code.
+    fn report(self) -> ExitCode {
+        let level = match self.code {
+            0 => log::Level::Info,
+            _ => log::Level::Error,
+        };
+        log::log!(level, exit_code = self.code, reason = self.reason; "process: ended");
+        ExitCode::from(self.code)
     }
 }
 
@@ -128,24 +142,6 @@
     obs::logs::start("info", true).ok()
 }
 
-/// Prints `error`, logs the end of the process and returns its exit code.
-fn report_error(code: u8, error: &anyhow::Error) -> ExitCode {
-    let reason = format!("{error:#}");
-    eprintln!("snipepaddled: {reason}");
-    log::error!(exit_code = code, reason = reason.as_str(); "process: ended");
-    ExitCode::from(code)
-}
-
-/// Logs the end of the process and returns its exit code.
-fn report_end(code: u8, reason: &str) -> ExitCode {
-    let level = match code {
-        0 => log::Level::Info,
-        _ => log::Level::Error,
-    };
-    log::log!(level, exit_code = code, reason = reason; "process: ended");
-    ExitCode::from(code)
-}
-
 /// Prints an error in the arguments or settings and returns its exit code.
 fn report_invalid(error: &anyhow::Error) -> ExitCode {
     eprintln!("snipepaddled: {error:#}");
@@ -179,16 +175,32 @@
     Ok(Some(args))
 }
 
-/// Runs the daemon until SIGTERM or SIGINT.
-async fn run(settings: Settings, file: &Path, logs: &obs::logs::Handle) -> anyhow::Result<End> {
+/// Runs the daemon until SIGTERM or SIGINT. Sets `logs` once logging has started.
+async fn run(file: &Path, logs: &mut Option<obs::logs::Handle>) -> anyhow::Result<End> {
     let mut signals = Signals::new([Signal::Term, Signal::Int, Signal::Hup])?;
+    let settings = match Settings::load(file) {
+        Ok(settings) => settings,
+        Err(error) => return Ok(End::error(EXIT_INVALID, &error.into())),
+    };
+    // Settings that change while the daemon starts are applied after the start.
+    let mut last_text = read_settings(file);
+    let started = obs::logs::start(&settings.logs.level, settings.logs.json)
+        .context("logs.level is not a valid level or filter; write \"info\"")?;
+    let logs = logs.insert(started);
+    log_start(&settings);
     let pool = Node::new_pool(&settings)?;
     let options = node_options(&settings, &pool);
-    let node = Node::start_on(pool, settings, options).await?;
+    let started = Node::start_on(pool, settings, options);
+    let Some(node) = unless_stopped(started, &mut signals).await else {
+        return Ok(End::new(
+            0,
+            "stopped before it had all addresses that it needs",
+        ));
+    };
+    let node = node?;
     let stop = Stop::new();
     admin::serve(&node, stop.clone()).await?;
     admin::monitoring::serve(&node, stop.clone()).await?;
-    let mut last_text = read_settings(file);
     let reason = loop {
         let signal = net::timeout(SETTINGS_POLL_INTERVAL, signals.next()).await;
         let requested = match signal {
@@ -208,7 +220,20 @@
     };
     let drained = node.stop().await;
     stop.trigger();
-    Ok(End { drained, reason })
+    Ok(if drained {
+        End::new(0, reason)
+    } else {
+        End::new(EXIT_CALLS_CUT, "stopped while calls were in flight")
+    })
+}
+
+/// Runs `future`. Returns none if SIGTERM or SIGINT arrives first.
+async fn unless_stopped<T>(future: impl Future<Output = T>, signals: &mut Signals) -> Option<T> {
+    let stopped = async {
+        while let Some(Ok(Signal::Hup)) = signals.next().await {}
+        None
+    };
+    futures_lite::future::or(async { Some(future.await) }, stopped).await
 }
 
 /// Returns the text of the settings file, or `None` if it cannot be read.
--- a/crates/daemon/tests/descriptors.rs
+++ b/crates/daemon/tests/descriptors.rs
@@ -35,9 +35,7 @@
 fn check_full(limit: u64) {
     let deployment = Deployment::new();
     deployment.add_server("i-1", Duration::ZERO, 10);
-    let mut settings = deployment.settings(0);
-    // Daemons of other tests may have the address of the template.
-    settings.admin.listen = (deployment.ip(0), 7214).into();
+    let settings = deployment.settings(0);
     let mut daemon = deployment.start(&settings);
     daemon.wait_serving();
     daemon.limit_descriptors(limit);
--- a/crates/daemon/tests/harness/mod.rs
+++ b/crates/daemon/tests/harness/mod.rs
@@ -198,6 +198,12 @@
     /// Starts a daemon with `settings`.
     pub(crate) fn start(&self, settings: &Settings) -> Daemon {
         let path = self.write_settings(settings);
+        self.start_with_file(settings, path)
+    }
+
+    /// Starts a daemon that reads the file at `path`, which is to have `settings` in the
+    /// end.
+    pub(crate) fn start_with_file(&self, settings: &Settings, path: PathBuf) -> Daemon {
         Daemon::start(settings, path, &self.directory)
     }
 }
@@ -297,6 +303,35 @@
         wait_until(limit, || !self.is_running())
     }
 
+    /// Waits until the process has ended, for at most `limit`, and returns its exit code:
+    /// none if it runs, or was ended by a signal.
+    pub(crate) fn wait_exit_code(&mut self, limit: Duration) -> Option<i32> {
+        self.wait_ended(limit);
+        self.child.try_wait().unwrap()?.code()
+    }
+
+    /// Asserts that the process runs for `duration` and is not ready.
+    pub(crate) fn assert_waiting(&mut self, duration: Duration) {
+        let end = Instant::now() + duration;
+        while Instant::now() < end {
+            assert!(self.is_running(), "the daemon ended:\n{}", self.logs());
+            assert_ne!(self.readiness(), Some(200), "{}", self.logs());
+            thread::sleep(Duration::from_millis(20));
+        }
+    }
+
+    /// Returns the value of the metric `name`, or none without a response.
+    pub(crate) fn metric(&self, name: &str) -> Option<f64> {
+        let watch = self.settings.watch.as_ref().unwrap();
+        let mut stream = TcpStream::connect(watch.metrics).ok()?;
+        stream.set_read_timeout(Some(READ_TIMEOUT)).ok()?;
+        write!(stream, "GET /metrics HTTP/1.1\r\nhost: x\r\n\r\n").ok()?;
+        let text = String::from_utf8(Response::read(&mut stream)?.body).ok()?;
+        let prefix = format!("snipepaddle_{name}");
+        let line = text.lines().find(|line| line.starts_with(&prefix))?;
+        line.rsplit(' ').next()?.parse().ok()
+    }
+
     /// Returns the most memory that the process has had, in bytes.
     pub(crate) fn peak_memory(&self) -> usize {
         let path = format!("/proc/{}/status", self.child.id());
--- a/crates/daemon/tests/stop.rs
+++ b/crates/daemon/tests/stop.rs
@@ -8,7 +8,6 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use conf::Settings;
 use harness::request;
 use harness::request_head;
 use harness::Daemon;
@@ -24,14 +23,6 @@
     thread::sleep(time.saturating_duration_since(Instant::now()));
 }
 
-/// Returns the settings of a VM, with a free port for the administration API, since tests run
-/// side by side.
-fn settings(deployment: &Deployment) -> Settings {
-    let mut settings = deployment.settings(0);
-    settings.admin.listen.set_port(0);
-    settings
-}
-
 /// Sends the head of a POST with [`BODY`] on a new connection.
 fn send_head(daemon: &Daemon) -> TcpStream {
     let mut stream = daemon.connect().unwrap();
@@ -47,7 +38,7 @@
 fn late_body(grace: u32, work: Duration, head: Duration, body: Duration) -> (Option<u16>, usize) {
     let deployment = Deployment::new().with_grace(grace);
     let server = deployment.add_server("i-1", work, 10);
-    let mut daemon = deployment.start(&settings(&deployment));
+    let mut daemon = deployment.start(&deployment.settings(0));
     daemon.wait_serving();
     let before = server.count();
     let began = Instant::now();
@@ -87,7 +78,7 @@
 fn call_at_work_is_not_cut_before_the_grace_ends() {
     let deployment = Deployment::new().with_grace(10);
     deployment.add_server("i-1", Duration::from_millis(4500), 10);
-    let daemon = deployment.start(&settings(&deployment));
+    let daemon = deployment.start(&deployment.settings(0));
     assert!(harness::wait_until(harness::SOON, || daemon.readiness() == Some(200)));
     let began = Instant::now();
     daemon.signal(Signal::TERM);
@@ -103,7 +94,7 @@
     let deployment = Deployment::new();
     // One call keeps the only slot and the only place beside it.
     deployment.add_server_with_slots("i-1", 1, Duration::from_millis(2500), 10);
-    let mut daemon = deployment.start(&settings(&deployment));
+    let mut daemon = deployment.start(&deployment.settings(0));
     assert!(harness::wait_until(harness::SOON, || daemon.readiness() == Some(200)));
     let began = Instant::now();
     daemon.signal(Signal::TERM);
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod exec;
 pub mod fair;
 pub mod linger;
+pub mod listen;
 pub mod lookahead;
 pub mod server;
 pub mod stop;
@@ -18,6 +19,8 @@
 
 pub use body::Body;
 pub use exec::ThreadPool;
+pub use listen::Listener;
+pub use listen::Listeners;
 pub use stop::Stop;
 
 /// A boxed future that can be sent between threads.
--- a/crates/net/src/server.rs
+++ b/crates/net/src/server.rs
@@ -37,6 +37,7 @@
 use crate::exec::Handle;
 use crate::fair::Fair;
 use crate::fair::Yields;
+use crate::listen::Listener;
 use crate::lookahead::Lookahead;
 use crate::lookahead::Turns;
 use crate::stop::Stop;
@@ -191,6 +192,19 @@
         self
     }
 
+    /// Waits until `listener` is bound, and runs as [`Self::run`] does. Returns at the
+    /// shutdown signal.
+    pub async fn run_when_bound(self, listener: Listener<TcpListener>) {
+        let stopped = async {
+            self.stop.wait().await;
+            None
+        };
+        let bound = async { Some(listener.bound().await) };
+        if let Some(listener) = futures_lite::future::or(stopped, bound).await {
+            self.run(listener).await;
+        }
+    }
+
     /// Accepts connections from `listener` until the shutdown signal, and then those that had
     /// been established before it. Returns without waiting for the open connections.
     pub async fn run(self, listener: TcpListener) {
--- a/crates/node/src/gauges.rs
+++ b/crates/node/src/gauges.rs
@@ -25,6 +25,13 @@
         "Orders about failure domains in force",
         |s| s.state().domain_orders.revision,
     );
+    gauge(
+        &meter,
+        &weak,
+        "listeners_waiting",
+        "Listen addresses that cannot be bound yet",
+        |s| s.listeners.waiting_count() as u64,
+    );
     gauge(
         &meter,
         &weak,
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -30,12 +30,13 @@
 use net::exec::StartError;
 use net::server::Limits;
 use net::server::Server;
+use net::BoxFuture;
+use net::Listeners;
 use net::Stop;
 use net::ThreadPool;
 use obs::Metrics;
 use obs::Spans;
 use plat::Store;
-use smol::net::TcpListener;
 use smol::Task;
 use wire::transport::Udp;
 use wire::Keyring;
@@ -47,6 +48,8 @@
 use crate::shared::Shared;
 use crate::sync::WatchedObject;
 
+/// The field of the settings whose addresses a VM needs to be ready.
+const CALLERS_FIELD: &str = "callers.listen";
 /// The interval between two ticks of the coordinators while any of them is busy.
 const COORDINATOR_TICK: Duration = Duration::from_millis(20);
 /// The interval between two ticks of the coordinators while none of them is busy.
@@ -96,8 +99,11 @@
     /// Starts an entry VM on a new pool of threads. The VM serves callers until it
     /// is stopped or dropped.
     ///
-    /// Returns an error if a listen address is in use, or if the trace file, the
-    /// TLS files or the VM's name cannot be used.
+    /// Waits until the UDP socket for peers is bound; see [`net::listen`]. All other
+    /// addresses that are not free are listened on once they are.
+    ///
+    /// Returns an error if a listen address can never be bound, or if the trace file,
+    /// the TLS files or the VM's name cannot be used.
     pub async fn start(settings: Settings, options: Options) -> anyhow::Result<Self> {
         let pool = Self::new_pool(&settings)?;
         Self::start_on(pool, settings, options).await
@@ -119,13 +125,14 @@
         let (fetch_requests, fetch_sources) = async_channel::bounded(1);
         let (lost_connections, lost_servers) = async_channel::bounded(LOST_CONNECTIONS_MAX);
         let peers = settings.peers.listen;
+        let listeners = Listeners::default();
         let transport: Arc<dyn Transport> = match options.transport {
             Some(transport) => transport,
-            None => Arc::new(
-                Udp::bind(peers)
-                    .await
-                    .with_context(|| bind_error("peers", peers))?,
-            ),
+            None => {
+                let bind = |address| -> BoxFuture<'static, _> { Box::pin(Udp::bind(address)) };
+                let socket = listeners.bind("peers.listen, UDP", peers, bind).await?;
+                Arc::new(socket.bound().await)
+            }
         };
         let store = options.store.unwrap_or_else(|| {
             let client = plat::http::Client::new(settings.platform.address, handle.clone());
@@ -148,6 +155,7 @@
             dialect: options.dialect.unwrap_or_else(|| Arc::new(Native)),
             connector: options.connector.unwrap_or_else(|| Arc::new(Direct)),
             transport,
+            listeners,
             keyring,
             outbox,
             metrics: Arc::new(Metrics::new()?),
@@ -187,7 +195,8 @@
         &self.pool
     }
 
-    /// Returns the addresses on which the VM listens for callers.
+    /// Returns the addresses on which the VM has listened for callers since its start.
+    /// Those that were not free then are missing.
     pub fn caller_addresses(&self) -> &[SocketAddr] {
         &self.callers
     }
@@ -206,9 +215,7 @@
     ) -> anyhow::Result<()> {
         let shared = &self.shared;
         let peers = shared.settings.peers.listen;
-        let listener = TcpListener::bind(peers)
-            .await
-            .with_context(|| bind_error("peers", peers))?;
+        let listener = shared.listeners.tcp("peers.listen, TCP", peers).await?;
         let [sender, receiver, server, fetcher] = [(); 4].map(|()| shared.clone());
         let tasks = [
             self.supervise("sender", move || {
@@ -216,8 +223,10 @@
                 async move { sender.outbox.run(&*sender.transport).await }
             }),
             self.supervise("receiver", move || receiver.clone().receive_datagrams()),
-            self.supervise("streams", move || {
-                server.clone().serve_streams(listener.clone())
+            self.pool.spawn(async move {
+                let listener = listener.bound().await;
+                let serve = || server.clone().serve_streams(listener.clone());
+                net::exec::supervise("streams", serve).await;
             }),
             self.supervise("fetches", move || {
                 fetcher.clone().fetch_from_peers(fetch_sources.clone())
@@ -349,11 +358,15 @@
             .with_limits(limits)
             .with_kill(self.kill.clone());
         let relay = shared.settings.peers.relay_address();
-        let listener = TcpListener::bind(relay)
-            .await
-            .with_context(|| bind_error("peers.relay", relay))?;
-        shared.reach.set_relay_address(listener.local_addr()?);
-        self.tasks.push(self.pool.spawn(relay_server.run(listener)));
+        let listener = shared.listeners.tcp("peers.relay", relay).await?;
+        let reach = shared.clone();
+        self.tasks.push(self.pool.spawn(async move {
+            let listener = listener.bound().await;
+            if let Ok(address) = listener.local_addr() {
+                reach.reach.set_relay_address(address);
+            }
+            relay_server.run(listener).await;
+        }));
         let mut server = Server::new(proxy, handle, shared.stop.clone())
             .with_limits(limits)
             .with_connections(shared.caller_connections.clone())
@@ -362,18 +375,18 @@
             server = server.with_tls(net::tls::acceptor(&tls.certificate, &tls.key)?);
         }
         for address in callers.listen {
-            let listener = TcpListener::bind(address)
-                .await
-                .with_context(|| bind_error("callers", address))?;
-            self.callers.push(listener.local_addr()?);
+            let listener = shared.listeners.tcp(CALLERS_FIELD, address).await?;
+            self.callers.extend(listener.local_address());
             self.tasks
-                .push(self.pool.spawn(server.clone().run(listener)));
+                .push(self.pool.spawn(server.clone().run_when_bound(listener)));
+        }
+        if !self.callers.is_empty() {
+            log::info!(
+                "node: {} serves callers at {:?}",
+                shared.settings.vm,
+                self.callers
+            );
         }
-        log::info!(
-            "node: {} serves callers at {:?}",
-            shared.settings.vm,
-            self.callers
-        );
         Ok(())
     }
 
@@ -385,10 +398,12 @@
     /// Returns whether all calls ended in time.
     pub async fn stop(self) -> bool {
         self.ready.store(false, Ordering::SeqCst);
-        let (notice, drain) = (
-            self.shared.settings.notice,
-            self.shared.settings.drain_limit(),
-        );
+        // A VM that was never ready has nobody to notify.
+        let notice = match self.shared.waiting_callers() {
+            Some(_) => Duration::ZERO,
+            None => self.shared.settings.notice,
+        };
+        let drain = self.shared.settings.drain_limit();
         // Set once, since `stop` consumes the node.
         let _ = self
             .shared
@@ -440,12 +455,15 @@
     }
 }
 
-fn cores() -> usize {
-    std::thread::available_parallelism().map_or(1, Into::into)
+impl Shared {
+    /// Returns an address for callers that cannot be bound yet.
+    pub fn waiting_callers(&self) -> Option<SocketAddr> {
+        self.listeners.waiting_address(CALLERS_FIELD)
+    }
 }
 
-fn bind_error(field: &str, address: SocketAddr) -> String {
-    format!("cannot listen on {address} ({field}.listen); free the port or choose another")
+fn cores() -> usize {
+    std::thread::available_parallelism().map_or(1, Into::into)
 }
 
 fn keyring(settings: &Settings) -> Keyring {
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -36,6 +36,7 @@
 use net::client::Connector;
 use net::exec::Handle;
 use net::server::Connections;
+use net::Listeners;
 use net::Stop;
 use obs::Metrics;
 use obs::RecentCalls;
@@ -98,6 +99,8 @@
     pub dialect: Arc<dyn Dialect>,
     /// Sends and receives datagrams between VMs.
     pub transport: Arc<dyn Transport>,
+    /// The listen addresses that cannot be bound yet.
+    pub listeners: Listeners,
     /// The keys that authenticate messages between VMs.
     pub keyring: Keyring,
     /// Messages to other VMs that are queued for sending.
@@ -193,6 +196,8 @@
     pub connector: Arc<dyn Connector>,
     /// Sends and receives datagrams between VMs.
     pub transport: Arc<dyn Transport>,
+    /// The listen addresses that cannot be bound yet.
+    pub listeners: Listeners,
     /// The keys that authenticate messages between VMs.
     pub keyring: Keyring,
     /// Messages to other VMs that are queued for sending.
@@ -272,6 +277,7 @@
             caller_connections: Connections::default(),
             notices: Mutex::default(),
             crashes: Mutex::default(),
+            listeners: parts.listeners,
             reach: Reach::default(),
             refresh_lock: Mutex::new(()),
             remembered_keys: Mutex::new(remembered_keys),
