Read settings again that are missing or incomplete at the start

Users saw: nothing that can be told apart from other ends. In our trials a daemon whose settings file is empty or cut off ends with code 2 at its start, so a start while the file is being written ends the VM.

Cause: the file is read once.

A file that is missing, empty or ends before its JSON does is read again every 100 ms for 10 s, after a line on standard error; then the exit code is 2 as before. SIGTERM and SIGINT end the wait with code 0.

--- a/crates/conf/src/document.rs
+++ b/crates/conf/src/document.rs
@@ -1,5 +1,7 @@
 //! Parses JSON with comments and reports the errors in it.
 
+use std::io::Read;
+
 use serde::de::DeserializeOwned;
 
 use crate::validation::ValidationErrors;
@@ -37,6 +39,30 @@
     }
 }
 
+/// Returns whether `text` ends before its JSON does, as that of a file that is still being
+/// written.
+pub fn is_incomplete(text: &str) -> bool {
+    match strip_comments(text) {
+        Some(json) => {
+            serde_json::from_str::<serde::de::IgnoredAny>(&json).is_err_and(|error| error.is_eof())
+        }
+        // The comments of a text that ends within one, or within a string, can be removed
+        // once the end is added.
+        None => ["/", "\"", "\\\"", "*/"]
+            .iter()
+            .any(|end| strip_comments(&format!("{text}{end}")).is_some()),
+    }
+}
+
+/// Returns `text` without comments; none if it ends within a comment or a string, or has a
+/// character that begins no comment.
+fn strip_comments(text: &str) -> Option<String> {
+    let mut json = String::new();
+    let mut stripped = json_comments::StripComments::new(text.as_bytes());
+    stripped.read_to_string(&mut json).ok()?;
+    Some(json)
+}
+
 /// Removes the parts of a path that the path trackers of serde add for `Option`
 /// and newtype wrappers; the path of the whole document becomes "(document)".
 fn clean_path(path: &str) -> String {
--- a/crates/conf/src/settings.rs
+++ b/crates/conf/src/settings.rs
@@ -402,6 +402,20 @@
     /// The content of the file is invalid.
     #[error("{0} is invalid; correct these errors:\n{1}")]
     Invalid(PathBuf, ValidationErrors),
+    /// The file is empty, or ends before its JSON does.
+    #[error("{0} is empty or ends before its JSON does; write all of it:\n{1}")]
+    Incomplete(PathBuf, ValidationErrors),
+}
+
+impl Error {
+    /// Returns whether the file may be complete a moment later.
+    pub fn may_pass(&self) -> bool {
+        match self {
+            Self::Read(_, error) => error.kind() == std::io::ErrorKind::NotFound,
+            Self::Invalid(..) => false,
+            Self::Incomplete(..) => true,
+        }
+    }
 }
 
 impl Settings {
@@ -409,7 +423,13 @@
     pub fn load(path: &Path) -> Result<Self, Error> {
         let text =
             std::fs::read_to_string(path).map_err(|error| Error::Read(path.into(), error))?;
-        Self::parse(&text).map_err(|errors| Error::Invalid(path.into(), errors))
+        Self::parse(&text).map_err(|errors| {
+            if document::is_incomplete(&text) {
+                Error::Incomplete(path.into(), errors)
+            } else {
+                Error::Invalid(path.into(), errors)
+            }
+        })
     }
 
     /// Parses and checks settings; returns all errors found.
--- a/crates/conf/tests/settings.rs
+++ b/crates/conf/tests/settings.rs
@@ -1,5 +1,6 @@
 //! Settings: which documents are rejected, and that all errors are reported at once.
 
+use conf::document;
 use conf::Settings;
 
 const GOOD: &str = r#"{
@@ -93,6 +94,23 @@
     assert_eq!(Settings::parse(&text).unwrap().admin, None);
 }
 
+#[test]
+fn is_incomplete_for_each_text_that_is_cut_off() {
+    let text = GOOD
+        .replace("Port Louis.", "Port Louis. /* \u{e9} */")
+        .replace(
+            "\"admin\"",
+            "/* the \"API\" */ \"region\": \"a\\\"b\", \"admin\"",
+        );
+    for (end, _) in text.char_indices() {
+        assert!(document::is_incomplete(&text[..end]), "{}", &text[..end]);
+    }
+    let invalid = text.replace("\"vm\":", "\"vm\"");
+    for complete in [text, invalid, "{}".into(), "{ / }".into(), "}".into()] {
+        assert!(!document::is_incomplete(&complete), "{complete}");
+    }
+}
+
 #[test]
 fn check_faults_are_refused_outside_of_loopback() {
     let cut = "\"vm\": \"vm-1\", \"faults\": { \"cut\": \"/tmp/cut\" },";
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -12,6 +12,7 @@
 use std::process::ExitCode;
 use std::sync::Arc;
 use std::time::Duration;
+use std::time::Instant;
 
 use anyhow::Context;
 use async_signal::Signal;
@@ -53,6 +54,11 @@
 /// without a signal.
 const SETTINGS_POLL_INTERVAL: Duration = Duration::from_secs(5);
 
+/// How long the daemon waits at its start for settings that are missing or incomplete.
+const SETTINGS_TIMEOUT: Duration = Duration::from_secs(10);
+/// The interval at which such settings are read again.
+const SETTINGS_RETRY_INTERVAL: Duration = Duration::from_millis(100);
+
 /// How the process ends.
 struct End {
     /// The exit code.
@@ -178,9 +184,10 @@
 /// Runs the daemon until SIGTERM or SIGINT. Sets `logs` once logging has started.
 async fn run(file: &Path, logs: &mut Option<obs::logs::Handle>) -> anyhow::Result<End> {
     let mut signals = Signals::new([Signal::Term, Signal::Int, Signal::Hup])?;
-    let settings = match Settings::load(file) {
-        Ok(settings) => settings,
-        Err(error) => return Ok(End::error(EXIT_INVALID, &error.into())),
+    let settings = match unless_stopped(load(file), &mut signals).await {
+        None => return Ok(End::new(0, "stopped before it had its settings")),
+        Some(Ok(settings)) => settings,
+        Some(Err(error)) => return Ok(End::error(EXIT_INVALID, &error.into())),
     };
     // Settings that change while the daemon starts are applied after the start.
     let mut last_text = read_settings(file);
@@ -236,6 +243,25 @@
     futures_lite::future::or(async { Some(future.await) }, stopped).await
 }
 
+/// Reads and checks the settings. A file that is missing or incomplete may be being written,
+/// so it is read again for [`SETTINGS_TIMEOUT`].
+async fn load(file: &Path) -> Result<Settings, conf::settings::Error> {
+    let start = Instant::now();
+    let mut reported = false;
+    loop {
+        match Settings::load(file) {
+            Err(error) if error.may_pass() && start.elapsed() < SETTINGS_TIMEOUT => {
+                if !reported {
+                    eprintln!("snipepaddled: {error}; reading it again for {SETTINGS_TIMEOUT:?}");
+                }
+                reported = true;
+                smol::Timer::after(SETTINGS_RETRY_INTERVAL).await;
+            }
+            result => return result,
+        }
+    }
+}
+
 /// Returns the text of the settings file, or `None` if it cannot be read.
 fn read_settings(file: &Path) -> Option<String> {
     std::fs::read_to_string(file)
--- a/crates/daemon/tests/start.rs
+++ b/crates/daemon/tests/start.rs
@@ -11,6 +11,7 @@
 use std::os::fd::OwnedFd;
 use std::thread;
 use std::time::Duration;
+use std::time::Instant;
 
 use conf::settings::Admin;
 use conf::Settings;
@@ -263,3 +264,63 @@
     let code = daemon.wait_exit_code(STOP_LIMIT);
     assert_eq!(code, Some(0), "{}", daemon.logs());
 }
+
+#[test]
+fn start_before_the_settings_are_complete_waits() {
+    let deployment = deployment();
+    let settings = deployment.settings(0);
+    let path = deployment.write_settings(&settings);
+    let text = std::fs::read_to_string(&path).unwrap();
+    let middle = text.len() / 2;
+    for early in [None, Some(""), Some(&text[..middle])] {
+        match early {
+            Some(early) => std::fs::write(&path, early).unwrap(),
+            None => std::fs::remove_file(&path).unwrap(),
+        }
+        let mut daemon = deployment.start_with_file(&settings, path.clone());
+        daemon.assert_waiting(WATCHED);
+        std::fs::write(&path, &text).unwrap();
+        daemon.wait_serving();
+        daemon.signal(Signal::KILL);
+        assert!(daemon.wait_ended(SOON));
+    }
+}
+
+#[test]
+fn start_with_settings_that_stay_incomplete_exits_with_2() {
+    let deployment = deployment();
+    let settings = deployment.settings(0);
+    let path = deployment.write_settings(&settings);
+    std::fs::write(&path, "{").unwrap();
+    let mut daemon = deployment.start_with_file(&settings, path);
+    assert_eq!(daemon.wait_exit_code(Duration::from_secs(20)), Some(2));
+    assert!(daemon.logs().contains("ends before its JSON does"));
+}
+
+#[test]
+fn start_with_complete_settings_that_are_wrong_exits_with_2_at_once() {
+    let deployment = deployment();
+    let settings = deployment.settings(0);
+    let path = deployment.write_settings(&settings);
+    std::fs::write(&path, "{}").unwrap();
+    let start = Instant::now();
+    let mut daemon = deployment.start_with_file(&settings, path);
+    assert_eq!(daemon.wait_exit_code(Duration::from_secs(5)), Some(2));
+    assert!(start.elapsed() < Duration::from_secs(5));
+}
+
+#[test]
+fn check_of_incomplete_settings_does_not_wait() {
+    let path = std::env::temp_dir().join(format!("snipepaddled-{}.json", std::process::id()));
+    std::fs::write(&path, "").unwrap();
+    let start = Instant::now();
+    let output = std::process::Command::new(env!("CARGO_BIN_EXE_snipepaddled"))
+        .args(["--check", "--settings"])
+        .arg(&path)
+        .output()
+        .unwrap();
+    let took = start.elapsed();
+    std::fs::remove_file(&path).unwrap();
+    assert_eq!(output.status.code(), Some(2));
+    assert!(took < Duration::from_secs(5), "{took:?}");
+}
