Read a response completely while requests behind it run

Cause: Lookahead starts requests before their turn whatever the response ahead of them is. A streamed response that breaks off midway can only end with the connection.

Each request now carries its place on the connection among its extensions. Before the proxy streams a response it asks the place. If requests behind it have been started, or the request was itself started early, the response is read completely first, up to 512 KiB and within the VM's budget of buffered bodies; a break is then retried or answered with 502 and the connection stays. If none has been started, the response is streamed, and none is started until it ends. Both decisions are made in the task of the connection, so no request is started in between. Where the bound or the budget does not suffice, the response is streamed and the connection starts no requests early from then on; up to eight started before that are still lost if it breaks. A VM that relays starts none early.

--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -21,6 +21,7 @@
 use net::body;
 use net::client::SendError;
 use net::linger::Lingering;
+use net::lookahead::Place;
 use net::timeout;
 use net::Body;
 use route::attempts::Failure;
@@ -29,6 +30,8 @@
 use route::notices::Notice;
 use route::spec;
 
+use crate::body_budget::BodyBudget;
+use crate::body_budget::Reservation;
 use crate::dialect::Dialect;
 use crate::dialect::ResponseKind;
 use crate::guard::PermitGuard;
@@ -42,6 +45,10 @@
 /// The largest response that is read completely before its head is forwarded, so that
 /// the call can be retried if the response is truncated.
 const BUFFERED_RESPONSE_MAX_BYTES: usize = 64 << 10;
+/// The largest response that is read completely, if the VM's budget allows it, while
+/// requests behind it on the caller's connection have been started. They would get no
+/// response if the connection had to close because this one is truncated.
+const PIPELINED_RESPONSE_MAX_BYTES: usize = 512 << 10;
 /// How long the response to an abandoned attempt is still read. A refusal that is under
 /// way may ask for no more calls.
 const ABANDONED_READ_TIMEOUT: Duration = Duration::from_millis(10);
@@ -68,6 +75,10 @@
     pub permit: Permit,
     /// The time left until the call's deadline.
     pub left: Duration,
+    /// The place of the request on the caller's connection.
+    pub place: Place,
+    /// The memory for buffered bodies.
+    pub bodies: BodyBudget,
 }
 
 /// A request that was sent, and the server to which it was.
@@ -324,7 +335,29 @@
         }
     }
 
-    /// Reads the body completely if it is small; otherwise returns a stream of it.
+    /// Reads `incoming` into `buffered`. Returns false if it is to be streamed.
+    async fn read_whole(
+        &self,
+        incoming: &mut Incoming,
+        buffered: &mut PartialBody<'_>,
+    ) -> hyper::Result<bool> {
+        if read_up_to(incoming, buffered, BUFFERED_RESPONSE_MAX_BYTES).await? {
+            return Ok(true);
+        }
+        if self.place.try_stream() {
+            return Ok(false);
+        }
+        if buffered.reserve()
+            && read_up_to(incoming, buffered, PIPELINED_RESPONSE_MAX_BYTES).await?
+        {
+            return Ok(true);
+        }
+        self.place.stream_anyway();
+        Ok(false)
+    }
+
+    /// Reads the body completely if it is small, or if requests behind it have been
+    /// started and there is room for it; otherwise returns a stream of it.
     async fn read_body(
         &self,
         parts: &Parts,
@@ -332,18 +365,10 @@
         mut guard: PermitGuard,
         conn: Conn,
     ) -> Result<ResponseBody, FailedAttempt> {
-        let large = incoming
-            .size_hint()
-            .upper()
-            .is_some_and(|upper| upper > BUFFERED_RESPONSE_MAX_BYTES as u64);
-        let mut buffered = PartialBody::default();
+        let mut buffered = PartialBody::new(&self.bodies);
         let left = self.left.saturating_sub(guard.took());
-        let complete = if large {
-            Some(Ok(false))
-        } else {
-            timeout(left, read_up_to(&mut incoming, &mut buffered)).await
-        };
-        match complete {
+        let reading = self.read_whole(&mut incoming, &mut buffered);
+        match timeout(left, reading).await {
             Some(Ok(true)) => {
                 let outcome = outcome_of(parts.status);
                 guard.end(outcome);
@@ -351,10 +376,8 @@
                     self.ports.record_response(self.fingerprint);
                 }
                 self.pools.keep(conn, self.ports.now());
-                Ok(ResponseBody::Buffered(
-                    buffered.bytes.freeze(),
-                    buffered.trailers,
-                ))
+                let trailers = buffered.trailers.take();
+                Ok(ResponseBody::Buffered(buffered.freeze(), trailers))
             }
             Some(Ok(false)) => {
                 let completion = Completion {
@@ -365,7 +388,7 @@
                     sent: self.sent_request(),
                 };
                 Ok(ResponseBody::Stream {
-                    prefix: buffered.bytes.freeze(),
+                    prefix: buffered.freeze(),
                     rest: incoming,
                     completion: Box::new(completion),
                 })
@@ -388,6 +411,29 @@
     }
 }
 
+/// Reads `incoming` into `buffered`. Returns false if it is larger than `max` bytes, or
+/// than the budget of `buffered` allows.
+async fn read_up_to(
+    incoming: &mut Incoming,
+    buffered: &mut PartialBody<'_>,
+    max: usize,
+) -> hyper::Result<bool> {
+    let hint = incoming.size_hint();
+    if hint.lower() > max.saturating_sub(buffered.bytes.len()) as u64 {
+        return Ok(false);
+    }
+    while let Some(frame) = incoming.frame().await {
+        match frame?.into_data() {
+            Ok(data) => buffered.bytes.extend_from_slice(&data),
+            Err(frame) => buffered.trailers = frame.into_trailers().ok(),
+        }
+        if buffered.bytes.len() > max || !buffered.reserve() {
+            return Ok(false);
+        }
+    }
+    Ok(true)
+}
+
 /// The connection of an exchange and the head of the response, with the body to be read.
 type Exchanged = (Conn, Result<Response<Incoming>, ExchangeError>);
 
@@ -418,25 +464,58 @@
 }
 
 /// The part of a body that has been received.
-#[derive(Default)]
-struct PartialBody {
+struct PartialBody<'a> {
     bytes: BytesMut,
     trailers: Option<HeaderMap>,
+    budget: &'a BodyBudget,
+    /// The memory for what exceeds [`BUFFERED_RESPONSE_MAX_BYTES`].
+    memory: Reservation,
+    reserved: usize,
 }
 
-/// Reads `incoming` into `buffered`. Returns false if the body is larger than
-/// [`BUFFERED_RESPONSE_MAX_BYTES`].
-async fn read_up_to(incoming: &mut Incoming, buffered: &mut PartialBody) -> hyper::Result<bool> {
-    while let Some(frame) = incoming.frame().await {
-        match frame?.into_data() {
-            Ok(data) => buffered.bytes.extend_from_slice(&data),
-            Err(frame) => buffered.trailers = frame.into_trailers().ok(),
+/// Received bytes that return their memory to the budget when they are dropped.
+struct ReservedBytes {
+    bytes: Bytes,
+    _memory: Reservation,
+}
+
+impl AsRef<[u8]> for ReservedBytes {
+    fn as_ref(&self) -> &[u8] {
+        &self.bytes
+    }
+}
+
+impl<'a> PartialBody<'a> {
+    fn new(budget: &'a BodyBudget) -> Self {
+        Self {
+            bytes: BytesMut::new(),
+            trailers: None,
+            budget,
+            memory: budget.empty(),
+            reserved: BUFFERED_RESPONSE_MAX_BYTES,
         }
-        if buffered.bytes.len() > BUFFERED_RESPONSE_MAX_BYTES {
-            return Ok(false);
+    }
+
+    /// Reserves the memory of what has been received. Returns false if the budget does
+    /// not suffice.
+    fn reserve(&mut self) -> bool {
+        let more = self.bytes.len().saturating_sub(self.reserved);
+        let has_room = self.budget.grow(&mut self.memory, more);
+        if has_room {
+            self.reserved += more;
         }
+        has_room
+    }
+
+    fn freeze(self) -> Bytes {
+        if self.reserved == BUFFERED_RESPONSE_MAX_BYTES {
+            return self.bytes.freeze();
+        }
+        Bytes::from_owner(ReservedBytes {
+            bytes: self.bytes.freeze(),
+            _memory: self.memory,
+        })
     }
-    Ok(true)
 }
 
 fn outcome_of(status: StatusCode) -> Outcome {
--- a/crates/entry/src/call.rs
+++ b/crates/entry/src/call.rs
@@ -14,6 +14,7 @@
 use http::HeaderMap;
 use http::HeaderValue;
 use http::StatusCode;
+use net::lookahead::Place;
 use obs::spans::ActiveSpan;
 use obs::CallRecord;
 use route::attempts::Failure;
@@ -41,6 +42,8 @@
     /// reached this VM.
     pub(crate) target_time: Time,
     pub(crate) span: &'a ActiveSpan,
+    /// The place of the request on the caller's connection.
+    pub(crate) place: Place,
     /// The id that the caller gave to the call.
     pub(crate) id: Option<HeaderValue>,
     /// Identifies the request over all calls that repeat it.
--- a/crates/entry/src/proxy.rs
+++ b/crates/entry/src/proxy.rs
@@ -23,6 +23,7 @@
 use http_body_util::Empty;
 use hyper::body::Incoming;
 use net::body;
+use net::lookahead::Place;
 use net::server::Handler;
 use net::Body;
 use net::BoxFuture;
@@ -138,6 +139,10 @@
         request: Request<()>,
         peer: SocketAddr,
     ) -> Option<BoxFuture<'static, Response<Body>>> {
+        if self.ports.relay_target().is_some() {
+            // The response of another VM is streamed, and may break off.
+            return None;
+        }
         let state = self.ports.state();
         let path = request.uri().path();
         let method = request.method().as_str();
@@ -213,6 +218,10 @@
         let limit = time_left.map_or(rule.deadline, |left| left.min(rule.deadline));
         let max_body = self.max_body(&state);
         let progress = self.track_call(id.as_ref(), &service.name, began);
+        let place = place_of(&request);
+        if !place.try_stream() {
+            place.stream_anyway();
+        }
         let (parts, incoming) = request.into_parts();
         let reading = OutgoingRequest::new(parts, incoming, peer, max_body, &self.identity.bodies);
         let result = match net::timeout(limit, reading).await {
@@ -355,6 +364,7 @@
             self.elapsed.observe(&mapping.name, time_left)
         });
         let key = idempotency_key(service, &rule, request.headers());
+        let place = place_of(&request);
         let (parts, incoming) = request.into_parts();
         let reading = OutgoingRequest::new(parts, incoming, peer, max_body, &self.identity.bodies);
         let outgoing = net::timeout(limit, reading)
@@ -373,6 +383,7 @@
             deadline: began + limit,
             target_time: (began + rule.target).saturating_sub(elapsed),
             span,
+            place,
             id,
             fingerprint: outgoing.fingerprint(),
             progress,
@@ -627,6 +638,8 @@
             http2: call.service.http2,
             permit,
             left,
+            place: call.place.clone(),
+            bodies: self.identity.bodies.clone(),
         };
         call.sends.fetch_add(1, Ordering::Relaxed);
         call.progress.set_stage(Stage::Response);
@@ -701,6 +714,11 @@
     }
 }
 
+/// Returns the place of a request on its connection; an empty one over HTTP/2.
+fn place_of<B>(request: &Request<B>) -> Place {
+    request.extensions().get().cloned().unwrap_or_default()
+}
+
 fn slow_body() -> LocalResponse {
     LocalResponse::not_run(
         StatusCode::REQUEST_TIMEOUT,
--- a/crates/load/tests/calls.rs
+++ b/crates/load/tests/calls.rs
@@ -233,6 +233,47 @@
     }
 }
 
+/// Breaks off a large response to `/cut` midway, and responds to other requests at once.
+fn cut_large_on_path(stream: &mut TcpStream, head: &str) {
+    if !head.starts_with("GET /cut") {
+        return respond_whole(stream, head);
+    }
+    // The calls behind this one get their permits while no server is down.
+    std::thread::sleep(Duration::from_millis(200));
+    let _ = stream.write_all(b"HTTP/1.1 200 OK\r\ncontent-length: 150000\r\n\r\n");
+    let _ = stream.write_all(&[b'x'; 80_000]);
+    let _ = stream.shutdown(Shutdown::Both);
+}
+
+// Guards against pipelined calls that servers have run and whose caller gets no response,
+// because a response before theirs broke off.
+#[test]
+fn call_behind_a_large_body_cut_by_the_server_is_answered() {
+    let servers = [
+        Scripted::new(cut_large_on_path),
+        Scripted::new(cut_large_on_path),
+    ];
+    // The first response of a connection, and one that was started before its turn.
+    for (paths, cut) in [(["/cut", "/b", "/c"], 0), (["/a", "/cut", "/c"], 1)] {
+        let harness = Harness::new(&servers.each_ref().map(|server| server.address));
+        let mut stream = TcpStream::connect(harness.callers).unwrap();
+        let request = |path| format!("GET {path} HTTP/1.1\r\nhost: s\r\n");
+        let [first, second, third] = paths.map(request);
+        let text = format!("{first}\r\n{second}\r\n{third}connection: close\r\n\r\n");
+        stream.write_all(text.as_bytes()).unwrap();
+        let mut bytes = Vec::new();
+        let _ = stream.read_to_end(&mut bytes);
+        let text = String::from_utf8_lossy(&bytes);
+        let statuses: Vec<&str> = text
+            .match_indices("HTTP/1.1 ")
+            .map(|(at, _)| &text[at + 9..at + 12])
+            .collect();
+        let mut expected = ["200"; 3];
+        expected[cut] = "502";
+        assert_eq!(statuses, expected, "{paths:?}");
+    }
+}
+
 #[test]
 fn call_without_response_ends_at_its_deadline() {
     let server = Scripted::new(respond_never);
--- a/crates/net/src/lookahead.rs
+++ b/crates/net/src/lookahead.rs
@@ -17,6 +17,7 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
+use std::sync::Weak;
 use std::task::ready;
 use std::task::Context;
 use std::task::Poll;
@@ -80,6 +81,9 @@
     early: usize,
     /// Whether no further requests may be started early.
     stopping: bool,
+    /// Whether the response to the current request may break off, so that no requests
+    /// may be started behind it.
+    streaming: bool,
     /// Wakes the connection, which may wait for hyper to finish a request.
     waker: Option<Waker>,
 }
@@ -88,6 +92,20 @@
 #[derive(Clone, Default)]
 pub(crate) struct Turns(Arc<Mutex<Progress>>);
 
+/// The place of a request on its HTTP/1.1 connection, which is among the extensions of
+/// the request.
+///
+/// A response that breaks off midway closes the connection, and the callers of requests
+/// that were started behind it get no response. A handler therefore asks before it
+/// returns a body that may break off.
+#[derive(Clone, Default)]
+pub struct Place {
+    /// Weak, because the connection's state may hold the response to the request.
+    progress: Weak<Mutex<Progress>>,
+    /// Whether the request was started before its turn.
+    early: bool,
+}
+
 /// Held while hyper serves a request, until the response has been written.
 pub(crate) struct TurnGuard(Turns);
 
@@ -113,6 +131,13 @@
     ended: bool,
 }
 
+impl Progress {
+    /// Returns whether requests may be started early.
+    fn may_start(&self) -> bool {
+        !self.stopping && !self.streaming
+    }
+}
+
 impl Turns {
     fn lock(&self) -> MutexGuard<'_, Progress> {
         self.0.lock().unwrap_or_else(PoisonError::into_inner)
@@ -125,6 +150,14 @@
         same.then_some(early.response)
     }
 
+    /// Returns the place of a request, which was started before its turn or not.
+    pub(crate) fn place(&self, early: bool) -> Place {
+        Place {
+            progress: Arc::downgrade(&self.0),
+            early,
+        }
+    }
+
     /// Returns a guard that ends the turn of the current request when it is dropped.
     pub(crate) fn guard(&self) -> TurnGuard {
         TurnGuard(self.clone())
@@ -139,10 +172,36 @@
     }
 }
 
+impl Place {
+    /// Returns whether the response may break off without a loss: no request has been
+    /// started behind this one, and none will be before the response ends.
+    pub fn try_stream(&self) -> bool {
+        let Some(progress) = self.progress.upgrade() else {
+            return true;
+        };
+        let mut progress = progress.lock().unwrap_or_else(PoisonError::into_inner);
+        if self.early || progress.early > 0 {
+            return false;
+        }
+        progress.streaming = true;
+        true
+    }
+
+    /// Starts no further requests of the connection early, since the response may break
+    /// off although requests were started behind it.
+    pub fn stream_anyway(&self) {
+        if let Some(progress) = self.progress.upgrade() {
+            let mut progress = progress.lock().unwrap_or_else(PoisonError::into_inner);
+            progress.stopping = true;
+        }
+    }
+}
+
 impl Drop for TurnGuard {
     fn drop(&mut self) {
         let mut progress = self.0.lock();
         progress.busy = false;
+        progress.streaming = false;
         if let Some(waker) = progress.waker.take() {
             waker.wake();
         }
@@ -273,7 +332,7 @@
         let started = may_start
             .then(|| to_request(&head))
             .flatten()
-            .filter(|_| !self.turns.lock().stopping)
+            .filter(|_| self.turns.lock().may_start())
             .and_then(|request| self.start(request));
         let Some(early) = started else {
             self.blocked = true;
@@ -297,9 +356,10 @@
         !busy
     }
 
-    fn start(&self, request: Request<()>) -> Option<EarlyResponse> {
+    fn start(&self, mut request: Request<()>) -> Option<EarlyResponse> {
         let method = request.method().clone();
         let target = request.uri().to_string();
+        request.extensions_mut().insert(self.turns.place(true));
         let response = self.handler.clone().call_early(request, self.peer)?;
         Some(EarlyResponse {
             method,
--- a/crates/net/src/server.rs
+++ b/crates/net/src/server.rs
@@ -300,11 +300,12 @@
     /// there is one. The request's turn ends with the body of the response.
     async fn respond(
         handler: Arc<dyn Handler>,
-        request: Request<Incoming>,
+        mut request: Request<Incoming>,
         peer: SocketAddr,
         turns: Turns,
     ) -> ServiceResult {
         let turn = turns.guard();
+        request.extensions_mut().insert(turns.place(false));
         let response = match turns.take_early(&request) {
             Some(response) => response.await,
             None => handler.call(request, peer).await,
--- a/crates/net/tests/pipelining.rs
+++ b/crates/net/tests/pipelining.rs
@@ -18,6 +18,7 @@
 use http::Response;
 use hyper::body::Incoming;
 use net::body;
+use net::lookahead::Place;
 use net::lookahead::EARLY_MAX;
 use net::server::Handler;
 use net::server::Limits;
@@ -34,11 +35,14 @@
 const BODY_MAX_BYTES: usize = 1 << 20;
 
 /// Responds with the path and the body of a request. Requests to `/wait` respond only
-/// once [`Echo::open`] has been called.
+/// once [`Echo::open`] has been called. Requests with `stream` in the path ask whether
+/// their response may be streamed.
 #[derive(Default)]
 struct Echo {
     state: Mutex<EchoState>,
     changed: Event,
+    /// Whether each response that was to be streamed may be.
+    streamed: Mutex<Vec<bool>>,
 }
 
 #[derive(Default)]
@@ -82,6 +86,13 @@
         self.state.lock().unwrap().cancelled
     }
 
+    fn ask_to_stream<B>(&self, request: &Request<B>) {
+        if request.uri().path().contains("stream") {
+            let place: &Place = request.extensions().get().unwrap();
+            self.streamed.lock().unwrap().push(place.try_stream());
+        }
+    }
+
     async fn respond(self: Arc<Self>, path: String, body: bytes::Bytes) -> Response<Body> {
         let mut guard = CancelGuard {
             echo: self.clone(),
@@ -108,6 +119,7 @@
         _peer: SocketAddr,
     ) -> BoxFuture<'static, Response<Body>> {
         Box::pin(async move {
+            self.ask_to_stream(&request);
             let path = request.uri().path().to_owned();
             let body = body::collect(request.into_body(), BODY_MAX_BYTES).await;
             self.respond(path, body.unwrap_or_default()).await
@@ -120,6 +132,7 @@
         _peer: SocketAddr,
     ) -> Option<BoxFuture<'static, Response<Body>>> {
         assert_eq!(request.method(), Method::GET);
+        self.ask_to_stream(&request);
         let path = request.uri().path().to_owned();
         let once = path.contains("once");
         (!once)
@@ -264,6 +277,41 @@
     }
 }
 
+// Guards against requests that are started behind a response that may break off, which
+// closes the connection.
+#[test]
+fn serve_requests_behind_a_streamed_response_in_turn() {
+    let server = EchoServer::new();
+    let mut stream = server.connect();
+    stream.write_all(get("/wait-stream").as_bytes()).unwrap();
+    server.wait_started(1);
+    stream
+        .write_all((get("/a") + &get("/b")).as_bytes())
+        .unwrap();
+    std::thread::sleep(Duration::from_millis(100));
+    assert_eq!(server.echo.started(), ["/wait-stream"]);
+    server.echo.open();
+    for body in ["/wait-stream=", "/a=", "/b="] {
+        assert_eq!(read_body(&mut stream).as_deref(), Some(body));
+    }
+    assert_eq!(*server.echo.streamed.lock().unwrap(), [true]);
+}
+
+#[test]
+fn serve_response_is_not_streamed_before_requests_that_were_started() {
+    let server = EchoServer::new();
+    let mut stream = server.connect();
+    let paths = ["/stream", "/stream", "/wait"];
+    let requests: String = paths.map(get).concat();
+    stream.write_all(requests.as_bytes()).unwrap();
+    server.wait_started(paths.len());
+    assert_eq!(*server.echo.streamed.lock().unwrap(), [false, false]);
+    server.echo.open();
+    for path in paths {
+        assert_eq!(read_body(&mut stream), Some(format!("{path}=")));
+    }
+}
+
 #[test]
 fn serve_caller_leaves_and_all_its_requests_are_cancelled() {
     let server = EchoServer::new();
