--- a/crates/load/tests/calls.rs
+++ b/crates/load/tests/calls.rs
@@ -274,6 +274,34 @@
     }
 }
 
+/// Responds with as many bytes as the path says, in chunks if the path ends with `c`.
+fn respond_bytes(stream: &mut TcpStream, head: &str) {
+    let path = head.split([' ', '/']).nth(2).unwrap();
+    let count: usize = path.trim_end_matches('c').parse().unwrap();
+    let body = "~".repeat(count);
+    let text = if path.ends_with('c') {
+        format!("transfer-encoding: chunked\r\n\r\n{count:x}\r\n{body}\r\n0\r\n\r\n")
+    } else {
+        format!("content-length: {count}\r\n\r\n{body}")
+    };
+    let _ = stream.write_all(format!("HTTP/1.1 200 OK\r\n{text}").as_bytes());
+}
+
+// The second call is started before its turn; its body is read whole first or streamed.
+#[test]
+fn call_large_bodies_of_pipelined_calls_arrive_whole() {
+    for path in ["200000", "200000c", "700000", "700000c"] {
+        let servers = [Scripted::new(respond_bytes), Scripted::new(respond_bytes)];
+        let harness = Harness::new(&servers.each_ref().map(|server| server.address));
+        let request = format!("GET /{path} HTTP/1.1\r\nhost: s\r\n");
+        let text =
+            harness.raw(format!("{request}\r\n{request}connection: close\r\n\r\n").as_bytes());
+        assert_eq!(text.matches("HTTP/1.1 200").count(), 2, "{path}");
+        let count: usize = path.trim_end_matches('c').parse().unwrap();
+        assert_eq!(text.matches('~').count(), 2 * count, "{path}");
+    }
+}
+
 #[test]
 fn call_without_response_ends_at_its_deadline() {
     let server = Scripted::new(respond_never);
