Bound the memory of all callers' connections together

Users saw VMs that ended by themselves (docs/incidents/process-ends.md, hypothesis 2): a VM over its memory limit is killed, at 160 MB on the smallest ones. What one connection holds was bounded, the sum over up to 2,000 of them was not: heads read ahead (64 KiB each), responses started early (eight of up to 64 KiB each), hyper's buffers, which grow while a read fills them and stay large, and call futures of 45 KB each, most of it for attempts that a waiting call has not begun.

One budget, callers.buffer, now covers request bodies, heads and responses beyond 4 KiB, and requests started early, over all connections of the VM. What does not fit waits or is streamed. A large head reserves the largest size at once, so no two connections wait for each other's part; the timeout of heads returns what heads that never end hold. While hyper has a request at most 4 KiB are read ahead. A request is not served before the caller takes the responses to the earlier ones, and bodies reach hyper in pieces. Reads are short, so hyper's buffers stay small. HTTP/2 connections get smaller windows and send buffers.

Not bounded by this: the calls of many HTTP/2 streams (256 a connection).

The metric body_bytes is now buffer_bytes, with buffer_max_bytes, buffer_waits and caller_connections beside it.

--- a/crates/daemon/tests/harness/mod.rs
+++ b/crates/daemon/tests/harness/mod.rs
@@ -72,7 +72,7 @@
 
 impl Deployment {
     /// Starts a store with the routes `/read/`, which may run more than once, and
-    /// `/write/`, which may not. Both are of one service.
+    /// `/write/`, which may not, both of one service, and `/other/` of another service.
     pub(crate) fn new() -> Self {
         let process = std::process::id();
         let index = NETWORKS.fetch_add(1, Ordering::SeqCst);
@@ -82,20 +82,24 @@
         std::fs::create_dir_all(&directory).unwrap();
         let store = Store::default();
         let endpoint = store.open_endpoint();
-        let route = |name: &str, idempotent| Route {
+        let route = |name: &str, service: &str, idempotent| Route {
             name: name.into(),
-            service: "s".into(),
+            service: service.into(),
             idempotent,
             timeout: CALL_TIMEOUT,
             target: Duration::from_secs(1),
         };
-        let service = Service {
-            name: "s".into(),
+        let service = |name: &str| Service {
+            name: name.into(),
             cold_duration: Duration::ZERO,
             cold_rate: 1000.0,
         };
-        let routes = [route("read", true), route("write", false)];
-        let config = stand::config_spec(1, HOST, &[service], &routes);
+        let routes = [
+            route("read", "s", true),
+            route("write", "s", false),
+            route("other", "other", true),
+        ];
+        let config = stand::config_spec(1, HOST, &[service("s"), service("other")], &routes);
         store.put(stand::CONFIG_KIND, stand::CONFIG_NAME, config);
         Self {
             store,
@@ -114,12 +118,24 @@
 
     /// Adds a server whose responses take `work` and have a body of `body_bytes`.
     pub(crate) fn add_server(&self, name: &str, work: Duration, body_bytes: usize) -> Server {
-        self.add_server_with_slots(name, 64, work, body_bytes)
+        self.add_server_with_slots("s", name, 64, work, body_bytes)
+    }
+
+    /// Adds a server of `service` as [`Self::add_server`] does.
+    pub(crate) fn add_server_of(
+        &self,
+        service: &str,
+        name: &str,
+        work: Duration,
+        body_bytes: usize,
+    ) -> Server {
+        self.add_server_with_slots(service, name, 64, work, body_bytes)
     }
 
-    /// Adds a server as [`Self::add_server`] does, which takes `slots` calls at once.
+    /// Adds a server as [`Self::add_server_of`] does, which takes `slots` calls at once.
     pub(crate) fn add_server_with_slots(
         &self,
+        service: &str,
         name: &str,
         slots: u32,
         work: Duration,
@@ -128,7 +144,7 @@
         let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).unwrap();
         let entry = ServerEntry {
             address: listener.local_addr().unwrap(),
-            service: "s".into(),
+            service: service.into(),
             domain: "north".into(),
             slots,
             draining: false,
@@ -139,11 +155,11 @@
         self.store.put(stand::SERVERS_KIND, name, entry.to_json());
         let requests = Arc::new(AtomicUsize::new(0));
         let counter = requests.clone();
-        let name = name.to_owned();
+        let names = (service.to_owned(), name.to_owned());
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
-                let (counter, name) = (counter.clone(), name.clone());
-                thread::spawn(move || serve(stream, &name, work, body_bytes, &counter));
+                let (counter, names) = (counter.clone(), names.clone());
+                thread::spawn(move || serve(stream, &names, work, body_bytes, &counter));
             }
         });
         Server { requests }
@@ -227,7 +243,7 @@
 
 fn serve(
     mut stream: TcpStream,
-    name: &str,
+    (service, name): &(String, String),
     work: Duration,
     body_bytes: usize,
     count: &AtomicUsize,
@@ -241,15 +257,18 @@
             thread::sleep(work);
         }
         let head = format!(
-            "HTTP/1.1 200 OK\r\n{}: {id}\r\n{}: {name}\r\n{}: s\r\n{}: 0,0,64,100\r\n\
+            "HTTP/1.1 200 OK\r\n{}: {id}\r\n{}: {name}\r\n{}: {service}\r\n{}: 0,0,64,100\r\n\
              content-length: {body}\r\n\r\n",
             fields::CALL_ID,
             fields::INSTANCE_ID,
             fields::SIGNATURE,
             fields::LOAD,
         );
+        // The body begins with the id of the request, as far as it fits.
         let mut bytes = head.into_bytes();
-        bytes.resize(bytes.len() + body, b'x');
+        let end = bytes.len() + body;
+        bytes.extend_from_slice(id.as_bytes());
+        bytes.resize(end, b'x');
         if stream.write_all(&bytes).is_err() {
             return;
         }
--- a/crates/daemon/tests/stop.rs
+++ b/crates/daemon/tests/stop.rs
@@ -93,7 +93,7 @@
 fn calls_that_wait_for_a_permit_in_a_stop_get_an_answer() {
     let deployment = Deployment::new();
     // One call keeps the only slot and the only place beside it.
-    deployment.add_server_with_slots("i-1", 1, Duration::from_millis(2500), 10);
+    deployment.add_server_with_slots("s", "i-1", 1, Duration::from_millis(2500), 10);
     let mut daemon = deployment.start(&deployment.settings(0));
     assert!(harness::wait_until(harness::SOON, || daemon.readiness() == Some(200)));
     let began = Instant::now();
--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -19,6 +19,8 @@
 use hyper::body::Body as _;
 use hyper::body::Incoming;
 use net::body;
+use net::budget::MemoryBudget;
+use net::budget::Reservation;
 use net::client::SendError;
 use net::linger::Lingering;
 use net::lookahead::Place;
@@ -30,8 +32,6 @@
 use route::notices::Notice;
 use route::spec;
 
-use crate::body_budget::BodyBudget;
-use crate::body_budget::Reservation;
 use crate::dialect::Dialect;
 use crate::dialect::ResponseKind;
 use crate::guard::PermitGuard;
@@ -49,6 +49,8 @@
 /// requests behind it on the caller's connection have been started. They would get no
 /// response if the connection had to close because this one is truncated.
 const PIPELINED_RESPONSE_MAX_BYTES: usize = 512 << 10;
+/// The size of responses that are buffered without a reservation.
+const FREE_RESPONSE_BYTES: usize = 4 << 10;
 /// How long the response to an abandoned attempt is still read. A refusal that is under
 /// way may ask for no more calls.
 const ABANDONED_READ_TIMEOUT: Duration = Duration::from_millis(10);
@@ -77,8 +79,8 @@
     pub left: Duration,
     /// The place of the request on the caller's connection.
     pub place: Place,
-    /// The memory for buffered bodies.
-    pub bodies: BodyBudget,
+    /// The memory for what is buffered of the response.
+    pub memory: MemoryBudget,
 }
 
 /// A request that was sent, and the server to which it was.
@@ -339,7 +341,7 @@
     async fn read_whole(
         &self,
         incoming: &mut Incoming,
-        buffered: &mut PartialBody<'_>,
+        buffered: &mut PartialBody,
     ) -> hyper::Result<bool> {
         if read_up_to(incoming, buffered, BUFFERED_RESPONSE_MAX_BYTES).await? {
             return Ok(true);
@@ -365,7 +367,7 @@
         mut guard: PermitGuard,
         conn: Conn,
     ) -> Result<ResponseBody, FailedAttempt> {
-        let mut buffered = PartialBody::new(&self.bodies);
+        let mut buffered = PartialBody::new(&self.memory);
         let left = self.left.saturating_sub(guard.took());
         let reading = self.read_whole(&mut incoming, &mut buffered);
         match timeout(left, reading).await {
@@ -415,7 +417,7 @@
 /// than the budget of `buffered` allows.
 async fn read_up_to(
     incoming: &mut Incoming,
-    buffered: &mut PartialBody<'_>,
+    buffered: &mut PartialBody,
     max: usize,
 ) -> hyper::Result<bool> {
     let hint = incoming.size_hint();
@@ -464,35 +466,21 @@
 }
 
 /// The part of a body that has been received.
-struct PartialBody<'a> {
+struct PartialBody {
     bytes: BytesMut,
     trailers: Option<HeaderMap>,
-    budget: &'a BodyBudget,
-    /// The memory for what exceeds [`BUFFERED_RESPONSE_MAX_BYTES`].
+    /// The memory of the bytes beyond [`FREE_RESPONSE_BYTES`].
     memory: Reservation,
     reserved: usize,
 }
 
-/// Received bytes that return their memory to the budget when they are dropped.
-struct ReservedBytes {
-    bytes: Bytes,
-    _memory: Reservation,
-}
-
-impl AsRef<[u8]> for ReservedBytes {
-    fn as_ref(&self) -> &[u8] {
-        &self.bytes
-    }
-}
-
-impl<'a> PartialBody<'a> {
-    fn new(budget: &'a BodyBudget) -> Self {
+impl PartialBody {
+    fn new(memory: &MemoryBudget) -> Self {
         Self {
             bytes: BytesMut::new(),
             trailers: None,
-            budget,
-            memory: budget.empty(),
-            reserved: BUFFERED_RESPONSE_MAX_BYTES,
+            memory: memory.empty(),
+            reserved: FREE_RESPONSE_BYTES,
         }
     }
 
@@ -500,7 +488,7 @@
     /// not suffice.
     fn reserve(&mut self) -> bool {
         let more = self.bytes.len().saturating_sub(self.reserved);
-        let has_room = self.budget.grow(&mut self.memory, more);
+        let has_room = self.memory.grow(more);
         if has_room {
             self.reserved += more;
         }
@@ -508,13 +496,7 @@
     }
 
     fn freeze(self) -> Bytes {
-        if self.reserved == BUFFERED_RESPONSE_MAX_BYTES {
-            return self.bytes.freeze();
-        }
-        Bytes::from_owner(ReservedBytes {
-            bytes: self.bytes.freeze(),
-            _memory: self.memory,
-        })
+        self.memory.attach(self.bytes.freeze())
     }
 }
 
--- a/crates/entry/src/hedging.rs
+++ b/crates/entry/src/hedging.rs
@@ -10,7 +10,6 @@
 
 use std::future::poll_fn;
 use std::future::Future;
-use std::pin::pin;
 use std::pin::Pin;
 use std::task::Poll;
 use std::time::Duration;
@@ -60,7 +59,8 @@
         call.tried.push(first.permit.server);
         let began = self.ports.now();
         let request = outgoing.build();
-        let mut first = pin!(self.send(call, first, request));
+        // Boxed, as a call that waits for a permit needs no memory for its attempts yet.
+        let mut first = Box::pin(self.send(call, first, request));
         let mut failed = None;
         let hedges = call.service.hedges > 0 || call.rule.target < call.rule.deadline;
         for kind in [AttemptKind::Hedge, AttemptKind::Rescue] {
@@ -79,11 +79,11 @@
             let Some(request) = outgoing.build() else {
                 break;
             };
-            let second = pin!(async {
+            let mut second = Box::pin(async {
                 let permit = self.request_permit(call, kind).await?;
                 self.send(call, permit, Some(request)).await
             });
-            match race(first.as_mut(), second).await {
+            match race(first.as_mut(), second.as_mut()).await {
                 RaceResult::Done(result) => return with_failed_attempt(*result, failed),
                 RaceResult::SecondFailed(error) => failed = more_severe(failed, error),
             }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -7,7 +7,6 @@
 //! See `docs/design/call-path.md`.
 
 pub mod attempt;
-pub mod body_budget;
 mod call;
 pub mod dialect;
 mod elapsed;
--- a/crates/entry/src/proxy.rs
+++ b/crates/entry/src/proxy.rs
@@ -23,6 +23,7 @@
 use http_body_util::Empty;
 use hyper::body::Incoming;
 use net::body;
+use net::budget::MemoryBudget;
 use net::lookahead::Place;
 use net::server::Handler;
 use net::Body;
@@ -47,7 +48,6 @@
 use crate::attempt::FailedAttempt;
 use crate::attempt::ResponseBody;
 use crate::attempt::ServerResponse;
-use crate::body_budget::BodyBudget;
 use crate::call::failure_response;
 use crate::call::log_attempt;
 use crate::call::log_call;
@@ -108,8 +108,8 @@
     pub domain: DomainId,
     /// The limit of request bodies in bytes; the configuration may set a lower one.
     pub max_body: usize,
-    /// The memory for buffered request bodies.
-    pub bodies: BodyBudget,
+    /// The memory for what is buffered for callers.
+    pub memory: MemoryBudget,
 }
 
 /// Forwards the calls that one VM receives to backend servers.
@@ -197,7 +197,7 @@
     /// path to servers.
     async fn respond(&self, request: Request<impl CallBody>, peer: SocketAddr) -> Response<Body> {
         if self.ports.relay_target().is_some() {
-            return self.relay(request, peer).await;
+            return Box::pin(self.relay(request, peer)).await;
         }
         self.respond_here(request, peer).await
     }
@@ -223,7 +223,7 @@
             place.stream_anyway();
         }
         let (parts, incoming) = request.into_parts();
-        let reading = OutgoingRequest::new(parts, incoming, peer, max_body, &self.identity.bodies);
+        let reading = OutgoingRequest::new(parts, incoming, peer, max_body, &self.identity.memory);
         let result = match net::timeout(limit, reading).await {
             Some(Ok(_)) if !self.ports.may_end_at(began + limit) => Err(stopping_response()),
             Some(Ok(mut outgoing)) => {
@@ -366,8 +366,8 @@
         let key = idempotency_key(service, &rule, request.headers());
         let place = place_of(&request);
         let (parts, incoming) = request.into_parts();
-        let reading = OutgoingRequest::new(parts, incoming, peer, max_body, &self.identity.bodies);
-        let outgoing = net::timeout(limit, reading)
+        let reading = OutgoingRequest::new(parts, incoming, peer, max_body, &self.identity.memory);
+        let outgoing = net::timeout(limit, Box::pin(reading))
             .await
             .unwrap_or_else(|| Err(slow_body()))?;
         let claim = match key {
@@ -391,7 +391,7 @@
             sends: AtomicU32::new(0),
             may_have_run: Mutex::default(),
         };
-        let result = self.attempt_with_retries(call, outgoing).await;
+        let result = Box::pin(self.attempt_with_retries(call, outgoing)).await;
         if let (Some(claim), Err(response)) = (claim, &result) {
             if response.disposition == Disposition::NotRun {
                 self.ports.forget(claim);
@@ -449,9 +449,9 @@
             let without_hedging =
                 kind != AttemptKind::First || !idempotent || !outgoing.is_repeatable();
             let result = if !without_hedging {
-                self.attempt_with_hedging(&mut call, &mut outgoing).await
+                Box::pin(self.attempt_with_hedging(&mut call, &mut outgoing)).await
             } else {
-                self.attempt(&mut call, &mut outgoing, kind).await
+                Box::pin(self.attempt(&mut call, &mut outgoing, kind)).await
             };
             let error = match result {
                 Ok(served) => {
@@ -503,7 +503,7 @@
         let granted = self.request_permit(call, kind).await?;
         call.tried.push(granted.permit.server);
         let request = outgoing.build();
-        self.send(call, granted, request).await
+        Box::pin(self.send(call, granted, request)).await
     }
 
     /// Returns the time until the call's deadline.
@@ -639,7 +639,7 @@
             permit,
             left,
             place: call.place.clone(),
-            bodies: self.identity.bodies.clone(),
+            memory: self.identity.memory.clone(),
         };
         call.sends.fetch_add(1, Ordering::Relaxed);
         call.progress.set_stage(Stage::Response);
--- a/crates/entry/src/request.rs
+++ b/crates/entry/src/request.rs
@@ -17,11 +17,11 @@
 use http_body_util::Limited;
 use net::body;
 use net::body::BoxError;
+use net::budget::MemoryBudget;
+use net::budget::Reservation;
 use net::Body;
 use route::crashes::Fingerprint;
 
-use crate::body_budget::BodyBudget;
-use crate::body_budget::Reservation;
 use crate::headers;
 use crate::local_response::LocalResponse;
 
@@ -81,7 +81,7 @@
         incoming: impl CallBody,
         peer: SocketAddr,
         max_body: usize,
-        budget: &BodyBudget,
+        budget: &MemoryBudget,
     ) -> Result<Self, LocalResponse> {
         let mut fields = parts.headers;
         headers::strip_hop_by_hop(&mut fields);
@@ -175,7 +175,7 @@
 async fn read_body(
     mut incoming: impl CallBody,
     max_body: usize,
-    budget: &BodyBudget,
+    budget: &MemoryBudget,
 ) -> Result<RequestBody, LocalResponse> {
     let hint = incoming.size_hint();
     if hint.lower() > max_body as u64 {
@@ -190,7 +190,7 @@
     }
     let max_buffered = BUFFERED_MAX_BYTES.min(max_body);
     let known = usize::try_from(hint.lower()).unwrap_or(usize::MAX);
-    if known > max_buffered || !budget.grow(&mut reservation, known) {
+    if known > max_buffered || !reservation.grow(known) {
         let limited = Limited::new(incoming, max_body);
         return Ok(RequestBody::Streamed(Some(body::boxed(limited))));
     }
@@ -203,7 +203,7 @@
         };
         buffered.extend_from_slice(&data);
         let more = buffered.len().saturating_sub(reserved);
-        if buffered.len() > max_buffered || !budget.grow(&mut reservation, more) {
+        if buffered.len() > max_buffered || !reservation.grow(more) {
             let left = max_body.saturating_sub(buffered.len());
             let rest = Limited::new(incoming, left);
             let streamed = body::prefixed(buffered.freeze(), rest);
--- a/crates/entry/tests/request.rs
+++ b/crates/entry/tests/request.rs
@@ -3,10 +3,10 @@
 use std::net::SocketAddr;
 
 use bytes::Bytes;
-use entry::body_budget::BodyBudget;
 use entry::request::OutgoingRequest;
 use http::Request;
 use http_body_util::Full;
+use net::budget::MemoryBudget;
 
 const MAX_BODY: usize = 1 << 20;
 
@@ -14,7 +14,7 @@
     let (parts, body) = request.into_parts();
     let peer: SocketAddr = peer.parse().unwrap();
     let body = Full::new(Bytes::from_static(body.as_bytes()));
-    let budget = BodyBudget::new(MAX_BODY);
+    let budget = MemoryBudget::new(MAX_BODY);
     let outgoing = OutgoingRequest::new(parts, body, peer, MAX_BODY, &budget);
     let Ok(outgoing) = smol::block_on(outgoing) else {
         panic!("the request is valid");
--- a/crates/net/src/body.rs
+++ b/crates/net/src/body.rs
@@ -1,5 +1,9 @@
 //! Bodies of requests and responses.
 
+use std::pin::Pin;
+use std::task::Context;
+use std::task::Poll;
+
 use bytes::Bytes;
 use futures_lite::stream;
 use futures_lite::StreamExt;
@@ -8,16 +12,44 @@
 use http_body_util::BodyExt;
 use http_body_util::BodyStream;
 use http_body_util::Empty;
-use http_body_util::Full;
 use http_body_util::Limited;
 use http_body_util::StreamBody;
 use hyper::body::Frame;
+use hyper::body::SizeHint;
 
 /// The error of a body. A body that ends with an error is incomplete.
 pub type BoxError = Box<dyn std::error::Error + Send + Sync>;
 /// A boxed body of any type.
 pub type Body = BoxBody<Bytes, BoxError>;
 
+/// The size of the frames of a body. hyper copies each frame into its buffer.
+const PIECE_BYTES: usize = 16 << 10;
+
+/// A body of known length that comes in frames of at most [`PIECE_BYTES`].
+struct Pieces(Bytes);
+
+impl hyper::body::Body for Pieces {
+    type Data = Bytes;
+    type Error = BoxError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        _cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BoxError>>> {
+        let length = self.0.len().min(PIECE_BYTES);
+        let piece = self.0.split_to(length);
+        Poll::Ready((length > 0).then(|| Ok(Frame::data(piece))))
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.0.is_empty()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        SizeHint::with_exact(self.0.len() as u64)
+    }
+}
+
 /// Returns an empty body.
 pub fn empty() -> Body {
     Empty::new().map_err(|never| match never {}).boxed()
@@ -25,9 +57,7 @@
 
 /// Returns a body that consists of `bytes`. Its length is known.
 pub fn full(bytes: impl Into<Bytes>) -> Body {
-    Full::new(bytes.into())
-        .map_err(|never| match never {})
-        .boxed()
+    BoxBody::new(Pieces(bytes.into()))
 }
 
 /// Returns a body that consists of `bytes`, followed by `trailers`.
--- a/crates/net/src/client.rs
+++ b/crates/net/src/client.rs
@@ -24,6 +24,10 @@
 /// faulty: they have no use here, and cost time.
 pub const INTERIM_MAX: usize = 64;
 
+/// The maximum size of each of the two buffers of an HTTP/1.1 connection, and so of the head
+/// of a response.
+const BUFFER_MAX_BYTES: usize = 64 << 10;
+
 /// Why a request got no complete response.
 #[derive(Debug, thiserror::Error)]
 pub enum Error {
@@ -191,7 +195,10 @@
             }),
         });
     }
-    let (sender, driver) = conn::http1::Builder::new().handshake(io).await?;
+    let (sender, driver) = conn::http1::Builder::new()
+        .max_buf_size(BUFFER_MAX_BYTES)
+        .handshake(io)
+        .await?;
     Ok(Sender {
         requests: Requests::Http1(sender),
         _driver: handle.spawn(async move {
--- a/crates/net/src/deferred.rs
+++ b/crates/net/src/deferred.rs
@@ -7,6 +7,7 @@
 //! See `docs/design/call-path.md`.
 
 use std::pin::Pin;
+use std::task::ready;
 use std::task::Context;
 use std::task::Poll;
 
@@ -25,7 +26,7 @@
     /// The error that the next poll returns.
     error: Option<BoxError>,
     /// Dropped with the body, which ends the turn of its request.
-    _turn: Option<TurnGuard>,
+    turn: Option<TurnGuard>,
 }
 
 impl DeferredErrorBody {
@@ -34,13 +35,13 @@
         Self {
             inner,
             error: None,
-            _turn: None,
+            turn: None,
         }
     }
 
     /// Ends the turn of the request when the body is dropped.
     pub(crate) fn with_turn(mut self, turn: TurnGuard) -> Self {
-        self._turn = Some(turn);
+        self.turn = Some(turn);
         self
     }
 }
@@ -56,12 +57,21 @@
         if let Some(error) = self.error.take() {
             return Poll::Ready(Some(Err(error)));
         }
+        if let Some(turn) = &self.turn {
+            ready!(turn.poll_room(cx));
+        }
         match Pin::new(&mut self.inner).poll_frame(cx) {
             Poll::Ready(Some(Err(error))) => {
                 self.error = Some(error);
                 cx.waker().wake_by_ref();
                 Poll::Pending
             }
+            Poll::Ready(Some(Ok(frame))) => {
+                if let (Some(turn), Some(data)) = (&self.turn, frame.data_ref()) {
+                    turn.add_unwritten(data.len());
+                }
+                Poll::Ready(Some(Ok(frame)))
+            }
             other => other,
         }
     }
--- a/crates/net/src/fair.rs
+++ b/crates/net/src/fair.rs
@@ -16,6 +16,8 @@
 
 /// The number of bytes that are read in a row before other tasks run.
 const TURN_BYTES: usize = 64 << 10;
+/// The size of a read. hyper enlarges its buffer whenever a read fills it.
+const READ_MAX_BYTES: usize = 16 << 10;
 /// The number of reads, or of items that a loop receives, in a row before other tasks run.
 const TURN_ITEMS: usize = 64;
 
@@ -71,7 +73,7 @@
             cx.waker().wake_by_ref();
             return Poll::Pending;
         }
-        let limit = out.len().min(TURN_BYTES - self.bytes);
+        let limit = out.len().min(TURN_BYTES - self.bytes).min(READ_MAX_BYTES);
         let polled = Pin::new(&mut self.stream).poll_read(cx, &mut out[..limit]);
         if polled.is_pending() {
             self.begin_turn();
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -5,6 +5,7 @@
 //! `docs/architecture.md`.
 
 pub mod body;
+pub mod budget;
 pub mod client;
 pub mod cut;
 pub mod deferred;
--- a/crates/net/src/lookahead.rs
+++ b/crates/net/src/lookahead.rs
@@ -36,6 +36,9 @@
 use http::Version;
 use smol::Task;
 
+use crate::budget::Freed;
+use crate::budget::MemoryBudget;
+use crate::budget::Reservation;
 use crate::exec::Handle;
 use crate::server::Handler;
 use crate::Body;
@@ -45,6 +48,14 @@
 /// The size of a read from the connection.
 const READ_BYTES: usize = 8 << 10;
 
+/// The bytes that each connection buffers without a reservation, and the most that it reads
+/// ahead while hyper has a request: only the time for a head that hyper waits for is limited.
+const FREE_BYTES: usize = 4 << 10;
+/// The memory that is reserved for a request that is started early.
+const EARLY_BYTES: usize = 16 << 10;
+/// How much of a response hyper may hold before it asks for more.
+const UNWRITTEN_MAX_BYTES: usize = 4 << 10;
+
 /// A request that has been read and not yet passed on to hyper.
 struct Waiting {
     /// The length of its head in bytes.
@@ -57,6 +68,7 @@
     method: Method,
     target: String,
     response: Task<Response<Body>>,
+    memory: Reservation,
 }
 
 /// What the next unparsed bytes of the connection are.
@@ -86,6 +98,12 @@
     streaming: bool,
     /// Wakes the connection, which may wait for hyper to finish a request.
     waker: Option<Waker>,
+    /// Whether the caller does not take what hyper writes.
+    write_blocked: bool,
+    /// The bytes of the body of the current response that have not been written.
+    unwritten: usize,
+    /// Wakes the current request or the body of its response, which waits for a write.
+    write_waker: Option<Waker>,
 }
 
 /// The state of a connection that is shared with the code that serves its requests.
@@ -107,7 +125,10 @@
 }
 
 /// Held while hyper serves a request, until the response has been written.
-pub(crate) struct TurnGuard(Turns);
+pub(crate) struct TurnGuard {
+    turns: Turns,
+    memory: Option<Reservation>,
+}
 
 /// A stream for hyper that reads ahead.
 pub(crate) struct Lookahead<S> {
@@ -129,6 +150,15 @@
     /// Whether the requests behind the last one have to wait for their turn.
     blocked: bool,
     ended: bool,
+    budget: MemoryBudget,
+    /// The memory of the buffer beyond [`FREE_BYTES`], and of the head that hyper has.
+    memory: Reservation,
+    /// The size of the allocated buffer.
+    allocated: usize,
+    /// The length of the head of hyper's request.
+    head_len: usize,
+    /// Set while a read waits for memory.
+    freed: Option<Freed>,
 }
 
 impl Progress {
@@ -144,10 +174,13 @@
     }
 
     /// Returns the response to `request` that was started early, if there is one.
-    pub(crate) fn take_early<B>(&self, request: &Request<B>) -> Option<Task<Response<Body>>> {
+    pub(crate) fn take_early<B>(
+        &self,
+        request: &Request<B>,
+    ) -> Option<(Task<Response<Body>>, Reservation)> {
         let early = self.lock().current.take()?;
         let same = early.method == *request.method() && *request.uri() == *early.target;
-        same.then_some(early.response)
+        same.then_some((early.response, early.memory))
     }
 
     /// Returns the place of a request, which was started before its turn or not.
@@ -160,7 +193,26 @@
 
     /// Returns a guard that ends the turn of the current request when it is dropped.
     pub(crate) fn guard(&self) -> TurnGuard {
-        TurnGuard(self.clone())
+        TurnGuard {
+            turns: self.clone(),
+            memory: None,
+        }
+    }
+
+    /// Records the outcome of a write, and wakes what waits for it.
+    fn note_write(&self, polled: &Poll<io::Result<usize>>) {
+        let mut progress = self.lock();
+        progress.write_blocked = polled.is_pending();
+        let Poll::Ready(result) = polled else {
+            return;
+        };
+        let written = result.as_ref().map_or(usize::MAX, |length| *length);
+        progress.unwritten = progress.unwritten.saturating_sub(written);
+        if progress.unwritten < UNWRITTEN_MAX_BYTES {
+            if let Some(waker) = progress.write_waker.take() {
+                waker.wake();
+            }
+        }
     }
 
     /// Starts no further requests early. Returns whether hyper has reached all that
@@ -197,9 +249,42 @@
     }
 }
 
+impl TurnGuard {
+    /// Keeps `memory` until the response has been passed on.
+    pub(crate) fn hold(&mut self, memory: Reservation) {
+        self.memory = Some(memory);
+    }
+
+    /// Waits until the caller takes the responses to earlier requests.
+    pub(crate) fn poll_begin(&self, cx: &mut Context<'_>) -> Poll<()> {
+        let mut progress = self.turns.lock();
+        if progress.write_blocked {
+            progress.write_waker = Some(cx.waker().clone());
+            return Poll::Pending;
+        }
+        progress.unwritten = 0;
+        Poll::Ready(())
+    }
+
+    /// Waits until hyper holds little of the response.
+    pub(crate) fn poll_room(&self, cx: &mut Context<'_>) -> Poll<()> {
+        let mut progress = self.turns.lock();
+        if progress.unwritten < UNWRITTEN_MAX_BYTES {
+            return Poll::Ready(());
+        }
+        progress.write_waker = Some(cx.waker().clone());
+        Poll::Pending
+    }
+
+    /// Counts bytes that were passed on to hyper.
+    pub(crate) fn add_unwritten(&self, bytes: usize) {
+        self.turns.lock().unwritten += bytes;
+    }
+}
+
 impl Drop for TurnGuard {
     fn drop(&mut self) {
-        let mut progress = self.0.lock();
+        let mut progress = self.turns.lock();
         progress.busy = false;
         progress.streaming = false;
         if let Some(waker) = progress.waker.take() {
@@ -218,6 +303,7 @@
         handle: Handle,
         peer: SocketAddr,
     ) -> Self {
+        let budget = MemoryBudget::new(usize::MAX);
         Self {
             stream,
             handler,
@@ -233,6 +319,11 @@
             head_bytes: 0,
             blocked: false,
             ended: false,
+            memory: budget.empty(),
+            budget,
+            allocated: 0,
+            head_len: 0,
+            freed: None,
         }
     }
 
@@ -244,6 +335,13 @@
         self
     }
 
+    /// Sets the budget of the memory, which is shared with other connections.
+    pub(crate) fn with_memory(mut self, budget: &MemoryBudget) -> Self {
+        self.budget = budget.clone();
+        self.memory = budget.empty();
+        self
+    }
+
     /// Returns the state to be shared with the code that serves the requests.
     pub(crate) fn turns(&self) -> Turns {
         self.turns.clone()
@@ -285,8 +383,14 @@
         if progress.busy {
             return;
         }
+        if self.head_len > 0 {
+            self.head_len = 0;
+            let held = self.allocated.saturating_sub(FREE_BYTES);
+            self.memory.shrink_to(held);
+        }
         if let Some(first) = self.waiting.pop_front() {
             self.released += first.head_len;
+            self.head_len = first.head_len;
             progress.busy = true;
             progress.current = Some(first.early);
             progress.early = self.waiting.len();
@@ -316,6 +420,7 @@
         };
         let body = body_length(&head);
         if !busy {
+            self.head_len = head_len;
             self.parsed += head_len;
             self.released = self.parsed;
             self.next = match body {
@@ -357,6 +462,10 @@
     }
 
     fn start(&self, mut request: Request<()>) -> Option<EarlyResponse> {
+        let Some(memory) = self.budget.reserve(EARLY_BYTES) else {
+            self.budget.count_wait();
+            return None;
+        };
         let method = request.method().clone();
         let target = request.uri().to_string();
         request.extensions_mut().insert(self.turns.place(true));
@@ -365,6 +474,7 @@
             method,
             target,
             response: self.handle.spawn(response),
+            memory,
         })
     }
 
@@ -373,20 +483,62 @@
         self.waiting.clear();
         self.turns.lock().early = 0;
         self.buffer.clear();
+        self.free_buffer();
         (self.parsed, self.released) = (0, 0);
     }
 
     /// Frees the memory of the buffer while it is empty, since most connections are
     /// idle.
     fn free_buffer(&mut self) {
-        if self.buffer.is_empty() {
+        if self.buffer.is_empty() && self.allocated > 0 {
             self.buffer = BytesMut::new();
+            self.allocated = 0;
         }
+        let held = self.allocated.max(self.head_len);
+        self.memory.shrink_to(held.saturating_sub(FREE_BYTES));
     }
 
     /// Returns whether more may be read while hyper does not take what there is.
     fn has_room(&self) -> bool {
-        self.buffer.len() < self.head_bytes
+        let busy = self.turns.lock().busy;
+        let most = if busy { FREE_BYTES } else { self.head_bytes };
+        self.buffer.len() < most
+    }
+
+    /// Enlarges the buffer to at least `size`.
+    fn allocate(&mut self, size: usize) {
+        if size > self.allocated {
+            self.allocated = size.next_power_of_two();
+            let mut buffer = BytesMut::with_capacity(self.allocated);
+            buffer.extend_from_slice(&self.buffer);
+            self.buffer = buffer;
+        }
+    }
+
+    /// Enlarges the buffer if it is full. Waits for memory if there is none. Reserves the
+    /// memory of the largest head at once: connections that each hold a part of what they
+    /// need could all wait.
+    fn poll_reserve(&mut self, cx: &mut Context<'_>) -> Poll<()> {
+        if self.buffer.len() < self.allocated.max(FREE_BYTES) {
+            return Poll::Ready(());
+        }
+        let size = (self.buffer.len() + 1).next_power_of_two();
+        let most = size.max(self.head_bytes).max(self.head_len);
+        let more = most - FREE_BYTES;
+        while !self.memory.resize(more) {
+            let Some(freed) = &mut self.freed else {
+                self.budget.count_wait();
+                self.freed = Some(self.budget.freed());
+                continue;
+            };
+            ready!(freed.poll(cx));
+            self.freed = Some(self.budget.freed());
+        }
+        if self.freed.take().is_some() {
+            self.budget.wake_next();
+        }
+        self.allocate(size);
+        Poll::Ready(())
     }
 }
 
@@ -394,7 +546,10 @@
     /// Reads from the stream into the buffer; returns the number of bytes.
     fn poll_fill(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<usize>> {
         let mut bytes = [0; READ_BYTES];
-        let length = ready!(Pin::new(&mut self.stream).poll_read(cx, &mut bytes))?;
+        ready!(self.poll_reserve(cx));
+        let room = READ_BYTES.min(self.allocated.max(FREE_BYTES) - self.buffer.len());
+        let length = ready!(Pin::new(&mut self.stream).poll_read(cx, &mut bytes[..room]))?;
+        self.allocate(self.buffer.len() + length);
         self.buffer.extend_from_slice(&bytes[..length]);
         Poll::Ready(Ok(length))
     }
@@ -412,7 +567,7 @@
             Next::Body(left) => usize::try_from(left).unwrap_or(usize::MAX),
             Next::Opaque => usize::MAX,
         };
-        let limit = left.min(out.len());
+        let limit = left.min(out.len()).min(READ_BYTES);
         let polled = Pin::new(&mut self.stream).poll_read(cx, &mut out[..limit]);
         if let (Poll::Ready(Ok(length)), Next::Body(left)) = (&polled, self.next) {
             self.next = match left - *length as u64 {
@@ -472,7 +627,9 @@
         cx: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(cx, bytes)
+        let polled = Pin::new(&mut self.stream).poll_write(cx, bytes);
+        self.turns.note_write(&polled);
+        polled
     }
 
     fn poll_write_vectored(
@@ -480,7 +637,9 @@
         cx: &mut Context<'_>,
         parts: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(cx, parts)
+        let polled = Pin::new(&mut self.stream).poll_write_vectored(cx, parts);
+        self.turns.note_write(&polled);
+        polled
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
--- a/crates/net/src/server.rs
+++ b/crates/net/src/server.rs
@@ -32,6 +32,7 @@
 use smol_hyper::rt::FuturesIo;
 use smol_hyper::rt::SmolTimer;
 
+use crate::budget::MemoryBudget;
 use crate::deferred::DeferredErrorBody;
 use crate::exec::supervise;
 use crate::exec::Handle;
@@ -52,6 +53,11 @@
 /// The first bytes of an HTTP/2 connection without TLS (RFC 9113, section 3.4).
 const HTTP2_PREFACE: &[u8] = b"PRI * HTTP/2.0";
 
+/// How much of the bodies of an HTTP/2 connection is received before it is read.
+const HTTP2_WINDOW_BYTES: u32 = 64 << 10;
+/// How much of a response is buffered for each stream of an HTTP/2 connection.
+const HTTP2_SEND_BYTES: usize = 16 << 10;
+
 /// The result that hyper expects of a service.
 type ServiceResult = Result<Response<DeferredErrorBody>, std::convert::Infallible>;
 
@@ -149,6 +155,7 @@
     tls: Option<TlsAcceptor>,
     kill: Option<Stop>,
     open_connections: Connections,
+    memory: MemoryBudget,
 }
 
 impl Server {
@@ -163,6 +170,7 @@
             tls: None,
             kill: None,
             open_connections: Connections::default(),
+            memory: MemoryBudget::new(usize::MAX),
         }
     }
 
@@ -172,6 +180,13 @@
         self
     }
 
+    /// Returns the server with `memory` for what it reads ahead and starts early; without it,
+    /// only each connection is bounded.
+    pub fn with_memory(mut self, memory: MemoryBudget) -> Self {
+        self.memory = memory;
+        self
+    }
+
     /// Returns the server with TLS on all of its connections.
     pub fn with_tls(mut self, tls: TlsAcceptor) -> Self {
         self.tls = Some(tls);
@@ -304,10 +319,14 @@
         peer: SocketAddr,
         turns: Turns,
     ) -> ServiceResult {
-        let turn = turns.guard();
+        let mut turn = turns.guard();
         request.extensions_mut().insert(turns.place(false));
+        poll_fn(|cx| turn.poll_begin(cx)).await;
         let response = match turns.take_early(&request) {
-            Some(response) => response.await,
+            Some((response, memory)) => {
+                turn.hold(memory);
+                response.await
+            }
             None => handler.call(request, peer).await,
         };
         Ok(response.map(|body| DeferredErrorBody::new(body).with_turn(turn)))
@@ -321,19 +340,20 @@
             .with_limits(
                 self.limits.head_bytes.max(8 << 10),
                 self.limits.header_fields,
-            );
+            )
+            .with_memory(&self.memory);
         let turns = stream.turns();
         let (handler, shared) = (self.handler.clone(), turns.clone());
         let service = service_fn(move |request| {
             Self::respond(handler.clone(), request, peer, shared.clone())
         });
-        let connection = conn::http1::Builder::new()
+        let connection = pin!(conn::http1::Builder::new()
             .timer(SmolTimer::new())
             .header_read_timeout(self.limits.head_timeout)
             .max_buf_size(self.limits.head_bytes.max(8 << 10))
             .max_headers(self.limits.header_fields)
             .half_close(self.limits.half_close)
-            .serve_connection(FuturesIo::new(stream), service);
+            .serve_connection(FuturesIo::new(stream), service));
         // Requests that were started early are served before the connection closes.
         let shut_down = |connection: Pin<&mut conn::http1::Connection<_, _>>| {
             let may_close = turns.stop();
@@ -354,11 +374,14 @@
             let response = handler.clone().call(request, peer);
             async move { ServiceResult::Ok(response.await.map(DeferredErrorBody::new)) }
         });
-        let connection = conn::http2::Builder::new(self.handle.clone())
+        let connection = pin!(conn::http2::Builder::new(self.handle.clone())
             .timer(SmolTimer::new())
             .max_header_list_size(u32::try_from(self.limits.head_bytes).unwrap_or(u32::MAX))
             .max_concurrent_streams(self.limits.http2_streams)
-            .serve_connection(FuturesIo::new(stream), service);
+            .initial_connection_window_size(HTTP2_WINDOW_BYTES)
+            .initial_stream_window_size(HTTP2_WINDOW_BYTES)
+            .max_send_buf_size(HTTP2_SEND_BYTES)
+            .serve_connection(FuturesIo::new(stream), service));
         let shut_down = |connection: Pin<&mut conn::http2::Connection<_, _, _>>| {
             connection.graceful_shutdown();
             true
@@ -400,10 +423,9 @@
 /// poll until it returns true, so that the connection has read what its peer had sent.
 async fn run_connection<C: Future>(
     stop: &Stop,
-    connection: C,
+    mut connection: Pin<&mut C>,
     shut_down: impl Fn(Pin<&mut C>) -> bool,
 ) {
-    let mut connection = pin!(connection);
     let mut stopped = pin!(stop.wait());
     let mut stopping = false;
     let mut shutting_down = false;
--- a/crates/net/tests/pipelining.rs
+++ b/crates/net/tests/pipelining.rs
@@ -18,6 +18,7 @@
 use http::Response;
 use hyper::body::Incoming;
 use net::body;
+use net::budget::MemoryBudget;
 use net::lookahead::Place;
 use net::lookahead::EARLY_MAX;
 use net::server::Handler;
@@ -151,6 +152,13 @@
 
 impl EchoServer {
     fn new() -> Self {
+        Self::with_memory(
+            MemoryBudget::new(usize::MAX),
+            Limits::default().head_timeout,
+        )
+    }
+
+    fn with_memory(memory: MemoryBudget, head_timeout: Duration) -> Self {
         let pool = ThreadPool::new("test", 2);
         let listener = smol::block_on(TcpListener::bind((Ipv4Addr::LOCALHOST, 0))).unwrap();
         let address = listener.local_addr().unwrap();
@@ -158,9 +166,12 @@
         let stop = Stop::new();
         let limits = Limits {
             half_close: false,
+            head_timeout,
             ..Limits::default()
         };
-        let server = Server::new(echo.clone(), pool.handle(), stop.clone()).with_limits(limits);
+        let server = Server::new(echo.clone(), pool.handle(), stop.clone())
+            .with_limits(limits)
+            .with_memory(memory);
         Self {
             echo,
             address,
@@ -182,7 +193,7 @@
     }
 }
 
-fn wait_until(condition: impl Fn() -> bool) {
+fn wait_until(mut condition: impl FnMut() -> bool) {
     let deadline = Instant::now() + TIMEOUT;
     while !condition() {
         assert!(Instant::now() < deadline, "not met within {TIMEOUT:?}");
@@ -403,3 +414,93 @@
     assert_eq!(&answer, b"HTTP/1.1 431");
     assert!(server.echo.started().is_empty());
 }
+
+/// A request whose head is larger than what each connection may buffer by itself.
+fn get_large(path: &str) -> String {
+    let long = "x".repeat(12 << 10);
+    format!("GET {path} HTTP/1.1\r\nhost: s\r\nlong: {long}\r\n\r\n")
+}
+
+#[test]
+fn serve_large_head_once_memory_returns() {
+    let memory = MemoryBudget::new(64 << 10);
+    let server = EchoServer::with_memory(memory.clone(), TIMEOUT);
+    let held = memory.reserve(64 << 10).unwrap();
+    let mut streams = [server.connect(), server.connect()];
+    for stream in &mut streams {
+        stream.write_all(get_large("/1").as_bytes()).unwrap();
+    }
+    wait_until(|| memory.waits() == 2);
+    assert!(server.echo.started().is_empty());
+    drop(held);
+    for stream in &mut streams {
+        assert_eq!(read_body(stream).unwrap(), "/1=");
+    }
+    wait_until(|| memory.used() == 0);
+}
+
+#[test]
+fn serve_large_heads_that_exceed_the_memory_one_after_another() {
+    let memory = MemoryBudget::new(16 << 10);
+    let server = EchoServer::with_memory(memory.clone(), TIMEOUT);
+    let mut streams: Vec<_> = (0..16).map(|_| server.connect()).collect();
+    for stream in &mut streams {
+        stream.write_all(get_large("/1").as_bytes()).unwrap();
+    }
+    for stream in &mut streams {
+        assert_eq!(read_body(stream).unwrap(), "/1=");
+    }
+    wait_until(|| memory.used() == 0);
+}
+
+#[test]
+fn serve_head_that_waits_for_memory_closes_in_time() {
+    let memory = MemoryBudget::new(0);
+    let server = EchoServer::with_memory(memory, Duration::from_millis(100));
+    let mut stream = server.connect();
+    stream.write_all(get_large("/1").as_bytes()).unwrap();
+    assert!(read_body(&mut stream).is_none());
+    assert!(server.echo.started().is_empty());
+}
+
+#[test]
+fn serve_requests_without_memory_in_turn() {
+    let memory = MemoryBudget::new(0);
+    let server = EchoServer::with_memory(memory.clone(), TIMEOUT);
+    let mut stream = server.connect();
+    let requests = [get("/wait/1"), get("/2"), get("/3")].concat();
+    stream.write_all(requests.as_bytes()).unwrap();
+    wait_until(|| memory.waits() > 0);
+    assert_eq!(server.echo.started(), ["/wait/1"]);
+    server.echo.open();
+    for path in ["/wait/1=", "/2=", "/3="] {
+        assert_eq!(read_body(&mut stream).unwrap(), path);
+    }
+}
+
+#[test]
+fn serve_stops_while_the_caller_does_not_read() {
+    const COUNT: usize = 3000;
+    let server = EchoServer::new();
+    let mut stream = server.connect();
+    let mut writer = stream.try_clone().unwrap();
+    let path = |n: usize| format!("/{n}/{}", "x".repeat(6 << 10));
+    let sent = std::thread::spawn(move || {
+        for n in 0..COUNT {
+            writer.write_all(get(&path(n)).as_bytes()).unwrap();
+        }
+    });
+    let mut last = (0, Instant::now());
+    wait_until(|| {
+        let count = server.echo.started().len();
+        if count != last.0 {
+            last = (count, Instant::now());
+        }
+        last.1.elapsed() > Duration::from_millis(300)
+    });
+    assert!(last.0 < COUNT, "all requests were served");
+    for n in 0..COUNT {
+        assert_eq!(read_body(&mut stream).unwrap(), path(n) + "=");
+    }
+    sent.join().unwrap();
+}
--- a/crates/node/src/gauges.rs
+++ b/crates/node/src/gauges.rs
@@ -56,14 +56,28 @@
     gauge(
         &meter,
         &weak,
-        "body_bytes",
-        "Bytes of request bodies that are buffered",
-        |s| s.bodies.used() as u64,
+        "buffer_bytes",
+        "Bytes of memory that are reserved for callers",
+        |s| s.memory.used() as u64,
     );
     gauge(
         &meter,
         &weak,
-        "connections",
+        "buffer_max_bytes",
+        "Bytes of memory that may be reserved for callers",
+        |s| s.memory.max_bytes() as u64,
+    );
+    gauge(
+        &meter,
+        &weak,
+        "buffer_waits",
+        "Reads and early starts that waited for memory",
+        |s| s.memory.waits(),
+    );
+    gauge(
+        &meter,
+        &weak,
+        "caller_connections",
         "Open connections of callers",
         |s| s.caller_connections.count() as u64,
     );
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -329,7 +329,7 @@
                 .context("vm cannot be sent as a header value")?,
             domain: shared.settings.domain_id(),
             max_body: callers.body,
-            bodies: shared.bodies.clone(),
+            memory: shared.memory.clone(),
         };
         // Restarts of VMs are found by the membership, and not by their lost connections.
         let (ignored, _) = async_channel::bounded(1);
@@ -356,6 +356,7 @@
         let relayed = Arc::new(RelayedCalls(proxy.clone()));
         let relay_server = Server::new(relayed, handle.clone(), shared.stop.clone())
             .with_limits(limits)
+            .with_memory(shared.memory.clone())
             .with_kill(self.kill.clone());
         let relay = shared.settings.peers.relay_address();
         let listener = shared.listeners.tcp("peers.relay", relay).await?;
@@ -370,6 +371,7 @@
         let mut server = Server::new(proxy, handle, shared.stop.clone())
             .with_limits(limits)
             .with_connections(shared.caller_connections.clone())
+            .with_memory(shared.memory.clone())
             .with_kill(self.kill.clone());
         if let Some(tls) = &callers.tls {
             server = server.with_tls(net::tls::acceptor(&tls.certificate, &tls.key)?);
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -28,11 +28,11 @@
 use conf::Registry;
 use conf::Settings;
 use conf::State;
-use entry::body_budget::BodyBudget;
 use entry::Dialect;
 use entry::Pools;
 use event_listener::Event;
 use member::Membership;
+use net::budget::MemoryBudget;
 use net::client::Connector;
 use net::exec::Handle;
 use net::server::Connections;
@@ -151,10 +151,10 @@
     pub(crate) state: RwLock<Arc<State>>,
     view: RwLock<Arc<View>>,
     table: RwLock<Arc<ShardTable>>,
-    /// The memory for buffered request bodies.
-    pub(crate) bodies: BodyBudget,
     /// The open connections of callers.
     pub(crate) caller_connections: Connections,
+    /// The memory for what is buffered for callers.
+    pub(crate) memory: MemoryBudget,
     /// What servers asked this VM for.
     pub(crate) notices: Mutex<Notices>,
     /// The requests under which servers crashed.
@@ -273,8 +273,8 @@
             view_schedule: Mutex::default(),
             state: RwLock::default(),
             table: RwLock::default(),
-            bodies: BodyBudget::new(buffer),
             caller_connections: Connections::default(),
+            memory: MemoryBudget::new(buffer),
             notices: Mutex::default(),
             crashes: Mutex::default(),
             listeners: parts.listeners,
