--- a/crates/daemon/tests/start.rs
+++ b/crates/daemon/tests/start.rs
@@ -286,6 +286,21 @@
     }
 }
 
+#[test]
+fn stop_while_the_settings_are_incomplete_exits_with_0() {
+    let deployment = deployment();
+    let settings = deployment.settings(0);
+    let path = deployment.write_settings(&settings);
+    std::fs::write(&path, "{").unwrap();
+    let mut daemon = deployment.start_with_file(&settings, path);
+    assert!(wait_until(SOON, || daemon
+        .logs()
+        .contains("reading it again")));
+    daemon.signal(Signal::TERM);
+    let code = daemon.wait_exit_code(STOP_LIMIT);
+    assert_eq!(code, Some(0), "{}", daemon.logs());
+}
+
 #[test]
 fn start_with_settings_that_stay_incomplete_exits_with_2() {
     let deployment = deployment();
