Ask right before a call is sent whether it still may be

A call that waited for one of the VM's connections to a server, or to a VM that relays, was not told that the VM stops: cut without an answer. The same wait also outlasted the drain of a server: the call was sent to it seconds later. And the time limit of the exchange began anew after the wait.

The wait now ends with the stop, and after it the server, its domain, its notices and the stop are asked again; what is left of the time is taken from the deadline.

Tests: call_that_waits_for_a_connection_in_a_stop_is_refused (before: no response) and call_that_waits_for_a_connection_is_not_sent_to_a_server_that_drains (before: 200 from the draining server). The relay has no test of its own. The networks of the daemon's tests no longer overlap with those of the soak.

--- a/crates/daemon/tests/harness/mod.rs
+++ b/crates/daemon/tests/harness/mod.rs
@@ -17,6 +17,7 @@
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 use std::sync::Arc;
+use std::sync::Mutex;
 use std::thread;
 use std::time::Duration;
 use std::time::Instant;
@@ -66,6 +67,10 @@
     /// The time after SIGTERM at which the platform kills a process, in seconds.
     grace_s: u32,
     directory: PathBuf,
+    /// The configuration in the store.
+    config: Json,
+    /// The entries of the servers and their names.
+    entries: Mutex<Vec<(String, ServerEntry)>>,
 }
 
 static NETWORKS: AtomicU8 = AtomicU8::new(0);
@@ -76,8 +81,8 @@
     pub(crate) fn new() -> Self {
         let process = std::process::id();
         let index = NETWORKS.fetch_add(1, Ordering::SeqCst);
-        // The soak uses 127.1 to 127.99.
-        let network = (127, 100 + (process % 100) as u8, index);
+        // The soak uses 127.100 to 127.199.
+        let network = (127, 200 + (process % 50) as u8, index);
         let directory = std::env::temp_dir().join(format!("snipepaddled-{process}-{index}"));
         std::fs::create_dir_all(&directory).unwrap();
         let store = Store::default();
@@ -100,13 +105,15 @@
             route("other", "other", true),
         ];
         let config = stand::config_spec(1, HOST, &[service("s"), service("other")], &routes);
-        store.put(stand::CONFIG_KIND, stand::CONFIG_NAME, config);
+        store.put(stand::CONFIG_KIND, stand::CONFIG_NAME, config.clone());
         Self {
             store,
             endpoint,
             network,
             grace_s: 6,
             directory,
+            config,
+            entries: Mutex::default(),
         }
     }
 
@@ -116,6 +123,27 @@
         self
     }
 
+    /// Sets how many connections a server takes from all VMs.
+    pub(crate) fn with_connections(mut self, count: u32) -> Self {
+        self.config["version"] = 2.into();
+        for service in self.config["services"].as_array_mut().unwrap() {
+            service["max_conns"] = count.into();
+        }
+        let config = self.config.clone();
+        self.store
+            .put(stand::CONFIG_KIND, stand::CONFIG_NAME, config);
+        self
+    }
+
+    /// Writes that the server `name` drains.
+    pub(crate) fn drain_server(&self, name: &str) {
+        let mut entries = self.entries.lock().unwrap();
+        let (_, entry) = entries.iter_mut().find(|(n, _)| n == name).unwrap();
+        entry.draining = true;
+        entry.announced += 1;
+        self.store.put(stand::SERVERS_KIND, name, entry.to_json());
+    }
+
     /// Adds a server whose responses take `work` and have a body of `body_bytes`.
     pub(crate) fn add_server(&self, name: &str, work: Duration, body_bytes: usize) -> Server {
         self.add_server_with_slots("s", name, 64, work, body_bytes)
@@ -153,6 +181,8 @@
             announced: 1,
         };
         self.store.put(stand::SERVERS_KIND, name, entry.to_json());
+        let known = (name.to_owned(), entry);
+        self.entries.lock().unwrap().push(known);
         let requests = Arc::new(AtomicUsize::new(0));
         let counter = requests.clone();
         let names = (service.to_owned(), name.to_owned());
--- a/crates/daemon/tests/stop.rs
+++ b/crates/daemon/tests/stop.rs
@@ -89,6 +89,49 @@
     assert_eq!(response.map(|response| response.status), Some(200));
 }
 
+/// Sends a POST on a new connection.
+fn post(daemon: &Daemon) -> TcpStream {
+    let mut stream = send_head(daemon);
+    stream.write_all(BODY).unwrap();
+    stream
+}
+
+#[test]
+fn call_that_waits_for_a_connection_in_a_stop_is_refused() {
+    let deployment = Deployment::new().with_connections(1);
+    let server = deployment.add_server("i-1", Duration::from_millis(4900), 10);
+    let daemon = deployment.start(&deployment.settings(0));
+    assert!(harness::wait_until(harness::SOON, || daemon.readiness() == Some(200)));
+    let began = Instant::now();
+    daemon.signal(Signal::TERM);
+    sleep_until(began + Duration::from_millis(1000));
+    let _first = post(&daemon);
+    assert!(harness::wait_until(harness::SOON, || server.count() == 1));
+    let mut second = post(&daemon);
+    let response = Response::read(&mut second).expect("no response");
+    assert_eq!(response.status, 503);
+    assert!(String::from_utf8_lossy(&response.body).contains("stopping"));
+    assert!(began.elapsed() < Duration::from_secs(5));
+    assert_eq!(server.count(), 1);
+}
+
+#[test]
+fn call_that_waits_for_a_connection_is_not_sent_to_a_server_that_drains() {
+    let deployment = Deployment::new().with_connections(1);
+    let server = deployment.add_server("i-1", Duration::from_secs(3), 10);
+    let daemon = deployment.start(&deployment.settings(0));
+    assert!(harness::wait_until(harness::SOON, || daemon.readiness() == Some(200)));
+    let mut first = post(&daemon);
+    assert!(harness::wait_until(harness::SOON, || server.count() == 1));
+    let mut second = post(&daemon);
+    thread::sleep(Duration::from_millis(200));
+    deployment.drain_server("i-1");
+    let status = |stream: &mut TcpStream| Response::read(stream).map(|response| response.status);
+    assert_eq!(status(&mut first), Some(200));
+    assert_eq!(status(&mut second), Some(503));
+    assert_eq!(server.count(), 1);
+}
+
 #[test]
 fn calls_that_wait_for_a_permit_in_a_stop_get_an_answer() {
     let deployment = Deployment::new();
--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -6,6 +6,8 @@
 
 use base::Outcome;
 use base::ServerId;
+use base::ServiceId;
+use base::Time;
 use bytes::Bytes;
 use bytes::BytesMut;
 use conf::Server;
@@ -69,14 +71,16 @@
     pub call_id: Option<HeaderValue>,
     /// Identifies the request over all calls that repeat it.
     pub fingerprint: Fingerprint,
+    /// The service of the call.
+    pub service: ServiceId,
     /// The server to which the request is sent.
     pub server: Server,
     /// Whether the server is called over HTTP/2 rather than HTTP/1.1.
     pub http2: bool,
     /// The permit to send this attempt to the server.
     pub permit: Permit,
-    /// The time left until the call's deadline.
-    pub left: Duration,
+    /// The call's deadline.
+    pub deadline: Time,
     /// The place of the request on the caller's connection.
     pub place: Place,
     /// The memory for what is buffered of the response.
@@ -157,7 +161,6 @@
     /// buffered, otherwise by the [`Completion`] in the response.
     pub async fn run(self, request: Request<Body>) -> Result<ServerResponse, FailedAttempt> {
         let mut guard = PermitGuard::new(self.ports.clone(), self.permit);
-        let deadline = self.ports.now() + self.left;
         let share = spec::connections_per_vm(self.server.connections, self.ports.fleet_size());
         let connecting = self.pools.get_for_call(
             self.permit.server,
@@ -166,9 +169,20 @@
             share,
             self.call_id.as_ref(),
         );
-        let mut conn = match timeout(self.left, connecting).await {
-            Some(Ok(conn)) => conn,
-            Some(Err(error)) => {
+        let connecting = async { Some(connecting.await) };
+        let stopped = async {
+            self.ports.stopped_before(self.deadline).await;
+            None
+        };
+        let connecting = smol::future::or(connecting, stopped);
+        let mut conn = match timeout(self.time_left(), connecting).await {
+            Some(Some(Ok(conn))) => conn,
+            Some(None) => {
+                guard.end(Outcome::Unused);
+                let detail = "the VM stops";
+                return Err(FailedAttempt::new(Failure::Unsent, Some(request), detail));
+            }
+            Some(Some(Err(error))) => {
                 self.ports.check_path(self.server.address).await;
                 guard.end(Outcome::Unreachable);
                 return Err(FailedAttempt::new(
@@ -183,16 +197,9 @@
                 return Err(FailedAttempt::new(Failure::Unsent, Some(request), detail));
             }
         };
-        if !self.ports.allows_server(self.permit.server) {
+        if let Some(detail) = self.withdrawn() {
             guard.end(Outcome::Unused);
             self.pools.keep(conn, self.ports.now());
-            let detail = "the server leaves or asked for no calls";
-            return Err(FailedAttempt::new(Failure::Unsent, Some(request), detail));
-        }
-        if !self.ports.may_end_at(deadline) {
-            guard.end(Outcome::Unused);
-            self.pools.keep(conn, self.ports.now());
-            let detail = "the VM stops";
             return Err(FailedAttempt::new(Failure::Unsent, Some(request), detail));
         }
         if conn.sender().is_none() {
@@ -204,7 +211,7 @@
             ));
         }
         guard.start();
-        match timeout(self.left, self.exchange(conn, request)).await {
+        match timeout(self.time_left(), self.exchange(conn, request)).await {
             None => {
                 // The caller's time is up, so its response does not wait for the check.
                 self.ports.suspect_path(self.server.address);
@@ -229,6 +236,24 @@
         }
     }
 
+    /// Returns why the request may no longer be sent, if that has changed since the permit was
+    /// granted: the wait for a connection may have been long.
+    fn withdrawn(&self) -> Option<&'static str> {
+        let state = self.ports.state();
+        let server = state.server(self.service, self.permit.server);
+        if !server.is_some_and(|server| state.accepts_calls(server)) {
+            return Some("the server was removed, drains or is in a domain out of service");
+        }
+        if !self.ports.allows_server(self.permit.server) {
+            return Some("the server leaves or asked for no calls");
+        }
+        (!self.ports.may_send_until(self.deadline)).then_some("the VM stops")
+    }
+
+    fn time_left(&self) -> Duration {
+        self.deadline.saturating_sub(self.ports.now())
+    }
+
     fn sent_request(&self) -> SentRequest {
         SentRequest {
             fingerprint: self.fingerprint,
@@ -368,7 +393,7 @@
         conn: Conn,
     ) -> Result<ResponseBody, FailedAttempt> {
         let mut buffered = PartialBody::new(&self.memory);
-        let left = self.left.saturating_sub(guard.took());
+        let left = self.time_left();
         let reading = self.read_whole(&mut incoming, &mut buffered);
         match timeout(left, reading).await {
             Some(Ok(true)) => {
--- a/crates/entry/src/ports.rs
+++ b/crates/entry/src/ports.rs
@@ -72,11 +72,11 @@
     fn is_stopping(&self) -> bool;
 
     /// Returns whether a call that may take until `deadline` can be sent on: false if the VM
-    /// has stopped to accept calls and may end before that.
-    fn may_end_at(&self, deadline: Time) -> bool;
+    /// no longer accepts calls, and may end before that.
+    fn may_send_until(&self, deadline: Time) -> bool;
 
-    /// Waits until the VM stops to accept calls.
-    fn closed(&self) -> BoxFuture<'_, ()>;
+    /// Waits until a call that may take until `deadline` can no longer be sent on.
+    fn stopped_before(&self, deadline: Time) -> BoxFuture<'_, ()>;
 
     /// Requests a permit for an attempt at some server of `service`. Dropping the
     /// future cancels the request.
--- a/crates/entry/src/proxy.rs
+++ b/crates/entry/src/proxy.rs
@@ -52,7 +52,6 @@
 use crate::call::log_attempt;
 use crate::call::log_call;
 use crate::call::set_served_fields;
-use crate::call::stopping_response;
 use crate::call::AttemptError;
 use crate::call::Call;
 use crate::call::Granted;
@@ -225,13 +224,14 @@
         let (parts, incoming) = request.into_parts();
         let reading = OutgoingRequest::new(parts, incoming, peer, max_body, &self.identity.memory);
         let result = match net::timeout(limit, reading).await {
-            Some(Ok(_)) if !self.ports.may_end_at(began + limit) => Err(stopping_response()),
             Some(Ok(mut outgoing)) => {
-                let left = (began + limit).saturating_sub(self.ports.now());
-                let set_fields =
-                    |fields: &mut HeaderMap| self.dialect.set_attempt_fields(fields, left, "");
+                let set_fields = |fields: &mut HeaderMap, left| {
+                    self.dialect.set_attempt_fields(fields, left, "");
+                };
                 progress.set_stage(Stage::Response);
-                self.relays.send(&mut outgoing, set_fields, left).await
+                self.relays
+                    .send(&mut outgoing, set_fields, began + limit)
+                    .await
             }
             Some(Err(response)) => Err(response),
             None => Err(slow_body()),
@@ -546,11 +546,8 @@
             .start("permit", SpanKind::Internal, call.span.context());
         let acquired = self.ports.acquire(call.service.id(), permit_request);
         let stopped = async {
-            self.ports.closed().await;
-            match self.check_stop(call) {
-                Ok(()) => std::future::pending().await,
-                Err(_) => Err(STOPPING),
-            }
+            self.ports.stopped_before(call.deadline).await;
+            Err(STOPPING)
         };
         let granted = smol::future::or(acquired, stopped).await;
         match granted {
@@ -578,8 +575,10 @@
 
     /// Fails if the VM stops, and might end before the call does.
     fn check_stop(&self, call: &Call<'_>) -> Result<(), AttemptError> {
-        let may_end = self.ports.may_end_at(call.deadline);
-        may_end.then_some(()).ok_or(AttemptError::Refused(STOPPING))
+        let may_send = self.ports.may_send_until(call.deadline);
+        may_send
+            .then_some(())
+            .ok_or(AttemptError::Refused(STOPPING))
     }
 
     /// Releases a permit that is not used, and returns the attempt's error.
@@ -634,10 +633,11 @@
             dialect: self.dialect.clone(),
             call_id: call.id.clone(),
             fingerprint: call.fingerprint,
+            service: call.service.id(),
             server: server.clone(),
             http2: call.service.http2,
             permit,
-            left,
+            deadline: call.deadline,
             place: call.place.clone(),
             memory: self.identity.memory.clone(),
         };
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -11,6 +11,7 @@
 use std::task::Poll;
 use std::time::Duration;
 
+use base::Time;
 use bytes::Bytes;
 use conf::Server;
 use http::Request;
@@ -24,6 +25,7 @@
 use net::Body;
 use net::BoxFuture;
 
+use crate::call::stopping_response;
 use crate::headers;
 use crate::local_response::LocalResponse;
 use crate::pool::Conn;
@@ -65,7 +67,8 @@
 }
 
 impl Relays {
-    /// Sends a call to another VM and returns its response.
+    /// Sends a call to another VM and returns its response. `set_fields` sets the fields of the
+    /// request for the time that is left until `deadline`.
     ///
     /// # Errors
     ///
@@ -73,8 +76,8 @@
     pub async fn send(
         &self,
         outgoing: &mut OutgoingRequest,
-        set_fields: impl Fn(&mut http::HeaderMap),
-        left: Duration,
+        set_fields: impl Fn(&mut http::HeaderMap, Duration),
+        deadline: Time,
     ) -> Result<Response<Body>, LocalResponse> {
         for _ in 0..RELAY_ATTEMPTS {
             let Some(address) = self.ports.relay_target() else {
@@ -83,16 +86,30 @@
             let Some(mut request) = outgoing.build() else {
                 break;
             };
-            set_fields(request.headers_mut());
-            let Ok(mut conn) = self.connect(address).await else {
-                outgoing.restore(request);
-                continue;
+            let left = || deadline.saturating_sub(self.ports.now());
+            let stopped = async {
+                self.ports.stopped_before(deadline + RESPONSE_GRACE).await;
+                None
+            };
+            let connecting = async { Some(self.connect(address).await) };
+            let connecting = smol::future::or(stopped, connecting);
+            let Some(connected) = net::timeout(left(), connecting).await else {
+                break;
+            };
+            let mut conn = match connected {
+                Some(Ok(conn)) => conn,
+                Some(Err(_)) => {
+                    outgoing.restore(request);
+                    continue;
+                }
+                None => return Err(stopping_response()),
             };
             let Some(sender) = conn.sender() else {
                 outgoing.restore(request);
                 continue;
             };
-            let limit = left + RESPONSE_GRACE;
+            set_fields(request.headers_mut(), left());
+            let limit = left() + RESPONSE_GRACE;
             match net::timeout(limit, sender.send(request)).await {
                 Some(Ok(response)) => return Ok(self.pass_on(response, conn)),
                 Some(Err(failed)) => match failed.unsent {
--- a/crates/node/src/ports.rs
+++ b/crates/node/src/ports.rs
@@ -197,13 +197,18 @@
         self.drain_end.get().is_some()
     }
 
-    fn may_end_at(&self, deadline: Time) -> bool {
+    fn may_send_until(&self, deadline: Time) -> bool {
         let end = self.drain_end.get().filter(|_| self.stop.is_triggered());
         end.is_none_or(|end| deadline <= *end)
     }
 
-    fn closed(&self) -> BoxFuture<'_, ()> {
-        Box::pin(self.stop.wait())
+    fn stopped_before(&self, deadline: Time) -> BoxFuture<'_, ()> {
+        Box::pin(async move {
+            self.stop.wait().await;
+            if self.may_send_until(deadline) {
+                std::future::pending().await
+            }
+        })
     }
 
     fn acquire(
