Offer to relay calls only until the VM is asked to stop

Found by the review: offers hold for 1.5 s and were made until the listener for relayed calls closed, so others chose a VM that was closing. By reading, without a test of its own.

--- a/crates/node/src/reach.rs
+++ b/crates/node/src/reach.rs
@@ -188,7 +188,8 @@
         match msg {
             RelayMsg::Request => {
                 let address = *lock(&self.reach.relay_address);
-                let stopping = self.stop.is_triggered();
+                // An offer must not outlive the listener.
+                let stopping = self.drain_end.get().is_some();
                 let (Some(address), false, false) = (address, self.reach.is_lost(), stopping)
                 else {
                     return;
