Empty the queues of listeners before a stop may end

Found by the review: the accept loops were not among the tasks that a stop waits for, so an idle VM ended before it had accepted the connections in its queues. They are now; the loop at the end is bounded and yields. The end of the drain is kept once, so a late timer of the notice no longer moves it. By reading; crates/net/tests/shutdown.rs covers the server alone.

--- a/crates/net/src/server.rs
+++ b/crates/net/src/server.rs
@@ -50,6 +50,9 @@
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(10);
 /// The shortest interval between two lines that report failed accepts.
 const ACCEPT_REPORT_INTERVAL: Duration = Duration::from_secs(1);
+/// The most connections that are accepted after the shutdown signal, which is the usual
+/// limit of the queue of a listener.
+const QUEUED_MAX: usize = 4096;
 /// The first bytes of an HTTP/2 connection without TLS (RFC 9113, section 3.4).
 const HTTP2_PREFACE: &[u8] = b"PRI * HTTP/2.0";
 
@@ -223,6 +226,8 @@
     /// Accepts connections from `listener` until the shutdown signal, and then those that had
     /// been established before it. Returns without waiting for the open connections.
     pub async fn run(self, listener: TcpListener) {
+        // A stop is not finished before the connections in the queue are accepted.
+        let _task_guard = self.stop.register_task();
         supervise("accept", || self.accept(&listener)).await;
     }
 
@@ -249,8 +254,13 @@
             }
         }
         // Closing the listener would reset these.
-        while let Some(Ok((stream, peer))) = poll_once(listener.accept()).await {
-            self.admit(stream, peer);
+        for _ in 0..QUEUED_MAX {
+            match poll_once(listener.accept()).await {
+                Some(Ok((stream, peer))) => self.admit(stream, peer),
+                Some(Err(error)) => failures.report(&error, listener),
+                None => break,
+            }
+            accepts.count_item().await;
         }
     }
 
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -407,10 +407,8 @@
         };
         let drain = self.shared.settings.drain_limit();
         // Set once, since `stop` consumes the node.
-        let _ = self
-            .shared
-            .drain_end
-            .set(self.shared.clock.now() + notice + drain);
+        let end = self.shared.clock.now() + notice + drain;
+        let _ = self.shared.drain_end.set(end);
         log::info!(
             notice_ms = notice.as_millis() as u64,
             drain_ms = drain.as_millis() as u64,
@@ -419,7 +417,8 @@
         );
         smol::Timer::after(notice).await;
         self.shared.stop.trigger();
-        let ended = net::timeout(drain, self.shared.stop.wait_finished()).await;
+        let left = end.saturating_sub(self.shared.clock.now());
+        let ended = net::timeout(left, self.shared.stop.wait_finished()).await;
         if ended.is_none() {
             // The calls in flight are dropped, which logs each of them.
             let connections = self.shared.stop.active_tasks() as u64;
