Name the signal also of a stop that cuts calls, and refuse only a short grace

Found by the review: an end with exit code 3 did not say SIGTERM, by which docs/OPERATIONS.md tells an own end; and a drain time of 0 s was refused with a message about the grace.

--- a/crates/conf/src/settings.rs
+++ b/crates/conf/src/settings.rs
@@ -482,7 +482,8 @@
             "out of range; write 0 to 1",
         );
         errors.require(
-            !self.drain_limit().is_zero(),
+            self.grace
+                .is_none_or(|grace| grace > self.notice + EXIT_TIME),
             "grace",
             "leaves no time for calls in flight after the notice; write a shorter notice",
         );
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -230,7 +230,7 @@
     Ok(if drained {
         End::new(0, reason)
     } else {
-        End::new(EXIT_CALLS_CUT, "stopped while calls were in flight")
+        End::new(EXIT_CALLS_CUT, reason)
     })
 }
 
