--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -1,8 +1,9 @@
 //! `snipepaddled`: the daemon of an entry VM.
 //!
 //! The daemon validates all of its settings before it starts anything, and serves
-//! until SIGTERM or SIGINT. Addresses that are not free do not end it (`net::listen`). It then waits for the calls in flight, up to the drain
-//! time in the settings. It reads the settings again on SIGHUP or when the file changes.
+//! until SIGTERM or SIGINT. It then waits for the calls in flight, up to the drain time
+//! in the settings. It reads the settings again on SIGHUP or when the file changes.
+//! Addresses that are not free do not end it; see `net::listen`.
 
 use std::future::Future;
 use std::panic;
