--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -233,17 +233,14 @@
             }),
         ];
         let [registrar, head, domains, vms] = [(); 4].map(|()| shared.clone());
-        let watches = match &shared.registry {
+        let watches = match shared.registry.clone() {
             Some(registry) => vec![
-                self.follow_topic(registry, Topic::Layout),
-                self.follow_topic(registry, Topic::Servers),
-                self.follow_topic(registry, Topic::DomainsOut),
-                {
-                    let registry = registry.clone();
-                    self.supervise("registration", move || {
-                        registrar.clone().keep_registered(registry.clone())
-                    })
-                },
+                self.follow_topic(&registry, Topic::Layout),
+                self.follow_topic(&registry, Topic::Servers),
+                self.follow_topic(&registry, Topic::DomainsOut),
+                self.supervise("registration", move || {
+                    registrar.clone().keep_registered(registry.clone())
+                }),
             ],
             None => vec![
                 self.supervise("head", move || head.clone().watch(WatchedObject::Head)),
@@ -412,7 +409,7 @@
         log::info!(
             notice_ms = notice.as_millis() as u64,
             drain_ms = drain.as_millis() as u64,
-            connections = self.shared.stop.active_tasks() as u64;
+            connections = self.shared.caller_connections.count() as u64;
             "node: stopping; readiness is off"
         );
         smol::Timer::after(notice).await;
@@ -421,7 +418,7 @@
         let ended = net::timeout(left, self.shared.stop.wait_finished()).await;
         if ended.is_none() {
             // The calls in flight are dropped, which logs each of them.
-            let connections = self.shared.stop.active_tasks() as u64;
+            let connections = self.shared.caller_connections.count() as u64;
             log::warn!(connections = connections; "node: the drain time is over; closing connections");
             self.kill.trigger();
             net::timeout(CLOSE_TIMEOUT, self.shared.stop.wait_finished()).await;
