--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -20,6 +20,7 @@
 use async_signal::Signals;
 use conf::settings::Interface;
 use conf::Settings;
+use conf::ValidationErrors;
 use futures_lite::StreamExt;
 use net::client::Connector;
 use net::cut::CutConnector;
@@ -34,6 +35,8 @@
 Usage: snipepaddled --settings FILE
 
   --settings FILE   settings, JSON with comments (see docs/operate/settings.md)
+  --grace SECONDS   time after SIGTERM at which the process is killed; overrides
+                    grace in the settings
   --check           check the settings and exit
   --help            show this text
   --version         show the version
@@ -74,6 +77,17 @@
     settings: PathBuf,
     /// Whether to check the settings and exit.
     check: bool,
+    /// The time after SIGTERM at which the process is killed.
+    grace: Option<Duration>,
+}
+
+impl Args {
+    /// Returns `settings` with what the command line overrides.
+    fn apply(&self, mut settings: Settings) -> Result<Settings, ValidationErrors> {
+        settings.grace = self.grace.or(settings.grace);
+        settings.check()?;
+        Ok(settings)
+    }
 }
 
 fn main() -> ExitCode {
@@ -93,7 +107,7 @@
     }
     obs::panics::install_hook();
     let mut logs = None;
-    let running = || smol::block_on(run(&args.settings, &mut logs));
+    let running = || smol::block_on(run(&args, &mut logs));
     let end = match panic::catch_unwind(AssertUnwindSafe(running)) {
         Ok(Ok(end)) => end,
         Ok(Err(error)) => End::error(EXIT_FAILED, &error),
@@ -172,6 +186,9 @@
             .value_from_str("--settings")
             .context("the option --settings FILE is required; see --help")?,
         check: raw_args.contains("--check"),
+        grace: raw_args
+            .opt_value_from_fn("--grace", parse_secs)
+            .context("--grace needs a number of seconds, such as 6 or 7.5")?,
     };
     let rest = raw_args.finish();
     anyhow::ensure!(
@@ -182,14 +199,23 @@
     Ok(Some(args))
 }
 
+fn parse_secs(text: &str) -> anyhow::Result<Duration> {
+    Ok(Duration::try_from_secs_f64(text.parse()?)?)
+}
+
 /// Runs the daemon until SIGTERM or SIGINT. Sets `logs` once logging has started.
-async fn run(file: &Path, logs: &mut Option<obs::logs::Handle>) -> anyhow::Result<End> {
+async fn run(args: &Args, logs: &mut Option<obs::logs::Handle>) -> anyhow::Result<End> {
+    let file = args.settings.as_path();
     let mut signals = Signals::new([Signal::Term, Signal::Int, Signal::Hup])?;
     let settings = match unless_stopped(load(file), &mut signals).await {
         None => return Ok(End::new(0, "stopped before it had its settings")),
         Some(Ok(settings)) => settings,
         Some(Err(error)) => return Ok(End::error(EXIT_INVALID, &error.into())),
     };
+    let settings = match args.apply(settings) {
+        Ok(settings) => settings,
+        Err(errors) => return Ok(End::error(EXIT_INVALID, &errors.into())),
+    };
     // Settings that change while the daemon starts are applied after the start.
     let mut last_text = read_settings(file);
     let started = obs::logs::start(&settings.logs.level, settings.logs.json)
@@ -222,7 +248,7 @@
         };
         let text = read_settings(file);
         if requested || text != last_text {
-            reload(&node, logs, text.as_deref());
+            reload(&node, logs, args, text.as_deref());
             last_text = text;
         }
     };
@@ -271,11 +297,11 @@
 }
 
 /// Applies changed settings. Settings that are invalid or cannot be read change nothing.
-fn reload(node: &Node, logs: &obs::logs::Handle, text: Option<&str>) {
+fn reload(node: &Node, logs: &obs::logs::Handle, args: &Args, text: Option<&str>) {
     let Some(text) = text else {
         return;
     };
-    match Settings::parse(text) {
+    match Settings::parse(text).and_then(|settings| args.apply(settings)) {
         Ok(settings) => {
             if let Err(error) = logs.set_level(&settings.logs.level) {
                 log::warn!(
--- a/crates/daemon/tests/harness/mod.rs
+++ b/crates/daemon/tests/harness/mod.rs
@@ -212,7 +212,6 @@
             ("region|json", "\"island\"".into()),
             ("limits.cpu_share", "0.2".into()),
             ("limits.link_mbps", "1000.0".into()),
-            ("bounds.grace_s", self.grace_s.to_string()),
             ("listen.front|json", format!("\"{ip}:8381\"")),
             ("listen.control|json", format!("\"{ip}:8382\"")),
             ("listen.ready|json", format!("\"{ip}:8388\"")),
@@ -250,7 +249,7 @@
     /// Starts a daemon that reads the file at `path`, which is to have `settings` in the
     /// end.
     pub(crate) fn start_with_file(&self, settings: &Settings, path: PathBuf) -> Daemon {
-        Daemon::start(settings, path, &self.directory)
+        Daemon::start(settings, path, self)
     }
 }
 
@@ -313,14 +312,18 @@
 }
 
 impl Daemon {
-    fn start(settings: &Settings, path: PathBuf, directory: &std::path::Path) -> Self {
+    fn start(settings: &Settings, path: PathBuf, deployment: &Deployment) -> Self {
         static STARTS: AtomicUsize = AtomicUsize::new(0);
         let start = STARTS.fetch_add(1, Ordering::SeqCst);
-        let logs = directory.join(format!("{}-{start}.log", settings.vm));
+        let logs = deployment
+            .directory
+            .join(format!("{}-{start}.log", settings.vm));
         let output = File::create(&logs).unwrap();
         let child = Command::new(env!("CARGO_BIN_EXE_snipepaddled"))
             .arg("--settings")
             .arg(path)
+            .arg("--grace")
+            .arg(deployment.grace_s.to_string())
             .stdin(Stdio::null())
             .stdout(output.try_clone().unwrap())
             .stderr(output)
