Agree on the types of teams, ranks and messages of recent builds

They share the types of teams and their keys (digests only), the rank of a call, what the home needs to weigh a call, and the rule that messages which the build in production cannot read travel in datagrams of their own.

Nothing sets these yet; the tests of wire, conf, platform and route pass.

--- a/crates/base/src/call.rs
+++ b/crates/base/src/call.rs
@@ -41,6 +41,12 @@
     }
 }
 
+/// The priority of a call as the configuration numbers it, 0 for the most urgent one.
+///
+/// A [`Class`] bounds how long a call may wait; the rank says which of the calls that wait
+/// gives way, however many ranks a configuration has.
+pub type Rank = u32;
+
 /// The result of one attempt at a backend server, as it is reported to the home.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Outcome {
--- a/crates/base/src/id.rs
+++ b/crates/base/src/id.rs
@@ -17,6 +17,8 @@
 pub type ServerId = u64;
 /// Identifies a shard of a service; each shard has a home of its own.
 pub type ShardId = u64;
+/// Identifies a team; the hash of its name.
+pub type TeamId = u64;
 /// The number of a ticket, which an operator assigns.
 pub type TicketNo = u64;
 /// The version number of a configuration object, which grows with each accepted
@@ -45,6 +47,11 @@
     hash::of(&["service", name])
 }
 
+/// Returns the id of the team called `name`.
+pub fn team(name: &str) -> TeamId {
+    hash::of(&["team", name])
+}
+
 /// Returns the id of the backend server `name` of `service`.
 pub fn server(service: &str, name: &str) -> ServerId {
     hash::of(&["server", service, name])
--- a/crates/base/src/lib.rs
+++ b/crates/base/src/lib.rs
@@ -14,6 +14,7 @@
 
 pub use call::Class;
 pub use call::Outcome;
+pub use call::Rank;
 pub use clock::Clock;
 pub use id::DomainId;
 pub use id::RegionId;
@@ -21,6 +22,7 @@
 pub use id::ServerId;
 pub use id::ServiceId;
 pub use id::ShardId;
+pub use id::TeamId;
 pub use id::TicketNo;
 pub use id::Time;
 pub use id::VmId;
--- a/crates/conf/src/layout.rs
+++ b/crates/conf/src/layout.rs
@@ -9,12 +9,14 @@
 use std::time::Duration;
 
 use base::Class;
+use base::Rank;
 use base::TicketNo;
 use serde::Deserialize;
 use serde::Serialize;
 
 use crate::service::CallRule;
 use crate::service::Service;
+use crate::team::Team;
 
 /// One of the services among which the calls of a mapping are split.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -47,6 +49,12 @@
     pub attempts: u32,
     /// The priority class of the calls.
     pub class: Class,
+    /// The priority of the calls as the configuration numbers it.
+    #[serde(default)]
+    pub rank: Rank,
+    /// Whether calls need no key of a team.
+    #[serde(default)]
+    pub public: bool,
 }
 
 /// Limits on the requests and the connections of callers.
@@ -74,6 +82,10 @@
     /// Limits for callers, in addition to those in the settings of each VM; `None` if
     /// the ticket sets none.
     pub limits: Option<CallerLimits>,
+    /// The teams that may call; `None` if calls need no keys. Builds from before this field
+    /// pass a layout on without it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub teams: Option<Vec<Team>>,
 }
 
 impl Mapping {
@@ -90,6 +102,8 @@
             target: Duration::ZERO,
             attempts: 0,
             class: Class::Deferrable,
+            rank: Rank::MAX,
+            public: false,
         }
     }
 
@@ -97,6 +111,7 @@
     pub fn rule(&self) -> CallRule {
         CallRule {
             class: self.class,
+            rank: self.rank,
             deadline: self.timeout,
             idempotent: self.idempotent,
             target: self.target,
--- a/crates/conf/src/lib.rs
+++ b/crates/conf/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod service;
 pub mod settings;
 pub mod state;
+pub mod team;
 pub mod ticket;
 pub mod validation;
 
@@ -32,6 +33,7 @@
 pub use service::Service;
 pub use settings::Settings;
 pub use state::State;
+pub use team::Team;
 pub use ticket::Ticket;
 pub use validation::ValidationError;
 pub use validation::ValidationErrors;
--- a/crates/conf/src/service.rs
+++ b/crates/conf/src/service.rs
@@ -4,6 +4,7 @@
 
 use base::units::Span;
 use base::Class;
+use base::Rank;
 use base::ServiceId;
 use base::TicketNo;
 use serde::Deserialize;
@@ -320,9 +321,11 @@
             method,
             "GET" | "HEAD" | "OPTIONS" | "PUT" | "DELETE" | "TRACE"
         );
+        let class = route.and_then(|r| r.class).unwrap_or(self.class);
         let deadline = route.and_then(|r| r.deadline).unwrap_or(self.deadline);
         CallRule {
-            class: route.and_then(|r| r.class).unwrap_or(self.class),
+            class,
+            rank: class.rank() as Rank,
             deadline,
             target: deadline,
             attempts: DEFAULT_ATTEMPTS,
@@ -346,6 +349,8 @@
 pub struct CallRule {
     /// The priority class.
     pub class: Class,
+    /// The priority as the configuration numbers it, or the rank of the class.
+    pub rank: Rank,
     /// The time limit from the request to the end of the response.
     pub deadline: Duration,
     /// Whether the call may be run more than once.
--- a/crates/conf/tests/catalog.rs
+++ b/crates/conf/tests/catalog.rs
@@ -46,9 +46,12 @@
             target: Duration::from_millis(200),
             attempts: 2,
             class: base::Class::Interactive,
+            rank: 2,
+            public: false,
         }],
         services: vec![Service::new("plans", "/", Duration::from_secs(2))],
         limits: None,
+        teams: None,
     })
 }
 
--- a/crates/conf/tests/restore.rs
+++ b/crates/conf/tests/restore.rs
@@ -105,6 +105,7 @@
         mappings: Vec::new(),
         services: Vec::new(),
         limits: None,
+        teams: None,
     })
 }
 
--- a/crates/entry/src/call.rs
+++ b/crates/entry/src/call.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use base::ServerId;
+use base::TeamId;
 use base::Time;
 use conf::service::CallRule;
 use conf::Service;
@@ -36,6 +37,8 @@
 pub(crate) struct Call<'a> {
     pub(crate) service: &'a Service,
     pub(crate) rule: CallRule,
+    /// The team that makes the call; `None` if calls need no key.
+    pub(crate) team: Option<TeamId>,
     /// When the caller's time limit or the rule's deadline passes.
     pub(crate) deadline: Time,
     /// When the target latency passes, less the time that the call had used before it
--- a/crates/entry/src/proxy.rs
+++ b/crates/entry/src/proxy.rs
@@ -41,6 +41,7 @@
 use route::keys::KeyHash;
 use route::msg::AttemptKind;
 use route::msg::PermitRequest;
+use route::msg::Ranking;
 use route::msg::RefusalReason;
 use smol::Timer;
 
@@ -380,6 +381,7 @@
         let call = Call {
             service,
             rule,
+            team: None,
             deadline: began + limit,
             target_time: (began + rule.target).saturating_sub(elapsed),
             span,
@@ -540,6 +542,12 @@
             kind,
             avoid,
             domain: self.identity.domain,
+            ranking: call.team.map(|team| Ranking {
+                rank: call.rule.rank,
+                team,
+                work: Duration::ZERO,
+                target: call.rule.target,
+            }),
         };
         let span = self
             .spans
--- a/crates/route/benches/cost.rs
+++ b/crates/route/benches/cost.rs
@@ -91,6 +91,7 @@
         kind: AttemptKind::First,
         avoid: Vec::new(),
         domain: 1,
+        ranking: None,
     }
 }
 
--- a/crates/route/src/msg.rs
+++ b/crates/route/src/msg.rs
@@ -10,8 +10,10 @@
 use base::Class;
 use base::DomainId;
 use base::Outcome;
+use base::Rank;
 use base::ServerId;
 use base::ShardId;
+use base::TeamId;
 use base::VmId;
 use serde::Deserialize;
 use serde::Serialize;
@@ -59,6 +61,24 @@
     pub avoid: Vec<ServerId>,
     /// The failure domain of the requesting VM.
     pub domain: DomainId,
+    /// What the home needs to weigh the call against others; `None` where it is served by
+    /// class alone. It travels beside the request, since builds from before it cannot read
+    /// a longer one.
+    #[serde(skip)]
+    pub ranking: Option<Ranking>,
+}
+
+/// The properties of a call that say which one gives way when there is too little room.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Ranking {
+    /// The priority of the call.
+    pub rank: Rank,
+    /// The team that makes the call; zero for none.
+    pub team: TeamId,
+    /// How long a server usually works on such a call, zero if unknown.
+    pub work: Duration,
+    /// The target latency of such calls, counted from their start.
+    pub target: Duration,
 }
 
 /// Why a permit is refused. The attempt has not run in any case.
--- a/crates/route/tests/components.rs
+++ b/crates/route/tests/components.rs
@@ -230,6 +230,7 @@
                 kind: AttemptKind::First,
                 avoid: Vec::new(),
                 domain: 0,
+                ranking: None,
             };
             queue.add(Waiter::new(1, call as u64, request, Time::ZERO));
         }
@@ -495,6 +496,7 @@
         kind: AttemptKind::First,
         avoid: Vec::new(),
         domain: 0,
+        ranking: None,
     };
     let call = id;
     ledger.receive(
@@ -604,6 +606,7 @@
         kind: AttemptKind::First,
         avoid: Vec::new(),
         domain: 0,
+        ranking: None,
     };
     let grants = |ledger: &mut Ledger| {
         let is_grant = |action: &Action| match action {
--- a/crates/route/tests/load.rs
+++ b/crates/route/tests/load.rs
@@ -207,6 +207,7 @@
             kind: AttemptKind::First,
             avoid: Vec::new(),
             domain: self.last_id % 3,
+            ranking: None,
         };
         self.waiting.push((self.last_id, self.now));
         let body = Body::Acquire {
@@ -590,6 +591,7 @@
             kind: AttemptKind::Retry,
             avoid: Vec::new(),
             domain: 0,
+            ranking: None,
         };
         let epoch = sim.ledger.epoch();
         let body = Body::Acquire {
--- a/crates/route/tests/sim/mod.rs
+++ b/crates/route/tests/sim/mod.rs
@@ -108,6 +108,7 @@
         kind: AttemptKind::First,
         avoid: Vec::new(),
         domain: 0,
+        ranking: None,
     }
 }
 
--- a/crates/wire/benches/cost.rs
+++ b/crates/wire/benches/cost.rs
@@ -30,6 +30,7 @@
         kind: AttemptKind::First,
         avoid: Vec::new(),
         domain: 3 << 60,
+        ranking: None,
     };
     let epoch = Epoch {
         count: 2,
--- a/crates/wire/src/msg.rs
+++ b/crates/wire/src/msg.rs
@@ -61,3 +61,13 @@
     /// Calls that are relayed to other VMs.
     Relay(RelayMsg),
 }
+
+impl Msg {
+    /// Returns whether builds that may run beside this one lack this kind of message.
+    ///
+    /// Such a build drops the whole datagram that the message is in, so the message must not
+    /// share one with messages that it can read. See `docs/design/wire.md`.
+    pub fn is_recent(&self) -> bool {
+        false
+    }
+}
--- a/crates/wire/src/outbox.rs
+++ b/crates/wire/src/outbox.rs
@@ -126,19 +126,30 @@
         std::mem::take(&mut *batches)
     }
 
+    /// Sends the messages that wait for one peer. Those that its build may be unable to
+    /// read follow in datagrams of their own.
     async fn send(&self, transport: &dyn Transport, batch: Batch) {
+        self.msgs
+            .fetch_add(batch.msgs.len() as u64, Ordering::Relaxed);
+        let (recent, known): (Vec<Msg>, Vec<Msg>) =
+            batch.msgs.into_iter().partition(Msg::is_recent);
+        self.send_msgs(transport, batch.to, &known).await;
+        self.send_msgs(transport, batch.to, &recent).await;
+    }
+
+    async fn send_msgs(&self, transport: &dyn Transport, to: SocketAddr, msgs: &[Msg]) {
         let mut datagram = Datagram::new(self.self_id);
-        for msg in &batch.msgs {
+        for msg in msgs {
             let unbatched = !self.batching && !datagram.is_empty();
             if unbatched || !datagram.add(msg) {
                 let finished = std::mem::replace(&mut datagram, Datagram::new(self.self_id));
-                self.send_datagram(transport, batch.to, finished).await;
+                self.send_datagram(transport, to, finished).await;
                 datagram.add(msg);
             }
         }
-        self.msgs
-            .fetch_add(batch.msgs.len() as u64, Ordering::Relaxed);
-        self.send_datagram(transport, batch.to, datagram).await;
+        if !datagram.is_empty() {
+            self.send_datagram(transport, to, datagram).await;
+        }
     }
 
     async fn send_datagram(&self, transport: &dyn Transport, to: SocketAddr, datagram: Datagram) {
--- a/crates/wire/tests/datagrams.rs
+++ b/crates/wire/tests/datagrams.rs
@@ -26,6 +26,7 @@
         kind: AttemptKind::First,
         avoid: vec![call, 1],
         domain: 3,
+        ranking: None,
     };
     let epoch = Epoch { count: 2, home: 9 };
     Msg::Route(route::Msg {
