Take responses with impossible statuses for failures

Cause: a server in trouble that responds with status 600 or 999, or with a 101 that nobody asked for, had its response passed to the caller as it was (000, 099, 1000 and 20 became 502 already, over HTTP/1.1 and HTTP/2). Change: the client of all connections takes only 200 to 599 for final responses. Anything else fails the exchange, whose connection is used no further; the call may have run, so it is retried if it is idempotent and answered with 502 otherwise. Relays, health checks and calls to the store use the same client.

--- a/crates/net/src/client.rs
+++ b/crates/net/src/client.rs
@@ -1,6 +1,7 @@
 //! Single HTTP client connections. The `entry` crate pools them.
 
 use std::net::SocketAddr;
+use std::ops::RangeInclusive;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -24,6 +25,10 @@
 /// faulty: they have no use here, and cost time.
 pub const INTERIM_MAX: usize = 64;
 
+/// The statuses of final responses. No request asks for another protocol, so a peer that
+/// switches (101) speaks one that nobody here knows.
+const STATUSES: RangeInclusive<u16> = 200..=599;
+
 /// The maximum size of each of the two buffers of an HTTP/1.1 connection, and so of the head
 /// of a response.
 const BUFFER_MAX_BYTES: usize = 64 << 10;
@@ -43,6 +48,10 @@
     /// The peer sent more interim responses than [`INTERIM_MAX`].
     #[error("the peer sent over {INTERIM_MAX} interim responses; check the server")]
     Interim,
+    /// The status of the response is none that RFC 9110 (section 15) knows, or switches to a
+    /// protocol that nobody asked for.
+    #[error("the peer responded with status {0}, which is no response; check the server")]
+    Status(u16),
     /// The response was not complete within the time limit.
     #[error("no complete response within {0:?}")]
     Timeout(Duration),
@@ -101,8 +110,8 @@
 
     /// Sends `request` and waits for the head of the response.
     ///
-    /// Fails if the peer sends too many interim responses. The connection must not be used
-    /// again then.
+    /// Fails if the peer sends too many interim responses, or a response whose status is out
+    /// of range. The connection must not be used again then.
     pub async fn send(
         &mut self,
         mut request: Request<Body>,
@@ -113,10 +122,12 @@
                 Requests::Http1(sender) => sender.try_send_request(request).await,
                 Requests::Http2(sender) => sender.try_send_request(request).await,
             };
-            result.map_err(|mut failed| SendError {
+            let response = result.map_err(|mut failed| SendError {
                 unsent: failed.take_message(),
                 error: failed.into_error().into(),
-            })
+            })?;
+            check_status(&response)?;
+            Ok(response)
         };
         futures_lite::future::or(sent, async {
             if exceeded.recv().await.is_err() {
@@ -132,6 +143,18 @@
     }
 }
 
+/// Fails if the status of `response` makes it no response. The request may have been run.
+fn check_status(response: &Response<Incoming>) -> Result<(), SendError> {
+    let status = response.status().as_u16();
+    if STATUSES.contains(&status) {
+        return Ok(());
+    }
+    Err(SendError {
+        error: Error::Status(status),
+        unsent: None,
+    })
+}
+
 /// Has the interim responses to `request` counted; the channel returned says when there
 /// are more than [`INTERIM_MAX`].
 fn limit_interim(request: &mut Request<Body>) -> Receiver<()> {
