Tell calls of teams by their keys, and never pass a key on

Configurations list teams with keys, and callers send a key with each call. It was passed on to servers, no server learned whose call it ran, and every key was good.

The state has a sorted table of digests and judges each call: that of a known key runs in the name and with the priority of its team, others get 401 unless their route is public. The key and what the caller wrote as the team are removed from the fields and the trailers of all requests to servers, also where there are no teams.

--- a/crates/conf/src/lib.rs
+++ b/crates/conf/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod settings;
 pub mod state;
 pub mod team;
+pub mod team_table;
 pub mod ticket;
 pub mod validation;
 
@@ -34,6 +35,7 @@
 pub use settings::Settings;
 pub use state::State;
 pub use team::Team;
+pub use team_table::TeamTable;
 pub use ticket::Ticket;
 pub use validation::ValidationError;
 pub use validation::ValidationErrors;
--- a/crates/conf/src/state.rs
+++ b/crates/conf/src/state.rs
@@ -16,6 +16,10 @@
 use crate::server::Server;
 use crate::service::CallRule;
 use crate::service::Service;
+use crate::team::KeyDigest;
+use crate::team::KeyError;
+use crate::team::Team;
+use crate::team_table::TeamTable;
 use crate::ticket::Domain;
 
 /// The configuration in force on a VM. It is immutable; a change of the configuration
@@ -37,6 +41,10 @@
     /// The prefixes of all services or mappings, sorted.
     rules: Vec<PrefixRule>,
     layout: Option<Arc<Layout>>,
+    /// The keys of the layout's teams.
+    team_table: TeamTable,
+    /// Whether the deployment has teams, so that a layout without any is incomplete.
+    needs_teams: bool,
 }
 
 /// The service that a call belongs to, and how the call is treated.
@@ -48,6 +56,9 @@
     pub mapping: Option<&'a Mapping>,
     /// How the call is treated.
     pub rule: CallRule,
+    /// The team that makes the call; `None` if it needs no key, and before
+    /// [`State::authenticate`].
+    pub team: Option<&'a Team>,
 }
 
 /// The index of the server `id` in the server list of its service.
@@ -84,6 +95,8 @@
             failure_domains: head.domains.clone(),
             service_ids,
             layout: None,
+            team_table: TeamTable::default(),
+            needs_teams: false,
         }
     }
 
@@ -124,6 +137,7 @@
         Self {
             rules,
             layout: Some(layout.clone()),
+            team_table: TeamTable::new(layout.teams.as_deref().unwrap_or_default()),
             ..Self::new(&head, services, domain_orders)
         }
     }
@@ -154,6 +168,7 @@
                 service,
                 mapping: None,
                 rule: service.rule(method, path),
+                team: None,
             });
         };
         let mapping = &layout.mappings[index];
@@ -162,9 +177,49 @@
             service,
             mapping: Some(mapping),
             rule: mapping.rule(),
+            team: None,
         })
     }
 
+    /// Sets whether the deployment has teams. Its calls are then not run while the teams
+    /// are not known.
+    pub fn with_needs_teams(mut self, needs_teams: bool) -> Self {
+        self.needs_teams = needs_teams;
+        self
+    }
+
+    /// Returns `route` with the team that holds the `key` of the call, and with that team's
+    /// priority. `key` is asked for only if there are teams.
+    ///
+    /// A call that is open to all is run without a key too. It is a team's all the same if
+    /// it carries that team's key.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the call needs a key of a team and has none.
+    pub fn authenticate<'a>(
+        &'a self,
+        route: RouteMatch<'a>,
+        key: impl FnOnce() -> Option<KeyDigest>,
+    ) -> Result<RouteMatch<'a>, KeyError> {
+        let is_public = route.mapping.is_some_and(|mapping| mapping.public);
+        let layout = self.layout.as_ref();
+        let Some(teams) = layout.and_then(|layout| layout.teams.as_deref()) else {
+            let is_open = is_public || !self.needs_teams;
+            return is_open.then_some(route).ok_or(KeyError::NoTeams);
+        };
+        let found = key().and_then(|key| self.team_table.find(&key));
+        match found.map(|index| &teams[index]) {
+            Some(team) => Ok(RouteMatch {
+                rule: team.rule(route.rule),
+                team: Some(team),
+                ..route
+            }),
+            None if is_public => Ok(route),
+            None => Err(KeyError::Unknown),
+        }
+    }
+
     /// Returns whether the configuration has a service or mapping for a call to `host`
     /// and `path`, even if that mapping has no service that could serve the call.
     pub fn is_mapped(&self, host: &str, path: &str) -> bool {
--- a/crates/conf/src/team.rs
+++ b/crates/conf/src/team.rs
@@ -3,11 +3,14 @@
 //! A configuration lists the teams that may call. Keys are held as digests only, so that
 //! no log, message or dump of a VM's memory can give one away. See `docs/design/teams.md`.
 
+use base::Class;
 use base::Rank;
 use base::TeamId;
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::service::CallRule;
+
 /// The context of the digests, which keeps them apart from other hashes of the same text.
 const DIGEST_CONTEXT: &str = "snipepaddle 2026-12-07 digest of an API key";
 
@@ -58,4 +61,33 @@
     pub fn id(&self) -> TeamId {
         base::id::team(&self.name)
     }
+
+    /// Returns how a call of the team is treated whose route asks for `rule`: the team's
+    /// priority takes the place of the route's.
+    pub fn rule(&self, rule: CallRule) -> CallRule {
+        let ranked = |rank| CallRule {
+            rank,
+            class: class_of(rank),
+            ..rule
+        };
+        self.rank.map_or(rule, ranked)
+    }
+}
+
+/// Why a call may not run in the name of any team.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum KeyError {
+    /// The call carries no key of a team, or not exactly one key.
+    #[error("no team holds the key of this call; send one key that a team holds")]
+    Unknown,
+    /// The deployment has teams, and this VM does not know them.
+    #[error("this VM does not know the teams yet; try again")]
+    NoTeams,
+}
+
+/// Returns the class of calls whose priority the configuration numbers: 0 and 1 mean
+/// critical, 2 interactive, 3 and above deferrable.
+pub fn class_of(rank: Rank) -> Class {
+    let last = Class::ALL.len() - 1;
+    Class::ALL[(rank as usize).saturating_sub(1).min(last)]
 }
--- a/crates/entry/src/call.rs
+++ b/crates/entry/src/call.rs
@@ -177,6 +177,7 @@
         id = record.id,
         caller = record.caller,
         service = record.service,
+        team = record.team,
         path = record.path,
         status = record.status,
         outcome = record.outcome,
--- a/crates/entry/src/dialect.rs
+++ b/crates/entry/src/dialect.rs
@@ -8,7 +8,9 @@
 
 use std::time::Duration;
 
+use conf::team::KeyDigest;
 use http::header;
+use http::header::HeaderName;
 use http::response::Parts;
 use http::HeaderMap;
 use http::HeaderValue;
@@ -42,6 +44,17 @@
     /// limit.
     fn timeout(&self, fields: &HeaderMap) -> Option<Duration>;
 
+    /// Returns the digest of the key that the caller sent; `None` if it sent no key, an
+    /// empty one or several.
+    fn caller_key(&self, fields: &HeaderMap) -> Option<KeyDigest>;
+
+    /// Removes the caller's key and the name of a team from the fields of a request. Both
+    /// also come in the trailers of its body.
+    fn strip_caller_fields(&self, fields: &mut HeaderMap);
+
+    /// Sets the name of the team that makes the call, in a request to a server.
+    fn set_team(&self, fields: &mut HeaderMap, team: HeaderValue);
+
     /// Sets the fields of an attempt's request: the time left for it, and the server
     /// instance for which it is intended.
     fn set_attempt_fields(&self, fields: &mut HeaderMap, left: Duration, instance: &str);
@@ -96,6 +109,16 @@
     is_rate.then(|| Duration::try_from_secs_f64(1.0 / rate).unwrap_or(Duration::MAX))
 }
 
+/// Returns the digest of the only value of the field `name`, if it is not empty.
+pub fn only_key(fields: &HeaderMap, name: &HeaderName) -> Option<KeyDigest> {
+    let mut values = fields.get_all(name).iter();
+    let key = values.next().filter(|key| !key.is_empty())?;
+    values
+        .next()
+        .is_none()
+        .then(|| KeyDigest::new(key.as_bytes()))
+}
+
 /// The load balancer's own header fields; see [`crate::headers`].
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Native;
@@ -110,6 +133,19 @@
         text.parse().ok().map(Duration::from_millis)
     }
 
+    fn caller_key(&self, fields: &HeaderMap) -> Option<KeyDigest> {
+        only_key(fields, &headers::KEY)
+    }
+
+    fn strip_caller_fields(&self, fields: &mut HeaderMap) {
+        fields.remove(headers::KEY);
+        fields.remove(headers::TEAM);
+    }
+
+    fn set_team(&self, fields: &mut HeaderMap, team: HeaderValue) {
+        fields.insert(headers::TEAM, team);
+    }
+
     fn set_attempt_fields(&self, fields: &mut HeaderMap, left: Duration, _instance: &str) {
         fields.insert(headers::DEADLINE_MS, millis(left));
     }
--- a/crates/entry/src/headers.rs
+++ b/crates/entry/src/headers.rs
@@ -33,6 +33,10 @@
 /// The calls a second that a server takes from all entry VMs together, in all responses of
 /// a server that limits them.
 pub const RATE_LIMIT: HeaderName = HeaderName::from_static("snipepaddle-rate-limit");
+/// The caller's key, which says to which team the call belongs. It never reaches a server.
+pub const KEY: HeaderName = HeaderName::from_static("snipepaddle-key");
+/// The name of the team that makes the call, in requests to servers.
+pub const TEAM: HeaderName = HeaderName::from_static("snipepaddle-team");
 /// The caller's key for a call that must not run twice.
 pub const IDEMPOTENCY_KEY: HeaderName = HeaderName::from_static("idempotency-key");
 
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -8,6 +8,7 @@
 
 pub mod attempt;
 mod call;
+mod clean_body;
 pub mod dialect;
 mod elapsed;
 pub mod guard;
@@ -21,6 +22,7 @@
 pub mod record;
 pub mod relay;
 pub mod request;
+mod team;
 pub mod tracked_body;
 
 pub use dialect::Dialect;
--- a/crates/entry/src/proxy.rs
+++ b/crates/entry/src/proxy.rs
@@ -15,6 +15,7 @@
 use conf::state::RouteMatch;
 use conf::Service;
 use conf::State;
+use conf::Team;
 use http::HeaderMap;
 use http::HeaderValue;
 use http::Request;
@@ -76,6 +77,7 @@
 use crate::relay::Relays;
 use crate::request::CallBody;
 use crate::request::OutgoingRequest;
+use crate::team;
 use crate::tracked_body::TrackedBody;
 
 /// How many attempts that certainly did not run the call are made at most, in addition to
@@ -278,7 +280,7 @@
         let parent = self.spans.extract(request.headers());
         let span = self.spans.start("call", SpanKind::Server, &parent);
         let id = self.dialect.call_id(request.headers());
-        let summary = RequestSummary::new(&request, &span, id.as_ref(), peer.ip());
+        let mut summary = RequestSummary::new(&request, &span, id.as_ref(), peer.ip());
         let state = self.ports.state();
         let random = fastrand::f64();
         let method = request.method().as_str();
@@ -286,8 +288,12 @@
         let service = route.map(|route| route.service);
         let name = service.map_or("", |service| service.name.as_str());
         let progress = self.track_call(id.as_ref(), name, began);
-        let result = match route {
-            Some(route) => {
+        let authenticated =
+            route.map(|route| team::authenticate(&state, route, request.headers(), &*self.dialect));
+        let result = match authenticated {
+            Some(Err(response)) => Err(response),
+            Some(Ok(route)) => {
+                summary.team = route.team.map(|team| team.name.clone());
                 let max_body = self.max_body(&state);
                 self.serve(route, request, peer, max_body, &span, &progress)
                     .await
@@ -355,7 +361,12 @@
         progress: &Progress,
     ) -> Result<Served, LocalResponse> {
         let began = self.ports.now();
-        let RouteMatch { service, rule, .. } = route;
+        let RouteMatch {
+            service,
+            rule,
+            team,
+            ..
+        } = route;
         span.set_attribute("service", service.name.clone());
         let fields = request.headers();
         let id = self.dialect.call_id(fields);
@@ -368,9 +379,10 @@
         let place = place_of(&request);
         let (parts, incoming) = request.into_parts();
         let reading = OutgoingRequest::new(parts, incoming, peer, max_body, &self.identity.memory);
-        let outgoing = net::timeout(limit, Box::pin(reading))
+        let mut outgoing = net::timeout(limit, Box::pin(reading))
             .await
             .unwrap_or_else(|| Err(slow_body()))?;
+        outgoing.set_team(team, &self.dialect);
         let claim = match key {
             Some(key) => {
                 progress.set_stage(Stage::Claim);
@@ -381,7 +393,7 @@
         let call = Call {
             service,
             rule,
-            team: None,
+            team: team.map(Team::id),
             deadline: began + limit,
             target_time: (began + rule.target).saturating_sub(elapsed),
             span,
--- a/crates/entry/src/record.rs
+++ b/crates/entry/src/record.rs
@@ -38,6 +38,8 @@
     trace: String,
     id: String,
     caller: IpAddr,
+    /// The name of the team that makes the call, once it is known.
+    pub(crate) team: Option<String>,
 }
 
 /// Returns the host from the URI of `request` or its `host` field, empty if there is
@@ -71,6 +73,7 @@
                 .unwrap_or_default()
                 .to_owned(),
             caller,
+            team: None,
         }
     }
 
@@ -118,6 +121,7 @@
             id: self.id,
             caller: self.caller.to_string(),
             service: service.to_owned(),
+            team: self.team.unwrap_or_default(),
             method: self.method,
             path: self.path,
             status: status.as_u16(),
--- a/crates/entry/src/request.rs
+++ b/crates/entry/src/request.rs
@@ -1,9 +1,12 @@
 //! A caller's request in a form that can be sent to several servers.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 
+use base::TeamId;
 use bytes::Bytes;
 use bytes::BytesMut;
+use conf::Team;
 use http::header;
 use http::header::HeaderName;
 use http::request::Parts;
@@ -22,6 +25,8 @@
 use net::Body;
 use route::crashes::Fingerprint;
 
+use crate::clean_body::CleanBody;
+use crate::dialect::Dialect;
 use crate::headers;
 use crate::local_response::LocalResponse;
 
@@ -63,6 +68,8 @@
     uri: Uri,
     fields: HeaderMap,
     body: RequestBody,
+    /// The team that makes the call, if any.
+    team: Option<TeamId>,
 }
 
 impl OutgoingRequest {
@@ -101,11 +108,30 @@
             uri,
             fields,
             body,
+            team: None,
         })
     }
 
+    /// Makes this a request of `team` to servers: the caller's key is removed, and the team
+    /// is named in place of what the caller wrote, in all attempts.
+    pub fn set_team(&mut self, team: Option<&Team>, dialect: &Arc<dyn Dialect>) {
+        dialect.strip_caller_fields(&mut self.fields);
+        if let RequestBody::Streamed(body) = &mut self.body {
+            *body = body.take().map(|inner| {
+                let dialect = dialect.clone();
+                body::boxed(CleanBody { inner, dialect })
+            });
+        }
+        // A name that no field can carry is not decoded in the first place.
+        let name = team.and_then(|team| HeaderValue::from_str(&team.name).ok());
+        if let Some(name) = name {
+            dialect.set_team(&mut self.fields, name);
+        }
+        self.team = team.map(Team::id);
+    }
+
     /// Returns a hash of what makes servers treat requests alike: the method, host, path,
-    /// query, body and credentials. Of a streamed body only the length is known.
+    /// query, body, credentials and team. Of a streamed body only the length is known.
     ///
     /// The caller's address is left out, since a caller may have several.
     pub fn fingerprint(&self) -> Fingerprint {
@@ -116,6 +142,9 @@
             }
             hash = base::hash::mix(hash, base::hash::of(&[name.as_str()]));
         }
+        if let Some(team) = self.team {
+            hash = base::hash::mix(hash, team);
+        }
         let body = match &self.body {
             RequestBody::Buffered { bytes, .. } => base::hash::of_bytes(bytes),
             RequestBody::Streamed(_) => {
--- a/crates/obs/src/calls.rs
+++ b/crates/obs/src/calls.rs
@@ -25,6 +25,10 @@
     pub caller: String,
     /// The name of the service, empty if no service matched.
     pub service: String,
+    /// The name of the team that made the call, empty if the call needed no key or its key
+    /// is unknown.
+    #[serde(default)]
+    pub team: String,
     /// The HTTP method.
     pub method: String,
     /// The path of the URL, without the query.
