Refuse layouts whose teams a peer of an earlier build dropped

Builds from before teams pass a layout on without them, and a VM that takes such a layout over lets every call pass. Settings now say with "teams" that the deployment has teams; the template of the platform sets it where a window of quotas is named. Such a VM takes no layout without teams from a peer, reads the registry itself at most every 300 ms instead, and responds 503 while no teams are known. Without the setting nothing changes, except that teams missing from the layout in force are added under the same number.

--- a/crates/conf/src/catalog.rs
+++ b/crates/conf/src/catalog.rs
@@ -9,6 +9,7 @@
 //! had left. Deleted entries are kept as tombstones for a while, so that peers learn
 //! of the deletion. See `docs/design/platform.md`.
 
+use std::cmp::Ordering;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -16,6 +17,7 @@
 use base::revisions;
 use base::revisions::RegistryRevisions;
 use base::Revision;
+use base::TicketNo;
 use base::Time;
 use serde::Deserialize;
 use serde::Serialize;
@@ -182,6 +184,11 @@
     /// The revision of the first list of the latest era that is known to a VM.
     listed: Revision,
     changes: u64,
+    /// Whether the deployment has teams, see [`Self::with_needs_teams`].
+    needs_teams: bool,
+    /// The number of the latest layout that a peer passed on without teams and that was not
+    /// taken over; 0 if there was none.
+    refused: TicketNo,
 }
 
 impl Instance {
@@ -206,6 +213,20 @@
         Self::default()
     }
 
+    /// Sets whether the deployment has teams. A layout without any is then not taken over
+    /// from peers: a VM of an earlier build may have dropped them. See
+    /// `docs/design/teams.md`.
+    pub fn with_needs_teams(mut self, needs_teams: bool) -> Self {
+        self.needs_teams = needs_teams;
+        self
+    }
+
+    /// Returns whether a peer has a newer layout that was not taken over from it, so that
+    /// this VM has to read the registry.
+    pub fn awaits_layout(&self) -> bool {
+        self.refused > self.layout().map_or(0, |layout| layout.ticket)
+    }
+
     /// Returns the number of changes since the catalog was created; heartbeats are
     /// not counted.
     pub fn change_count(&self) -> u64 {
@@ -276,9 +297,15 @@
     ///
     /// The ticket number must be higher than before: a ticket that is written later
     /// under a lower number never takes effect, and neither does one that a restored
-    /// copy of the registry brings back.
+    /// copy of the registry brings back. Only the teams that the layout in force lacks are
+    /// added to it under the same number.
     pub fn set_layout(&mut self, revision: Revision, layout: Arc<Layout>) -> bool {
-        if self.layout().is_some_and(|old| layout.ticket <= old.ticket) {
+        let is_newer = |old: &Arc<Layout>| match layout.ticket.cmp(&old.ticket) {
+            Ordering::Greater => true,
+            Ordering::Equal => old.teams.is_none() && layout.teams.is_some(),
+            Ordering::Less => false,
+        };
+        if !self.layout().is_none_or(is_newer) {
             return false;
         }
         self.layout = Some((revision, layout));
@@ -505,7 +532,11 @@
         let mut changed = false;
         self.note_list(update.listed);
         if let Some((revision, layout)) = update.layout {
-            changed |= self.set_layout(revision, layout);
+            if self.needs_teams && layout.teams.is_none() {
+                self.refused = self.refused.max(layout.ticket);
+            } else {
+                changed |= self.set_layout(revision, layout);
+            }
         }
         for entry in update.servers {
             changed |= self.set_server(&entry.name, entry.revision, entry.value, now);
@@ -559,7 +590,7 @@
         };
         let state =
             State::from_layout(*revision, layout, services.collect(), domain_orders, region);
-        Arc::new(state)
+        Arc::new(state.with_needs_teams(self.needs_teams))
     }
 
     /// Returns `service` with the servers that announce themselves for it, as of
--- a/crates/conf/src/settings.rs
+++ b/crates/conf/src/settings.rs
@@ -365,6 +365,10 @@
     /// Which calls are traced and where their spans are written.
     #[serde(default)]
     pub traces: Traces,
+    /// Whether the deployment has teams, so that no call may pass while the VM does not know
+    /// them. See `docs/design/teams.md`.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub teams: bool,
     /// Faults that are injected on purpose; `None` outside of tests.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub faults: Option<Faults>,
@@ -487,6 +491,11 @@
             "grace",
             "leaves no time for calls in flight after the notice; write a shorter notice",
         );
+        errors.require(
+            !self.teams || self.platform.interface == Interface::Registry,
+            "teams",
+            "only the registry has teams; write the interface \"registry\" or remove this field",
+        );
         self.check_faults(&mut errors);
         errors.into_result(())
     }
--- a/crates/conf/tests/catalog.rs
+++ b/crates/conf/tests/catalog.rs
@@ -9,10 +9,12 @@
 use conf::catalog::Instance;
 use conf::catalog::Update;
 use conf::layout::WeightedService;
+use conf::team::KeyDigest;
 use conf::Catalog;
 use conf::Layout;
 use conf::Mapping;
 use conf::Service;
+use conf::Team;
 
 /// Number of cases generated for each property.
 const CASES: u64 = 100_000;
@@ -270,3 +272,53 @@
         0
     );
 }
+
+/// Returns the layout of `ticket` with the one team `name`.
+fn layout_with_team(ticket: u64, name: &str) -> Arc<Layout> {
+    let mut layout = Layout::clone(&layout(ticket));
+    layout.teams = Some(vec![Team {
+        name: name.into(),
+        keys: vec![KeyDigest::new(b"k")],
+        rank: None,
+        quota: None,
+    }]);
+    Arc::new(layout)
+}
+
+fn update(revision: u64, layout: Arc<Layout>) -> Update {
+    Update {
+        layout: Some((revision, layout)),
+        ..Update::default()
+    }
+}
+
+#[test]
+fn merge_layout_without_teams_is_refused_where_there_are_teams() {
+    let mut catalog = Catalog::new().with_needs_teams(true);
+    assert!(!catalog.merge(update(3, layout(7)), Time::ZERO));
+    assert!(!catalog.has_layout() && catalog.awaits_layout());
+    assert!(!catalog.state("r", Time::ZERO).is_configured());
+    // The registry itself, or a peer of this build, has it with the teams.
+    assert!(catalog.set_layout(3, layout_with_team(7, "a")));
+    assert!(!catalog.awaits_layout());
+    assert!(!catalog.merge(update(4, layout(8)), Time::ZERO));
+    assert_eq!(catalog.layout(), Some(&layout_with_team(7, "a")));
+    assert!(catalog.awaits_layout());
+    assert!(catalog.merge(update(4, layout_with_team(8, "b")), Time::ZERO));
+    assert!(!catalog.awaits_layout());
+    // What the registry itself has is taken over, and no call passes without a key.
+    assert!(catalog.set_layout(5, layout(9)));
+    assert!(!catalog.awaits_layout());
+}
+
+#[test]
+fn merge_layout_without_teams_is_taken_over_elsewhere() {
+    let mut catalog = Catalog::new();
+    assert!(catalog.merge(update(3, layout(7)), Time::ZERO));
+    assert!(!catalog.awaits_layout());
+    // The teams that an earlier build dropped are added, and never taken away again.
+    assert!(catalog.merge(update(3, layout_with_team(7, "a")), Time::ZERO));
+    assert!(!catalog.merge(update(3, layout(7)), Time::ZERO));
+    assert!(!catalog.merge(update(3, layout_with_team(7, "b")), Time::ZERO));
+    assert_eq!(catalog.layout(), Some(&layout_with_team(7, "a")));
+}
--- a/crates/daemon/tests/harness/mod.rs
+++ b/crates/daemon/tests/harness/mod.rs
@@ -226,7 +226,9 @@
             ("internal_port_range.1", "7215".into()),
             ("ip", ip.to_string()),
         ];
-        let mut text = TEMPLATE.to_owned();
+        // The deployment has no teams.
+        let section = "{{#bounds.quota_window_s}}\"teams\": true,{{/bounds.quota_window_s}}";
+        let mut text = TEMPLATE.replace(section, "");
         for (name, value) in values {
             text = text.replace(&format!("{{{{{name}}}}}"), &value);
         }
--- a/crates/entry/src/proxy.rs
+++ b/crates/entry/src/proxy.rs
@@ -329,6 +329,10 @@
         };
         self.metrics
             .record_call(name, disposition.name(), &record.domain, took);
+        if !record.team.is_empty() {
+            self.metrics
+                .record_team_call(&record.team, disposition.name());
+        }
         if let Err(response) = &result {
             span.set_error(response.detail.clone());
             self.metrics.record_refusal(name, response.reason);
--- a/crates/entry/tests/request.rs
+++ b/crates/entry/tests/request.rs
@@ -1,25 +1,58 @@
-//! Which requests count as repeats of each other.
+//! Which requests count as repeats of each other, and what of them servers get.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 use bytes::Bytes;
+use conf::Team;
+use entry::dialect::Native;
+use entry::headers;
+use entry::request::CallBody;
 use entry::request::OutgoingRequest;
+use entry::request::BUFFERED_MAX_BYTES;
+use entry::Dialect;
+use http::HeaderMap;
 use http::Request;
+use http_body_util::BodyExt;
 use http_body_util::Full;
 use net::budget::MemoryBudget;
 
 const MAX_BODY: usize = 1 << 20;
 
-fn fingerprint(request: Request<&'static str>, peer: &str) -> u64 {
+fn outgoing<B: CallBody>(request: Request<B>, peer: &str) -> OutgoingRequest {
     let (parts, body) = request.into_parts();
     let peer: SocketAddr = peer.parse().unwrap();
-    let body = Full::new(Bytes::from_static(body.as_bytes()));
     let budget = MemoryBudget::new(MAX_BODY);
     let outgoing = OutgoingRequest::new(parts, body, peer, MAX_BODY, &budget);
     let Ok(outgoing) = smol::block_on(outgoing) else {
         panic!("the request is valid");
     };
-    outgoing.fingerprint()
+    outgoing
+}
+
+fn fingerprint(request: Request<&'static str>, peer: &str) -> u64 {
+    let request = request.map(|body| Full::new(Bytes::from_static(body.as_bytes())));
+    outgoing(request, peer).fingerprint()
+}
+
+/// Returns the request to servers of a call that `team` makes with `key`.
+fn of_team<B: CallBody>(body: B, key: &str, team: Option<&str>) -> OutgoingRequest {
+    let request = request("/a")
+        .header(headers::KEY, key)
+        .header(headers::TEAM, "forged")
+        .header("connection", "snipepaddle-team")
+        .body(body)
+        .unwrap();
+    let team = team.map(|name| Team {
+        name: name.into(),
+        keys: Vec::new(),
+        rank: None,
+        quota: None,
+    });
+    let dialect: Arc<dyn Dialect> = Arc::new(Native);
+    let mut outgoing = outgoing(request, "10.0.0.1:1000");
+    outgoing.set_team(team.as_ref(), &dialect);
+    outgoing
 }
 
 fn request(path: &str) -> http::request::Builder {
@@ -62,3 +95,48 @@
     all.dedup();
     assert_eq!(all.len(), count);
 }
+
+#[test]
+fn fingerprint_depends_on_the_team_and_not_on_its_key() {
+    let of = |key, team| of_team(Full::new(Bytes::new()), key, team).fingerprint();
+    assert_eq!(of("k1", Some("a")), of("k2", Some("a")));
+    assert_ne!(of("k1", Some("a")), of("k1", Some("b")));
+    assert_ne!(of("k1", Some("a")), of("k1", None));
+    let plain = request("/a").body("").unwrap();
+    assert_eq!(of("k1", None), fingerprint(plain, "10.0.0.1:1000"));
+}
+
+#[test]
+fn set_team_replaces_what_the_caller_wrote_in_every_attempt() {
+    for (team, expected) in [(Some("a"), Some("a")), (None, None)] {
+        let mut outgoing = of_team(Full::new(Bytes::from_static(b"x")), "k", team);
+        for _ in 0..2 {
+            let request = outgoing.build().unwrap();
+            let fields = request.headers();
+            assert!(!fields.contains_key(headers::KEY));
+            let teams: Vec<_> = fields.get_all(headers::TEAM).iter().collect();
+            assert_eq!(teams, expected.into_iter().collect::<Vec<_>>());
+        }
+    }
+}
+
+#[test]
+fn set_team_removes_keys_and_teams_from_trailers() {
+    let large = vec![0; BUFFERED_MAX_BYTES + 1];
+    for size in [1, large.len()] {
+        let mut trailers = HeaderMap::new();
+        trailers.insert(headers::KEY, "k".parse().unwrap());
+        trailers.insert(headers::TEAM, "forged".parse().unwrap());
+        trailers.insert("x-sum", "1".parse().unwrap());
+        let body = net::body::with_trailers(Bytes::copy_from_slice(&large[..size]), trailers);
+        let mut outgoing = of_team(body, "k", Some("a"));
+        let body = outgoing.build().unwrap().into_body();
+        let collected = smol::block_on(body.collect()).unwrap();
+        let left = collected.trailers().cloned().unwrap_or_default();
+        assert!(!left.contains_key(headers::KEY), "{size}");
+        assert!(!left.contains_key(headers::TEAM), "{size}");
+        // A body that is buffered loses its trailers.
+        assert_eq!(left.contains_key("x-sum"), size > 1);
+        assert_eq!(collected.to_bytes().len(), size);
+    }
+}
--- a/crates/load/src/fleet.rs
+++ b/crates/load/src/fleet.rs
@@ -429,6 +429,7 @@
             share: 0.0,
             file: None,
         },
+        teams: false,
         faults: None,
     }
 }
--- a/crates/node/src/readers.rs
+++ b/crates/node/src/readers.rs
@@ -68,6 +68,10 @@
 const START_FLEET_MIN: u32 = 64;
 /// The shortest delay after which a VM that does not read checks whether it should.
 pub(crate) const CHECK_DELAY_MIN: Duration = Duration::from_millis(50);
+/// The time between reads of a layout that peers have and that cannot be taken over from
+/// them. It bounds what a large fleet costs the registry, and is short beside the time in
+/// which a layout has to be in force.
+const AWAITED_READ_INTERVAL: Duration = Duration::from_millis(300);
 /// The longest delay after which a VM that does not read checks whether it should. A VM
 /// that has become a reader begins to read within this time.
 const CHECK_DELAY_MAX: Duration = Duration::from_millis(500);
@@ -270,7 +274,10 @@
 
     /// Returns the delay after which to check again whether this VM should read.
     pub(crate) fn next_read_check(&self) -> Duration {
-        if !lock(&self.catalog).is_populated() {
+        let catalog = lock(&self.catalog);
+        let is_due = !catalog.is_populated() || catalog.awaits_layout();
+        drop(catalog);
+        if is_due {
             return CHECK_DELAY_MIN;
         }
         let age = Duration::from_millis(u64::from(self.registry_age()));
@@ -287,6 +294,10 @@
     /// Returns whether this VM should read `topic` now.
     pub(crate) fn should_read(&self, topic: Topic) -> bool {
         let now = self.clock.now();
+        let awaited_at = self.topic_reads.read_at(topic) + AWAITED_READ_INTERVAL;
+        if topic == Topic::Layout && now > awaited_at && lock(&self.catalog).awaits_layout() {
+            return true;
+        }
         if !lock(&self.catalog).is_populated() {
             // Too little of the membership is known to choose readers.
             let is_seed = self
--- a/crates/node/src/registry.rs
+++ b/crates/node/src/registry.rs
@@ -111,8 +111,19 @@
     pub(crate) fn apply_update(&self, update: Update) {
         let now = self.clock.now();
         let age = update.age;
-        let changed = lock(&self.catalog).merge(update, now);
-        if let Some(age) = age {
+        let mut catalog = lock(&self.catalog);
+        let awaited = catalog.awaits_layout();
+        let changed = catalog.merge(update, now);
+        let awaits = catalog.awaits_layout();
+        drop(catalog);
+        if awaits && !awaited {
+            log::warn!(
+                "registry: a peer passed a layout on without its teams; reading it from the \
+                 registry"
+            );
+        }
+        // What the peer knows is then not what this VM has in force.
+        if let Some(age) = age.filter(|_| !awaits) {
             self.confirm(age);
         }
         if changed {
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -233,6 +233,7 @@
         let now = parts.clock.now();
         let self_id = parts.settings.vm_id();
         let buffer = parts.settings.callers.buffer;
+        let catalog = Catalog::new().with_needs_teams(parts.settings.teams);
         let view = View::new(&parts.members);
         let pools = Pools::new(parts.handle.clone(), parts.clock, parts.lost_connections);
         let mut remembered_keys = ClaimTable::new(self_id, now);
@@ -247,7 +248,7 @@
             store: parts.store,
             registry: parts.registry,
             dialect: parts.dialect,
-            catalog: Mutex::default(),
+            catalog: Mutex::new(catalog),
             applied_changes: AtomicU64::new(0),
             confirmed_ms: AtomicU64::new(0),
             registry_failed_ms: AtomicU64::new(0),
--- a/crates/obs/src/metrics.rs
+++ b/crates/obs/src/metrics.rs
@@ -36,6 +36,7 @@
     calls: Counter<u64>,
     attempts: Counter<u64>,
     refusals: Counter<u64>,
+    team_calls: Counter<u64>,
     call_time: Histogram<f64>,
     added_time: Histogram<f64>,
     permit_time: Histogram<f64>,
@@ -71,6 +72,7 @@
             calls: counter("calls", "Calls by service, outcome and failure domain"),
             attempts: counter("attempts", "Attempts by service and end"),
             refusals: counter("refusals", "Calls refused by service and reason"),
+            team_calls: counter("team_calls", "Calls by team and outcome"),
             call_time: histogram("call_time", "Time to the head of the answer"),
             added_time: histogram("added_time", "Time to the head less that of the server"),
             permit_time: histogram("permit_time", "Time to get a permit"),
@@ -139,6 +141,16 @@
         self.refusals.add(1, &labels);
     }
 
+    /// Counts a call that has ended. `team` is the name of a team of the configuration, so
+    /// that callers cannot add series.
+    pub fn record_team_call(&self, team: &str, outcome: &'static str) {
+        let labels = [
+            KeyValue::new("team", team.to_owned()),
+            KeyValue::new("outcome", outcome),
+        ];
+        self.team_calls.add(1, &labels);
+    }
+
     /// Returns all metrics in the text format of Prometheus.
     pub fn prometheus_text(&self) -> Result<Vec<u8>, Error> {
         let mut text = Vec::new();
--- a/review/vm.rs
+++ b/review/vm.rs
@@ -66,6 +66,11 @@
             let front = free_port();
             let ready = free_port();
             let values = [
+                // The deployment has no teams.
+                (
+                    "{{#bounds.quota_window_s}}\"teams\": true,{{/bounds.quota_window_s}}",
+                    String::new(),
+                ),
                 ("{{node|json}}", format!("\"{name}\"")),
                 (
                     "{{zone|json}}",
