Keep the quotas of teams over the fleet

A configuration can limit how often a team calls over all VMs together, and nothing kept that limit: each VM sees a small part of a team's calls, and the sum must hold for VMs out of touch too.

Each VM now owns the same part of every quota and delegates it to one home for a lease; the home grants tokens out of the parts that it holds, and calls beyond the quota get 429 at once. The proxy asks once per call by a function that yields no team until authentication is joined.

--- a/crates/conf/src/settings.rs
+++ b/crates/conf/src/settings.rs
@@ -43,6 +43,9 @@
     ProbePool,
 }
 
+/// The shortest window of quotas: tokens are up to 0.2 s late.
+const QUOTA_WINDOW_MIN: Duration = Duration::from_secs(1);
+
 /// Where callers connect, and the limits for them.
 #[serde_as]
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -226,6 +229,19 @@
     pub slack: u32,
 }
 
+/// The tolerance within which the quotas of teams are kept; see `docs/design/quotas.md`.
+#[serde_as]
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Quotas {
+    /// The time over which calls are counted.
+    #[serde_as(as = "Span")]
+    pub window: Duration,
+    /// The excess as a fraction of the quota over the window.
+    pub excess: f64,
+    /// The number of calls that may come on top.
+    pub slack: u32,
+}
+
 /// How to reach the platform.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Platform {
@@ -334,6 +350,9 @@
     /// service sets.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub second_attempts: Option<SecondAttempts>,
+    /// The tolerance within which the quotas of teams are kept; `None` for none.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub quotas: Option<Quotas>,
     /// How long the VM continues to accept calls after it reports that it is not
     /// ready, so that the load balancer in front of it notices.
     #[serde_as(as = "Span")]
@@ -487,10 +506,27 @@
             "grace",
             "leaves no time for calls in flight after the notice; write a shorter notice",
         );
+        self.check_quotas(&mut errors);
         self.check_faults(&mut errors);
         errors.into_result(())
     }
 
+    fn check_quotas(&self, errors: &mut ValidationErrors) {
+        let Some(quotas) = self.quotas else {
+            return;
+        };
+        errors.require(
+            quotas.window >= QUOTA_WINDOW_MIN,
+            "quotas.window",
+            "less than 1s, within which no quota can be kept; write at least 1s",
+        );
+        errors.require(
+            (0.0..=1.0).contains(&quotas.excess),
+            "quotas.excess",
+            "out of range; write 0 to 1",
+        );
+    }
+
     fn check_faults(&self, errors: &mut ValidationErrors) {
         let mut listeners = self.callers.listen.iter().chain([&self.peers.listen]);
         errors.require(
--- a/crates/conf/src/state.rs
+++ b/crates/conf/src/state.rs
@@ -16,6 +16,7 @@
 use crate::server::Server;
 use crate::service::CallRule;
 use crate::service::Service;
+use crate::team::Team;
 use crate::ticket::Domain;
 
 /// The configuration in force on a VM. It is immutable; a change of the configuration
@@ -143,6 +144,15 @@
         self.layout.as_ref()?.limits
     }
 
+    /// Returns the teams of the layout in force; none if calls need no keys.
+    pub fn teams(&self) -> &[Team] {
+        let teams = self
+            .layout
+            .as_ref()
+            .and_then(|layout| layout.teams.as_ref());
+        teams.map_or(&[], Vec::as_slice)
+    }
+
     /// Returns the service that a call belongs to and how the call is treated, or
     /// `None` if no service or mapping matches. The random number `draw`, from 0 to 1,
     /// chooses among the services of a mapping.
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -27,6 +27,7 @@
 pub use pool::Pools;
 pub use ports::Permit;
 pub use ports::Ports;
+pub use ports::QuotaUse;
 pub use ports::Refusal;
 pub use ports::ServerReport;
 pub use proxy::Proxy;
--- a/crates/entry/src/ports.rs
+++ b/crates/entry/src/ports.rs
@@ -10,6 +10,7 @@
 use base::ServerId;
 use base::ServiceId;
 use base::ShardId;
+use base::TeamId;
 use base::Time;
 use conf::Service;
 use conf::State;
@@ -22,6 +23,7 @@
 use route::msg::PermitRequest;
 use route::msg::RefusalReason;
 use route::notices::Notice;
+use route::quota::Token;
 use route::AttemptId;
 
 /// The right to send one attempt to one server.
@@ -55,6 +57,9 @@
     pub interval: Option<Duration>,
 }
 
+/// The use of a team's quota by one call; `None` if nothing limits the calls of the team.
+pub type QuotaUse = Option<Token>;
+
 /// What the call path requires of its VM: configuration, time, permits and idempotency
 /// keys.
 pub trait Ports: Send + Sync {
@@ -78,6 +83,13 @@
     /// Waits until a call that may take until `deadline` can no longer be sent on.
     fn stopped_before(&self, deadline: Time) -> BoxFuture<'_, ()>;
 
+    /// Takes a token of the quota of `team` for one call, whatever its attempts. Dropping the
+    /// future gives the token up.
+    fn take_quota(&self, team: TeamId) -> BoxFuture<'_, Result<QuotaUse, Refusal>>;
+
+    /// Gives the token back of a call that certainly did not run.
+    fn give_quota_back(&self, used: QuotaUse);
+
     /// Requests a permit for an attempt at some server of `service`. Dropping the
     /// future cancels the request.
     fn acquire(
--- a/crates/entry/src/proxy.rs
+++ b/crates/entry/src/proxy.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use base::DomainId;
+use base::TeamId;
 use base::Time;
 use bytes::Bytes;
 use conf::service::CallRule;
@@ -66,6 +67,7 @@
 use crate::pool::Pools;
 use crate::ports::Permit;
 use crate::ports::Ports;
+use crate::ports::QuotaUse;
 use crate::ports::Refusal;
 use crate::ports::ServerReport;
 use crate::progress::Progress;
@@ -371,17 +373,20 @@
         let outgoing = net::timeout(limit, Box::pin(reading))
             .await
             .unwrap_or_else(|| Err(slow_body()))?;
+        let team = team_of_call();
+        let used = self.take_quota(team).await?;
         let claim = match key {
             Some(key) => {
                 progress.set_stage(Stage::Claim);
-                Some(self.claim(key).await?)
+                let claimed = self.claim(key).await;
+                Some(claimed.inspect_err(|_| self.ports.give_quota_back(used))?)
             }
             None => None,
         };
         let call = Call {
             service,
             rule,
-            team: None,
+            team,
             deadline: began + limit,
             target_time: (began + rule.target).saturating_sub(elapsed),
             span,
@@ -394,14 +399,36 @@
             may_have_run: Mutex::default(),
         };
         let result = Box::pin(self.attempt_with_retries(call, outgoing)).await;
-        if let (Some(claim), Err(response)) = (claim, &result) {
-            if response.disposition == Disposition::NotRun {
+        let not_run = |response: &LocalResponse| response.disposition == Disposition::NotRun;
+        if result.as_ref().is_err_and(not_run) {
+            self.ports.give_quota_back(used);
+            if let Some(claim) = claim {
                 self.ports.forget(claim);
             }
         }
         result
     }
 
+    /// Takes a token of the team's quota for a call, once for all of its attempts.
+    ///
+    /// # Errors
+    ///
+    /// Returns the response to the caller if the quota is used up.
+    async fn take_quota(&self, team: Option<TeamId>) -> Result<QuotaUse, LocalResponse> {
+        let Some(team) = team else {
+            return Ok(None);
+        };
+        self.ports.take_quota(team).await.map_err(|refused| {
+            LocalResponse::not_run(
+                StatusCode::TOO_MANY_REQUESTS,
+                refused.reason.name(),
+                "the team has used up its quota; send fewer calls, or try again after the given \
+                 time",
+            )
+            .with_retry_after(refused.retry_after)
+        })
+    }
+
     /// Claims an idempotency key.
     ///
     /// # Errors
@@ -735,6 +762,11 @@
     )
 }
 
+/// Returns the team whose key the call carries; none while calls need no key.
+fn team_of_call() -> Option<TeamId> {
+    None
+}
+
 /// Returns the hash of the caller's idempotency key, if the call has one and must not run
 /// twice. The hash includes the name of the service, so calls of different services may
 /// have the same key.
--- a/crates/node/src/gauges.rs
+++ b/crates/node/src/gauges.rs
@@ -5,6 +5,7 @@
 
 use entry::Ports;
 use opentelemetry::metrics::Meter;
+use route::quota::Counts;
 
 use crate::shared::Shared;
 
@@ -187,6 +188,7 @@
         "Time since the copy of the registry was known to be up to date",
         |s| u64::from(s.registry_age()),
     );
+    register_quotas(&meter, &weak);
     gauge(
         &meter,
         &weak,
@@ -196,6 +198,43 @@
     );
 }
 
+/// Registers the gauges of the quotas of teams.
+fn register_quotas(meter: &Meter, weak: &Weak<Shared>) {
+    let count = |name, description, value: fn(&Counts) -> u64| {
+        gauge(meter, weak, name, description, move |s| {
+            value(&s.quota_counts().counts)
+        });
+    };
+    count("quota_granted", "Calls that got a token of a quota", |c| {
+        c.granted
+    });
+    count("quota_refused", "Calls beyond the quota of a team", |c| {
+        c.refused
+    });
+    count(
+        "quota_unanswered",
+        "Calls refused because no home of the quotas answered",
+        |c| c.unanswered,
+    );
+    count("quota_messages", "Messages sent about quotas", |c| {
+        c.messages
+    });
+    gauge(
+        meter,
+        weak,
+        "quota_wait_us",
+        "Time that calls waited for tokens of quotas, in total",
+        |s| s.quota_counts().waited.as_micros() as u64,
+    );
+    gauge(
+        meter,
+        weak,
+        "quota_share_permille",
+        "Share of the quotas that this VM holds as their home",
+        |s| (s.quota_counts().share * 1e3) as u64,
+    );
+}
+
 fn gauge(
     meter: &Meter,
     weak: &Weak<Shared>,
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod node;
 pub mod peers;
 pub mod ports;
+pub mod quotas;
 pub mod reach;
 pub mod readers;
 pub mod registry;
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -423,6 +423,7 @@
             self.kill.trigger();
             net::timeout(CLOSE_TIMEOUT, self.shared.stop.wait_finished()).await;
         }
+        self.shared.leave_quotas();
         self.shared.with_members(Membership::leave);
         self.shared.outbox.flush(&*self.shared.transport).await;
         self.shared.spans.flush();
--- a/crates/node/src/ports.rs
+++ b/crates/node/src/ports.rs
@@ -9,12 +9,14 @@
 use base::Outcome;
 use base::ServerId;
 use base::ServiceId;
+use base::TeamId;
 use base::Time;
 use conf::settings::Policy;
 use conf::Service;
 use conf::State;
 use entry::Permit;
 use entry::Ports;
+use entry::QuotaUse;
 use entry::Refusal;
 use entry::ServerReport;
 use net::BoxFuture;
@@ -211,6 +213,14 @@
         })
     }
 
+    fn take_quota(&self, team: TeamId) -> BoxFuture<'_, Result<QuotaUse, Refusal>> {
+        Box::pin(Shared::take_quota(self, team))
+    }
+
+    fn give_quota_back(&self, used: QuotaUse) {
+        Shared::give_quota_back(self, used);
+    }
+
     fn acquire(
         &self,
         service: ServiceId,
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -57,6 +57,7 @@
 use wire::Transport;
 
 use crate::claims::PendingClaims;
+use crate::quotas::TeamQuotas;
 use crate::reach::Reach;
 use crate::readers::TopicReads;
 use crate::restores::Restores;
@@ -159,6 +160,8 @@
     pub(crate) notices: Mutex<Notices>,
     /// The requests under which servers crashed.
     pub(crate) crashes: Mutex<CrashTable>,
+    /// The quotas of the teams of the configuration in force.
+    pub(crate) quotas: TeamQuotas,
     /// Whether this VM has a path to servers.
     pub(crate) reach: Reach,
     /// Serializes changes of `state` and `table`.
@@ -277,6 +280,7 @@
             memory: MemoryBudget::new(buffer),
             notices: Mutex::default(),
             crashes: Mutex::default(),
+            quotas: TeamQuotas::default(),
             listeners: parts.listeners,
             reach: Reach::default(),
             refresh_lock: Mutex::new(()),
@@ -356,6 +360,7 @@
         lock(&self.remembered_keys).set_view(&view.vms, complete, self.clock.now());
         write(&self.view, view.clone());
         self.send_crashes_to_joined(&old, &view);
+        self.update_quota_view(&view);
         let refresh_guard = lock(&self.refresh_lock);
         let pending = self.update_fleet();
         drop(refresh_guard);
@@ -468,8 +473,9 @@
         write(&self.table, Arc::new(ShardTable::new(both)));
         let is_new = !Arc::ptr_eq(&read(&self.state), &state);
         if is_new {
-            write(&self.state, state);
+            write(&self.state, state.clone());
             write(&self.in_force_since, now);
+            self.set_quotas(&state);
         }
         write(&self.table, next);
         pending
@@ -517,6 +523,7 @@
             let effects = shard.resume_after_pause(now);
             self.run_effects(shard, effects);
         }
+        self.resume_quotas(now);
     }
 
     /// Waits for the next tick of the followers and the membership:
@@ -545,6 +552,7 @@
         self.check_pause();
         let now = self.clock.now();
         self.with_members(|members| members.tick(now));
+        self.tick_quotas(now);
         for shard in self.table().shards() {
             let effects = shard.tick_follower(now);
             self.run_effects(shard, effects);
@@ -579,6 +587,7 @@
             Msg::Key(msg) => self.receive_key(from, msg),
             Msg::Crash(msg) => self.receive_crash(msg),
             Msg::Relay(msg) => self.receive_relay(from, msg),
+            Msg::Quota(msg) => self.receive_quota(from, msg),
         }
     }
 
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod policy;
 pub mod queue;
 pub mod quorum;
+pub mod quota;
 pub mod rate_limit;
 pub mod shards;
 pub mod spec;
--- a/crates/route/src/msg.rs
+++ b/crates/route/src/msg.rs
@@ -98,6 +98,8 @@
     CrashesServers,
     /// The VM stops, and the call might not end before the VM does.
     Stopping,
+    /// The team of the call has used up its quota.
+    Quota,
 }
 
 /// The result of a health check of a server.
@@ -128,6 +130,7 @@
             Self::Expired => "expired",
             Self::CrashesServers => "crashes-servers",
             Self::Stopping => "stopping",
+            Self::Quota => "quota",
         }
     }
 }
--- /dev/null
+++ b/crates/route/src/quota/delegator.rs
@@ -0,0 +1,119 @@
+//! To whom a VM delegates its part of the quotas, and for how long.
+
+use std::time::Duration;
+
+use base::Time;
+use base::VmId;
+
+use crate::instance;
+use crate::instance::InstanceId;
+use crate::quota::with_margin;
+use crate::quota::CREDIT_LIFE;
+use crate::quota::HOLD;
+use crate::quota::LEASE;
+
+/// A process of a home.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Lessee {
+    pub(crate) vm: VmId,
+    pub(crate) instance: InstanceId,
+}
+
+/// What a VM delegates, as fractions of each quota and of each credit.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Delegation {
+    /// The share of each quota.
+    pub share: f64,
+    /// The share of each credit.
+    pub credit: f64,
+}
+
+/// The delegator's side of a VM's part: at any time at most one home may use it.
+#[derive(Clone, Debug)]
+pub struct Delegator {
+    lessee: Option<Lessee>,
+    /// The latest stamp of the lessee, by its clock.
+    stamp: Time,
+    /// When no lease runs any more, of this process or an earlier one.
+    until: Time,
+    /// The home that got the last credit.
+    credited: Option<Lessee>,
+    /// When a credit may be given again.
+    credit_from: Time,
+}
+
+impl Delegator {
+    /// Creates the delegator of a process that started at `start`. An earlier process may
+    /// have delegated the part just before, so it is free after a lease only.
+    pub fn new(start: Time, window: Duration) -> Self {
+        Self {
+            lessee: None,
+            stamp: Time::ZERO,
+            until: start + with_margin(LEASE),
+            credited: None,
+            credit_from: start + with_margin(window + CREDIT_LIFE),
+        }
+    }
+
+    /// Delegates to the process `instance` of `vm`, whose clock shows `stamp`, among `fleet`
+    /// VMs; `None` for a process that is known to have ended.
+    pub fn collect(
+        &mut self,
+        (vm, instance): (VmId, InstanceId),
+        stamp: Time,
+        fleet: u32,
+        window: Duration,
+        now: Time,
+    ) -> Option<Delegation> {
+        let home = Lessee { vm, instance };
+        let runs = |known: &Lessee| known.vm == vm && now < self.until;
+        if let Some(known) = self.lessee.filter(runs) {
+            if instance::is_older(instance, known.instance) {
+                return None;
+            }
+            if known != home {
+                self.end_within(HOLD, now);
+            }
+        }
+        let part = 1.0 / f64::from(fleet.max(1));
+        let is_free = self.lessee == Some(home) || now >= self.until;
+        if is_free {
+            self.until = self.until.max(now + with_margin(LEASE));
+            let renewed = self.lessee == Some(home);
+            self.stamp = if renewed {
+                self.stamp.max(stamp)
+            } else {
+                stamp
+            };
+            self.lessee = Some(home);
+        }
+        let is_new = self.credited != Some(home) && now >= self.credit_from;
+        if is_new {
+            self.credited = Some(home);
+            self.credit_from = now + with_margin(window + CREDIT_LIFE);
+        }
+        Some(Delegation {
+            share: if is_free { part } else { 0.0 },
+            credit: if is_new { part } else { 0.0 },
+        })
+    }
+
+    /// Records that a home, whose clock showed `stamp`, uses the part no longer, and that its
+    /// tokens can be used for `held`. A return from before the current lease is void.
+    pub fn take_back(
+        &mut self,
+        (vm, instance): (VmId, InstanceId),
+        stamp: Time,
+        held: Duration,
+        now: Time,
+    ) {
+        if self.lessee == Some(Lessee { vm, instance }) && self.stamp <= stamp {
+            self.end_within(held, now);
+        }
+    }
+
+    fn end_within(&mut self, held: Duration, now: Time) {
+        self.until = self.until.min(now + with_margin(held));
+        self.lessee = None;
+    }
+}
--- /dev/null
+++ b/crates/route/src/quota/desk.rs
@@ -0,0 +1,243 @@
+//! The tokens of one VM: what it asks the home for, and what it holds.
+
+use std::time::Duration;
+
+use base::TeamId;
+use base::Time;
+use base::VmId;
+
+use crate::quota::AskId;
+use crate::quota::ASK_LIMIT;
+use crate::quota::GIVE_BACK_LIMIT;
+use crate::quota::HOLD;
+
+/// The time over which the demand of a team is averaged.
+const DEMAND_TIME: Duration = Duration::from_secs(1);
+/// The most tokens that are asked for ahead.
+const EXTRA_MAX: f64 = 8.0;
+/// For how long calls are refused unasked after the home has refused one.
+const CLOSED_MAX: Duration = Duration::from_millis(100);
+/// When a team without calls is forgotten.
+const IDLE_TIME: Duration = Duration::from_secs(5);
+/// The most asks at once. Beyond it calls are refused.
+const ASKS_MAX: usize = 4096;
+
+/// The right to run one call of a team.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Token {
+    /// The team.
+    pub team: TeamId,
+    /// The ask that was granted.
+    pub ask: AskId,
+    /// The VM that granted it.
+    pub home: VmId,
+    /// When the token was taken.
+    pub at: Time,
+    /// When a token that was granted ahead lapses; `None` for others.
+    pub until: Option<Time>,
+}
+
+/// The result of taking a token.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Taken {
+    /// The call may run.
+    Now(Token),
+    /// There will be a token after this time.
+    Refused(Duration),
+    /// The home has to be asked, for so many tokens more than one.
+    Wait(AskId, u32),
+}
+
+/// An ask that has no answer yet.
+#[derive(Clone, Copy, Debug)]
+struct Ask {
+    ask: AskId,
+    team: TeamId,
+    extra: u32,
+    at: Time,
+}
+
+/// What the VM knows of a team.
+#[derive(Clone, Copy, Debug)]
+struct Entry {
+    team: TeamId,
+    /// Tokens that were granted ahead, all by one ask.
+    tokens: u32,
+    until: Time,
+    ask: AskId,
+    home: VmId,
+    /// When the home will have a token, if it refused one.
+    retry_at: Time,
+    /// Until when calls are refused unasked.
+    closed_until: Time,
+    /// Calls per second.
+    demand: f64,
+    seen: Time,
+}
+
+/// The tokens of one VM.
+#[derive(Clone, Debug)]
+pub struct Desk {
+    /// Sorted by team.
+    entries: Vec<Entry>,
+    /// Sorted by number.
+    asks: Vec<Ask>,
+    next: AskId,
+}
+
+impl Desk {
+    /// Creates the desk of a process, whose asks have the numbers from `first` on.
+    pub fn new(first: AskId) -> Self {
+        Self {
+            entries: Vec::new(),
+            asks: Vec::new(),
+            next: first,
+        }
+    }
+
+    /// Takes a token of `team` for a call.
+    pub fn take(&mut self, team: TeamId, now: Time) -> Taken {
+        let entry = self.entry(team, now);
+        entry.count_call(now);
+        if entry.tokens > 0 && now < entry.until {
+            entry.tokens -= 1;
+            return Taken::Now(Token {
+                team,
+                ask: entry.ask,
+                home: entry.home,
+                at: now,
+                until: Some(entry.until),
+            });
+        }
+        if now < entry.closed_until {
+            return Taken::Refused(entry.retry_at.saturating_sub(now));
+        }
+        let extra = (entry.demand * HOLD.as_secs_f64()).min(EXTRA_MAX) as u32;
+        if self.asks.len() >= ASKS_MAX {
+            return Taken::Refused(ASK_LIMIT);
+        }
+        let ask = self.next;
+        self.next = self.next.wrapping_add(1);
+        let at = now;
+        self.asks.push(Ask {
+            ask,
+            team,
+            extra,
+            at,
+        });
+        Taken::Wait(ask, extra)
+    }
+
+    /// Returns the team of an ask without an answer, and how many tokens it asks for ahead.
+    pub fn pending(&self, ask: AskId) -> Option<(TeamId, u32)> {
+        let found = self.asks.iter().find(|pending| pending.ask == ask)?;
+        Some((found.team, found.extra))
+    }
+
+    /// Records a grant of `home`. Returns the token of the call that asked; `None` if it no
+    /// longer waits.
+    pub fn granted(&mut self, home: VmId, ask: AskId, mut extra: u32, now: Time) -> Option<Token> {
+        let asked = self.remove(ask)?;
+        let team = asked.team;
+        let until = asked.at + HOLD;
+        // The call no longer waits; its token is as good as one that was granted ahead only
+        // if the home counts it so, which it does not.
+        let token = (now < asked.at + ASK_LIMIT).then_some(Token {
+            team,
+            ask,
+            home,
+            at: now,
+            until: None,
+        });
+        extra = extra.min(asked.extra);
+        let entry = self.entry(team, now);
+        entry.closed_until = Time::ZERO;
+        if extra > 0 && now < until {
+            entry.tokens = extra;
+            entry.until = until;
+            entry.ask = ask;
+            entry.home = home;
+        }
+        token
+    }
+
+    /// Records that the home has no token for an ask until `retry_after` has passed. Returns
+    /// whether the ask waited.
+    pub fn denied(&mut self, ask: AskId, retry_after: Duration, now: Time) -> bool {
+        let Some(asked) = self.remove(ask) else {
+            return false;
+        };
+        let entry = self.entry(asked.team, now);
+        entry.retry_at = now + retry_after;
+        entry.closed_until = now + retry_after.min(CLOSED_MAX);
+        true
+    }
+
+    /// Gives up an ask whose call no longer waits.
+    pub fn give_up(&mut self, ask: AskId) {
+        self.remove(ask);
+    }
+
+    /// Takes a token back whose call certainly did not run. Returns the home that has to be
+    /// told; `None` if nobody has.
+    pub fn give_back(&mut self, token: Token, now: Time) -> Option<VmId> {
+        let Some(until) = token.until else {
+            return (now < token.at + GIVE_BACK_LIMIT).then_some(token.home);
+        };
+        let entry = self.entry(token.team, now);
+        if entry.ask == token.ask && entry.until == until {
+            entry.tokens += 1;
+        }
+        None
+    }
+
+    /// Drops all tokens, after a pause.
+    pub fn drop_tokens(&mut self) {
+        for entry in &mut self.entries {
+            entry.tokens = 0;
+        }
+    }
+
+    /// Forgets asks that nobody waits for and teams without calls.
+    pub fn tick(&mut self, now: Time) {
+        self.asks.retain(|ask| now < ask.at + ASK_LIMIT * 2);
+        self.entries.retain(|entry| now < entry.seen + IDLE_TIME);
+    }
+
+    fn remove(&mut self, ask: AskId) -> Option<Ask> {
+        let index = self.asks.iter().position(|pending| pending.ask == ask)?;
+        Some(self.asks.remove(index))
+    }
+
+    fn entry(&mut self, team: TeamId, now: Time) -> &mut Entry {
+        let found = self.entries.binary_search_by_key(&team, |entry| entry.team);
+        let index = found.unwrap_or_else(|index| {
+            self.entries.insert(index, Entry::new(team, now));
+            index
+        });
+        &mut self.entries[index]
+    }
+}
+
+impl Entry {
+    fn new(team: TeamId, now: Time) -> Self {
+        Self {
+            team,
+            tokens: 0,
+            until: Time::ZERO,
+            ask: 0,
+            home: 0,
+            retry_at: Time::ZERO,
+            closed_until: Time::ZERO,
+            demand: 0.0,
+            seen: now,
+        }
+    }
+
+    fn count_call(&mut self, now: Time) {
+        let gap = now.saturating_sub(self.seen).as_secs_f64();
+        let time = DEMAND_TIME.as_secs_f64();
+        self.demand = self.demand * (-gap / time).exp() + 1.0 / time;
+        self.seen = now;
+    }
+}
--- /dev/null
+++ b/crates/route/src/quota/home.rs
@@ -0,0 +1,230 @@
+//! The home of the quotas: it collects the parts and grants tokens out of them.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use base::TeamId;
+use base::Time;
+use base::VmId;
+
+use crate::quota::bucket::Bucket;
+use crate::quota::bucket::Inflow;
+use crate::quota::parts::Parts;
+use crate::quota::AskId;
+use crate::quota::Limit;
+use crate::quota::Terms;
+use crate::quota::ASK_LIMIT;
+use crate::quota::CREDIT_LIFE;
+use crate::quota::GIVE_BACK_LIMIT;
+use crate::quota::HOLD;
+
+/// How long a grant is remembered, so that a repeated ask takes no second token.
+const RECENT_TIME: Duration = ASK_LIMIT.saturating_add(GIVE_BACK_LIMIT);
+
+/// A token that was granted a moment ago.
+#[derive(Clone, Copy, Debug)]
+struct Recent {
+    vm: VmId,
+    ask: AskId,
+    team: TeamId,
+    extra: u32,
+    at: Time,
+}
+
+/// The home's side of the quotas.
+#[derive(Clone, Debug)]
+pub struct Home {
+    terms: Terms,
+    parts: Parts,
+    /// Sorted by team.
+    buckets: Vec<Bucket>,
+    recent: VecDeque<Recent>,
+    /// The sum of the shares of credits.
+    credit: f64,
+    /// When this VM became the home; `None` if it is not.
+    since: Option<Time>,
+    /// When the last tokens that were granted ahead lapse.
+    held_until: Time,
+}
+
+impl Home {
+    /// Creates the state of a VM that is not the home.
+    pub fn new(terms: Terms) -> Self {
+        Self {
+            terms,
+            parts: Parts::default(),
+            buckets: Vec::new(),
+            recent: VecDeque::new(),
+            credit: 0.0,
+            since: None,
+            held_until: Time::ZERO,
+        }
+    }
+
+    /// Returns whether this VM is the home.
+    pub fn is_active(&self) -> bool {
+        self.since.is_some()
+    }
+
+    /// Returns the share of the quotas that the home holds.
+    pub fn share(&self) -> f64 {
+        self.parts.share()
+    }
+
+    /// Makes this VM the home.
+    pub fn start(&mut self, limits: &[Limit], now: Time) {
+        self.since = Some(now);
+        self.set_limits(limits, now);
+    }
+
+    /// Gives up all parts. Returns the VMs that own them, and how long tokens that were
+    /// granted ahead can be used.
+    pub fn stop(&mut self, now: Time) -> (Vec<VmId>, Duration) {
+        let owners = self.parts.delegators().collect();
+        *self = Self {
+            held_until: self.held_until,
+            ..Self::new(self.terms)
+        };
+        (owners, self.held_until.saturating_sub(now))
+    }
+
+    /// Puts the sorted `limits` in force.
+    pub fn set_limits(&mut self, limits: &[Limit], now: Time) {
+        if !self.is_active() {
+            return;
+        }
+        self.advance(now);
+        let (terms, inflow) = (self.terms, self.inflow(now));
+        let mut old = std::mem::take(&mut self.buckets);
+        let mut known = old.drain(..).peekable();
+        for limit in limits {
+            while known.next_if(|b| b.limit().team < limit.team).is_some() {}
+            let bucket = match known.next_if(|b| b.limit().team == limit.team) {
+                Some(mut bucket) => {
+                    if bucket.limit() != limit {
+                        bucket.set_limit(*limit, &terms, inflow, now);
+                    }
+                    bucket
+                }
+                None => Bucket::new(*limit, &terms, inflow),
+            };
+            self.buckets.push(bucket);
+        }
+    }
+
+    /// Returns the VMs of the sorted `alive` ones that are to be asked for their parts.
+    pub fn collect(&mut self, alive: &[VmId], now: Time) -> Vec<VmId> {
+        if !self.is_active() {
+            return Vec::new();
+        }
+        self.advance(now);
+        self.parts.take_due(alive, now)
+    }
+
+    /// Records a delegation in answer to `stamp`.
+    pub fn delegate(&mut self, vm: VmId, stamp: Time, (share, credit): (f64, f64), now: Time) {
+        // A share that no VM owns is not one.
+        let is_part = |share: f64| (0.0..=1.0).contains(&share);
+        let Some(since) = self.since.filter(|_| is_part(share) && is_part(credit)) else {
+            return;
+        };
+        self.advance(now);
+        let held = self.share();
+        if self.parts.delegate(vm, stamp, share, now) && now < since + CREDIT_LIFE {
+            self.credit += credit;
+        }
+        if self.share() < held {
+            self.fill_all(now);
+        }
+    }
+
+    /// Grants a token of `team`, and up to `extra` more ahead; returns how many of these, or
+    /// when there will be a token.
+    pub fn take(
+        &mut self,
+        (vm, ask): (VmId, AskId),
+        team: TeamId,
+        extra: u32,
+        now: Time,
+    ) -> Result<u32, Duration> {
+        self.forget_recent(now);
+        let is_same = |recent: &&Recent| recent.vm == vm && recent.ask == ask;
+        if let Some(recent) = self.recent.iter().find(is_same) {
+            return Ok(recent.extra);
+        }
+        self.advance(now);
+        let inflow = self.inflow(now);
+        let Ok(index) = self.find(team) else {
+            // The configuration in force here sets no limit.
+            return Ok(0);
+        };
+        let extra = self.buckets[index].take(extra, inflow, now)?;
+        if extra > 0 {
+            self.held_until = now + HOLD;
+        }
+        let at = now;
+        self.recent.push_back(Recent {
+            vm,
+            ask,
+            team,
+            extra,
+            at,
+        });
+        Ok(extra)
+    }
+
+    /// Takes a token back that was granted a moment ago and is not used.
+    pub fn give_back(&mut self, vm: VmId, ask: AskId, now: Time) {
+        self.forget_recent(now);
+        let is_same = |recent: &Recent| recent.vm == vm && recent.ask == ask;
+        let Some(index) = self.recent.iter().position(is_same) else {
+            return;
+        };
+        let team = self.recent.remove(index).map(|recent| recent.team);
+        self.advance(now);
+        let inflow = self.inflow(now);
+        if let Some(Ok(index)) = team.map(|team| self.find(team)) {
+            self.buckets[index].put_back(inflow, now);
+        }
+    }
+
+    /// Brings the parts up to `now`. Whenever a lease ended in between, all buckets are
+    /// filled up to then, and cut to what is left.
+    fn advance(&mut self, now: Time) {
+        while let Some(end) = self.parts.ended(now) {
+            self.parts.advance(end);
+            self.fill_all(end);
+            self.parts.remove_ended(end);
+            self.fill_all(end);
+        }
+        self.parts.advance(now);
+    }
+
+    fn fill_all(&mut self, now: Time) {
+        let inflow = self.inflow(now);
+        for bucket in &mut self.buckets {
+            bucket.fill(inflow, now);
+        }
+    }
+
+    fn inflow(&self, now: Time) -> Inflow {
+        let has_credit = self.since.is_some_and(|since| now < since + CREDIT_LIFE);
+        Inflow {
+            share: self.parts.share(),
+            flow: self.parts.flow(),
+            credit: if has_credit { self.credit } else { 0.0 },
+        }
+    }
+
+    fn find(&self, team: TeamId) -> Result<usize, usize> {
+        self.buckets
+            .binary_search_by_key(&team, |bucket| bucket.limit().team)
+    }
+
+    fn forget_recent(&mut self, now: Time) {
+        let is_old = |recent: &Recent| now >= recent.at + RECENT_TIME;
+        while self.recent.front().is_some_and(is_old) {
+            self.recent.pop_front();
+        }
+    }
+}
--- /dev/null
+++ b/crates/route/src/quota/parts.rs
@@ -0,0 +1,147 @@
+//! The parts that a home holds, and what flows out of them.
+
+use std::time::Duration;
+
+use base::Time;
+use base::VmId;
+
+use crate::quota::HOLD;
+use crate::quota::LEASE;
+
+/// How long after its stamp the home uses a part: tokens that it grants then can be used for
+/// as long as the rest of the lease.
+const USABLE: Duration = LEASE.saturating_sub(HOLD);
+/// When a part is asked for again after it was delegated.
+const RENEW_DELAY: Duration = Duration::from_millis(900);
+/// When a part is asked for again that was not delegated.
+const COLLECT_AGAIN: Duration = Duration::from_millis(250);
+
+/// The part of one VM.
+#[derive(Clone, Debug)]
+struct Part {
+    vm: VmId,
+    /// The stamp that the last answer named.
+    stamp: Time,
+    /// When to ask next.
+    due: Time,
+    share: f64,
+    /// When the lease ends for the home.
+    until: Time,
+}
+
+/// The parts of all VMs at the home.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Parts {
+    /// Sorted by VM.
+    parts: Vec<Part>,
+    /// The sum of the shares.
+    share: f64,
+    /// Shares times seconds since the home's start, up to `at`.
+    flow: f64,
+    at: Time,
+    /// When the first lease ends.
+    first_end: Option<Time>,
+}
+
+impl Parts {
+    /// Returns the sum of the shares, at most 1 even if VMs differ on their number.
+    pub(crate) fn share(&self) -> f64 {
+        self.share.min(1.0)
+    }
+
+    /// Returns shares times seconds since the home's start.
+    pub(crate) fn flow(&self) -> f64 {
+        self.flow
+    }
+
+    /// Returns the end of the first lease that has ended by `now`.
+    pub(crate) fn ended(&self, now: Time) -> Option<Time> {
+        self.first_end.filter(|end| *end <= now)
+    }
+
+    /// Lets the parts flow until `now`, which no lease ends before.
+    pub(crate) fn advance(&mut self, now: Time) {
+        self.flow += self.share() * now.saturating_sub(self.at).as_secs_f64();
+        self.at = self.at.max(now);
+    }
+
+    /// Removes the shares whose leases have ended by `now`.
+    pub(crate) fn remove_ended(&mut self, now: Time) {
+        for part in &mut self.parts {
+            if part.until <= now {
+                part.share = 0.0;
+            }
+        }
+        self.recount();
+    }
+
+    /// Returns which of the sorted `alive` VMs to ask now, and counts them as asked.
+    pub(crate) fn take_due(&mut self, alive: &[VmId], now: Time) -> Vec<VmId> {
+        self.parts
+            .retain(|part| part.share > 0.0 || alive.binary_search(&part.vm).is_ok());
+        let mut due = Vec::new();
+        for &vm in alive {
+            let index = self.find(vm).unwrap_or_else(|index| {
+                self.parts.insert(index, Part::new(vm, now));
+                index
+            });
+            let part = &mut self.parts[index];
+            if part.due <= now {
+                part.due = now + COLLECT_AGAIN;
+                due.push(vm);
+            }
+        }
+        due
+    }
+
+    /// Records that `vm` delegated `share` in answer to `stamp`. Returns whether the answer
+    /// counts: a repeated or outdated one does not.
+    pub(crate) fn delegate(&mut self, vm: VmId, stamp: Time, share: f64, now: Time) -> bool {
+        let Ok(index) = self.find(vm) else {
+            return false;
+        };
+        let part = &mut self.parts[index];
+        if stamp <= part.stamp || now < stamp {
+            return false;
+        }
+        part.stamp = stamp;
+        let until = stamp + USABLE;
+        if share > 0.0 && now < until {
+            part.share = share;
+            part.until = until;
+            part.due = stamp + RENEW_DELAY;
+        }
+        self.recount();
+        true
+    }
+
+    /// Returns the VMs whose parts the home holds.
+    pub(crate) fn delegators(&self) -> impl Iterator<Item = VmId> + '_ {
+        let held = self.parts.iter().filter(|part| part.share > 0.0);
+        held.map(|part| part.vm)
+    }
+
+    fn find(&self, vm: VmId) -> Result<usize, usize> {
+        self.parts.binary_search_by_key(&vm, |part| part.vm)
+    }
+
+    fn recount(&mut self) {
+        let held = self.parts.iter().filter(|part| part.share > 0.0);
+        self.share = held.clone().map(|part| part.share).sum();
+        self.first_end = held.map(|part| part.until).min();
+    }
+}
+
+impl Part {
+    /// Creates a part that has not been delegated. Answers to stamps before `now` are to
+    /// another home or an earlier term of this one.
+    fn new(vm: VmId, now: Time) -> Self {
+        Self {
+            vm,
+            stamp: now.saturating_sub(Duration::from_nanos(1)),
+            due: now,
+            share: 0.0,
+            until: Time::ZERO,
+        }
+    }
+}
--- /dev/null
+++ b/crates/route/tests/quotas.rs
@@ -0,0 +1,277 @@
+//! Tests the quotas of teams without a network: a fleet with generated faults must keep the
+//! bound in every window, and without faults calls within the quota must not be refused.
+
+mod quota_sim;
+
+use std::time::Duration;
+
+use base::Time;
+use quota_sim::Fleet;
+use quota_sim::Rules;
+use route::quota::Bucket;
+use route::quota::Delegator;
+use route::quota::FleetSize;
+use route::quota::Limit;
+use route::quota::Terms;
+use route::quota::LEASE;
+
+/// The number of generated scripts.
+const SCRIPTS: u64 = 300;
+const WINDOW: Duration = Duration::from_secs(5);
+const TERMS: Terms = Terms {
+    window: WINDOW,
+    excess: 0.1,
+    slack: 20.0,
+};
+
+/// Returns limits of `count` teams that send `usual` calls a second at a quota of 1.6 times.
+fn limits(usual: &[f64]) -> Vec<Limit> {
+    let limits = usual.iter().enumerate().map(|(team, usual)| {
+        let rate = usual * 1.6;
+        Limit::new(team as u64, rate, rate).unwrap()
+    });
+    limits.collect()
+}
+
+/// Returns the usual rates of the 80 teams of the heaviest deployment.
+fn usual_rates() -> Vec<f64> {
+    let weights: Vec<f64> = (1..=80).map(|rank| f64::from(rank).powf(-1.2)).collect();
+    let sum: f64 = weights.iter().sum();
+    let rates = weights
+        .iter()
+        .map(|weight| (924.0 * weight / sum).min(100.0));
+    rates.map(|rate| rate.max(1.0)).collect()
+}
+
+/// Plays one script of faults on seven VMs whose callers ask for far too much.
+fn play(seed: u64, steps: &[(u8, u8, u8)]) {
+    let mut rng = fastrand::Rng::with_seed(seed);
+    let rate = 4.0 + rng.f64() * 60.0;
+    let limits = vec![Limit::new(0, rate, rng.f64() * 2.0 * rate).unwrap()];
+    let rules = Rules {
+        terms: Terms {
+            slack: if rng.bool() { 20.0 } else { 6.0 },
+            ..TERMS
+        },
+        large: 1 + rng.usize(..7),
+        drift: 0.01,
+        limits,
+    };
+    let mut fleet = Fleet::new(7, rules, seed);
+    fleet.demand = vec![rate * 6.0];
+    fleet.run(Duration::from_secs(4));
+    for &(kind, vm, span) in steps {
+        let vm = usize::from(vm) % 7;
+        let span = Duration::from_millis(20 * u64::from(span));
+        match kind % 10 {
+            0 => fleet.restart(vm, span),
+            1 => fleet.freeze(vm, span),
+            2 => fleet.split(usize::from(kind / 10) % 7),
+            3 => fleet.heal(),
+            4 => fleet.loss = 0.3,
+            5 => fleet.duplicates = 0.3,
+            6 => fleet.delay_max = Duration::from_millis(400),
+            7 => (0..7).for_each(|vm| fleet.restart(vm, span / 4)),
+            8 => fleet.refuse_runs = !fleet.refuse_runs,
+            _ => fleet.set_rate_scale(0.3 + f64::from(kind) / 256.0),
+        }
+        fleet.run(span);
+    }
+    fleet.heal();
+    fleet.run(Duration::from_secs(2));
+    fleet.check_bound();
+}
+
+#[test]
+fn bound_holds_under_generated_faults() {
+    cases::check::<(u64, Vec<(u8, u8, u8)>)>(SCRIPTS, |(seed, steps)| {
+        play(*seed, &steps[..steps.len().min(40)]);
+    });
+}
+
+#[test]
+fn bound_holds_with_two_homes_that_change() {
+    for seed in 0..20 {
+        let limits = vec![Limit::new(0, 30.0, 10.0).unwrap()];
+        let rules = Rules {
+            terms: Terms {
+                slack: 4.0,
+                ..TERMS
+            },
+            large: 7,
+            drift: 0.01,
+            limits,
+        };
+        let mut fleet = Fleet::new(7, rules, seed);
+        fleet.demand = vec![400.0];
+        fleet.view_delay = Duration::from_millis(400);
+        fleet.run(Duration::from_secs(4));
+        for _ in 0..8 {
+            // The side of the home has fewer VMs, and they go on asking it.
+            let home = fleet.home_of(6);
+            fleet.split(home.clamp(1, 6));
+            fleet.run(Duration::from_millis(500 + 50 * seed));
+            fleet.heal();
+            fleet.run(Duration::from_millis(1500));
+        }
+        eprintln!("{} calls in a window", fleet.most_in_window(0));
+        fleet.check_bound();
+    }
+}
+
+#[test]
+fn home_grants_the_whole_quota() {
+    let rules = Rules::new(vec![Limit::new(0, 40.0, 0.0).unwrap()]);
+    let mut fleet = Fleet::new(13, rules, 1);
+    fleet.run(Duration::from_secs(5));
+    fleet.clear_counts();
+    fleet.demand = vec![200.0];
+    fleet.run(Duration::from_secs(20));
+    let granted = fleet.granted[0];
+    assert!((780..=900).contains(&granted), "{granted}");
+}
+
+#[test]
+fn calls_within_the_quota_are_hardly_refused() {
+    let usual = usual_rates();
+    let mut fleet = Fleet::new(120, Rules::new(limits(&usual)), 2);
+    fleet.run(Duration::from_secs(5));
+    fleet.clear_counts();
+    fleet.demand = usual.iter().map(|usual| usual * 0.96).collect();
+    fleet.run(Duration::from_secs(15));
+    let (granted, refused) = fleet.totals();
+    let calls = granted + refused;
+    let messages = fleet.messages as f64 / calls as f64;
+    eprintln!("{granted} granted, {refused} refused, {messages:.2} messages a call");
+    assert!(refused * 200 < calls, "{refused} of {calls}");
+    // Two for each call and those of the leases; see docs/design/quotas.md.
+    assert!(messages < 2.4, "{messages}");
+    fleet.check_bound();
+}
+
+#[test]
+fn team_beyond_its_quota_gets_it_and_touches_no_other() {
+    let usual = usual_rates();
+    for hot in [0, 5, 60] {
+        let mut fleet = Fleet::new(120, Rules::new(limits(&usual)), 3);
+        fleet.run(Duration::from_secs(5));
+        fleet.demand = usual.clone();
+        fleet.demand[hot] *= 7.5;
+        fleet.run(Duration::from_secs(5));
+        fleet.clear_counts();
+        fleet.run(Duration::from_secs(10));
+        let quota = usual[hot] * 1.6 * 10.0;
+        let granted = fleet.granted[hot] as f64;
+        assert!(
+            granted > 0.9 * quota - 2.0,
+            "team {hot}: {granted} of {quota}"
+        );
+        let (all, refused) = fleet.totals();
+        let others = refused - fleet.refused[hot];
+        assert!(others * 200 < all, "{others} of {all}");
+        fleet.check_bound();
+    }
+}
+
+#[test]
+fn lost_home_refuses_for_a_short_time() {
+    let usual = usual_rates();
+    let mut fleet = Fleet::new(120, Rules::new(limits(&usual)), 4);
+    fleet.run(Duration::from_secs(5));
+    fleet.demand = usual.clone();
+    fleet.run(Duration::from_secs(4));
+    let home = fleet.home_of(119);
+    fleet.stop(home);
+    fleet.clear_counts();
+    fleet.run(Duration::from_secs(4));
+    let (granted, refused) = fleet.totals();
+    eprintln!("home lost: {granted} granted and {refused} refused in 4 s");
+    fleet.clear_counts();
+    fleet.run(Duration::from_secs(4));
+    let (granted, refused) = fleet.totals();
+    assert!(refused * 200 < granted + refused, "{refused} of {granted}");
+    fleet.check_bound();
+}
+
+#[test]
+fn lower_limit_binds_within_a_window() {
+    let rules = Rules::new(vec![Limit::new(0, 100.0, 50.0).unwrap()]);
+    let mut fleet = Fleet::new(13, rules, 5);
+    fleet.demand = vec![600.0];
+    fleet.run(Duration::from_secs(8));
+    fleet.set_rate_scale(0.1);
+    fleet.run(WINDOW);
+    fleet.clear_counts();
+    fleet.run(WINDOW);
+    assert!(fleet.granted[0] as f64 <= 80.5, "{}", fleet.granted[0]);
+}
+
+#[test]
+fn limit_beyond_all_use_is_none() {
+    assert!(Limit::new(1, 1e9, 0.0).is_none());
+    assert!(Limit::new(1, f64::NAN, 0.0).is_none());
+    assert!(Limit::new(1, 0.0, 5.0).is_none());
+    assert!(Limit::new(1, 0.5, f64::INFINITY).is_none());
+}
+
+#[test]
+fn refused_calls_are_told_when_a_token_will_be_there() {
+    let limit = Limit::new(1, 10.0, 2.0).unwrap();
+    let inflow = |secs: f64| route::quota::Inflow {
+        share: 1.0,
+        flow: secs,
+        credit: 0.0,
+    };
+    let at = |secs: f64| Time::from_secs_f64(secs);
+    let mut bucket = Bucket::new(limit, &Terms::default(), inflow(0.0));
+    let delays: Vec<Duration> = (0..5)
+        .map(|_| bucket.take(0, inflow(0.0), at(0.0)).unwrap_err())
+        .collect();
+    for (index, delay) in delays.iter().enumerate() {
+        let expected = 0.1 * (index + 1) as f64;
+        assert!((delay.as_secs_f64() - expected).abs() < 0.002, "{delays:?}");
+        let due = delay.as_secs_f64() + 0.002;
+        assert_eq!(bucket.take(0, inflow(due), at(due)), Ok(0));
+    }
+}
+
+#[test]
+fn delegator_serves_one_home_at_a_time() {
+    let start = Time::from_secs(100);
+    let mut delegator = Delegator::new(start, WINDOW);
+    let ms = |ms| start + Duration::from_millis(ms);
+    let mut share = |home, stamp, now| {
+        let delegated = delegator.collect(home, ms(stamp), 10, WINDOW, ms(now));
+        delegated.map(|delegated| delegated.share)
+    };
+    // An earlier process may have delegated.
+    assert_eq!(share((1, 50), 0, 100), Some(0.0));
+    assert_eq!(share((1, 50), 2500, 2600), Some(0.1));
+    assert_eq!(share((2, 50), 2500, 3000), Some(0.0));
+    assert_eq!(share((1, 50), 3000, 3100), Some(0.1));
+    assert_eq!(share((2, 50), 4900, 5000), Some(0.0));
+    assert_eq!(share((2, 50), 5600, 5700), Some(0.1));
+    // A restarted home has lost what it held, but tokens of it may be used for a while.
+    assert_eq!(share((2, 60), 5800, 5900), Some(0.0));
+    assert_eq!(share((2, 60), 6300, 6400), Some(0.1));
+    assert_eq!(share((2, 50), 6300, 6500), None);
+    // A return from before the lease is void.
+    delegator.take_back((2, 60), ms(6200), Duration::ZERO, ms(6600));
+    let taken = delegator.collect((1, 50), ms(6600), 10, WINDOW, ms(6700));
+    assert_eq!(taken.map(|taken| taken.share), Some(0.0));
+    delegator.take_back((2, 60), ms(6700), Duration::ZERO, ms(6800));
+    let taken = delegator.collect((1, 50), ms(6800), 10, WINDOW, ms(6900));
+    assert_eq!(taken.map(|taken| taken.share), Some(0.1));
+}
+
+#[test]
+fn fleet_size_grows_at_once_and_shrinks_late() {
+    let mut size = FleetSize::new();
+    size.observe(120, Time::ZERO);
+    size.observe(10, Time::from_secs(1));
+    size.observe(11, Time::from_secs(100));
+    assert_eq!(size.get(), 120);
+    size.observe(10, Time::from_secs(122));
+    assert_eq!(size.get(), 11);
+    assert!(LEASE < Duration::from_secs(120));
+}
--- a/crates/wire/src/msg.rs
+++ b/crates/wire/src/msg.rs
@@ -6,6 +6,7 @@
 use route::crashes::Fingerprint;
 use route::keys::ClaimReply;
 use route::keys::KeyClaim;
+use route::quota::QuotaMsg;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -48,7 +49,7 @@
 }
 
 /// A message from one VM to another, by the protocol to which it belongs.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Msg {
     /// Failure detection and gossip.
     Member(member::Msg),
@@ -60,6 +61,8 @@
     Crash(CrashMsg),
     /// Calls that are relayed to other VMs.
     Relay(RelayMsg),
+    /// Quotas of teams.
+    Quota(QuotaMsg),
 }
 
 impl Msg {
@@ -68,6 +71,6 @@
     /// Such a build drops the whole datagram that the message is in, so the message must not
     /// share one with messages that it can read. See `docs/design/wire.md`.
     pub fn is_recent(&self) -> bool {
-        false
+        matches!(self, Self::Quota(_))
     }
 }
