--- a/crates/conf/tests/settings.rs
+++ b/crates/conf/tests/settings.rs
@@ -1,5 +1,6 @@
 //! Settings: which documents are rejected, and that all errors are reported at once.
 
+use conf::bounds::Bounds;
 use conf::document;
 use conf::Settings;
 
@@ -146,3 +147,47 @@
     assert_eq!(millicores(r#"{ "cores": 0.2, "link": 1000.0 }"#), Ok(200));
     assert!(millicores(r#"{ "cores": 0.0, "link": 1000.0 }"#).is_err());
 }
+
+#[test]
+fn parse_bounds_without_figures_states_none() {
+    let bounds: Bounds = "teams=,quotas=::".parse().unwrap();
+    assert_eq!(bounds, Bounds::default());
+    assert_eq!("".parse(), Ok(Bounds::default()));
+}
+
+#[test]
+fn parse_bounds_with_figures_override_the_settings() {
+    let bounds: Bounds = "teams=5,quotas=5:0.1:20".parse().unwrap();
+    let settings = bounds.apply(Settings::parse(GOOD).unwrap());
+    assert!(settings.teams);
+    let quotas = settings.quotas.unwrap();
+    assert_eq!(quotas.window, std::time::Duration::from_secs(5));
+    assert_eq!((quotas.excess, quotas.slack), (0.1, 20));
+    assert!(Settings::parse(GOOD).unwrap().quotas.is_none());
+}
+
+#[test]
+fn parse_bounds_that_are_wrong_names_the_remedy() {
+    for (text, remedy) in [
+        ("quotas", "write NAME=FIGURES"),
+        ("limits=3", "write teams or quotas"),
+        ("quotas=5:x:20", "write WINDOW:EXCESS:SLACK"),
+        ("quotas=5:0.1", "write WINDOW:EXCESS:SLACK"),
+        ("quotas=-5:0.1:20", "write WINDOW:EXCESS:SLACK"),
+    ] {
+        let error = text.parse::<Bounds>().unwrap_err().to_string();
+        assert!(error.ends_with(remedy), "{text}: {error}");
+    }
+}
+
+#[test]
+fn check_teams_need_the_registry() {
+    let mut settings = Settings::parse(GOOD).unwrap();
+    settings.teams = true;
+    let errors = settings.check().unwrap_err().to_string();
+    assert!(errors.starts_with("teams: "), "{errors}");
+    settings.platform.interface = conf::settings::Interface::Registry;
+    assert!(!settings
+        .check()
+        .is_err_and(|errors| errors.to_string().contains("teams: ")));
+}
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -18,6 +18,7 @@
 use anyhow::Context;
 use async_signal::Signal;
 use async_signal::Signals;
+use conf::bounds::Bounds;
 use conf::settings::Interface;
 use conf::Settings;
 use conf::ValidationErrors;
@@ -37,6 +38,9 @@
   --settings FILE   settings, JSON with comments (see docs/operate/settings.md)
   --grace SECONDS   time after SIGTERM at which the process is killed; overrides
                     grace in the settings
+  --bounds LIST     bounds of the deployment, which override the settings:
+                    teams=REVOKE,quotas=WINDOW:EXCESS:SLACK; a bound without
+                    figures counts as not stated
   --check           check the settings and exit
   --help            show this text
   --version         show the version
@@ -79,12 +83,15 @@
     check: bool,
     /// The time after SIGTERM at which the process is killed.
     grace: Option<Duration>,
+    /// The bounds of the deployment.
+    bounds: Bounds,
 }
 
 impl Args {
     /// Returns `settings` with what the command line overrides.
     fn apply(&self, mut settings: Settings) -> Result<Settings, ValidationErrors> {
         settings.grace = self.grace.or(settings.grace);
+        settings = self.bounds.apply(settings);
         settings.check()?;
         Ok(settings)
     }
@@ -189,6 +196,10 @@
         grace: raw_args
             .opt_value_from_fn("--grace", parse_secs)
             .context("--grace needs a number of seconds, such as 6 or 7.5")?,
+        bounds: raw_args
+            .opt_value_from_str("--bounds")
+            .context("--bounds needs a list such as quotas=5:0.1:20")?
+            .unwrap_or_default(),
     };
     let rest = raw_args.finish();
     anyhow::ensure!(
--- a/crates/net/src/client.rs
+++ b/crates/net/src/client.rs
@@ -126,7 +126,10 @@
                 unsent: failed.take_message(),
                 error: failed.into_error().into(),
             })?;
-            check_status(&response)?;
+            check_status(&response).map_err(|error| SendError {
+                error,
+                unsent: None,
+            })?;
             Ok(response)
         };
         futures_lite::future::or(sent, async {
@@ -144,15 +147,10 @@
 }
 
 /// Fails if the status of `response` makes it no response. The request may have been run.
-fn check_status(response: &Response<Incoming>) -> Result<(), SendError> {
+fn check_status(response: &Response<Incoming>) -> Result<(), Error> {
     let status = response.status().as_u16();
-    if STATUSES.contains(&status) {
-        return Ok(());
-    }
-    Err(SendError {
-        error: Error::Status(status),
-        unsent: None,
-    })
+    let is_valid = STATUSES.contains(&status);
+    is_valid.then_some(()).ok_or(Error::Status(status))
 }
 
 /// Has the interim responses to `request` counted; the channel returned says when there
