Divide each part of a quota into two lanes with a home each

A part now has two lanes with a home each. A VM asks either in turn, and the other one if that has no token or no answer.

--- a/crates/conf/tests/settings.rs
+++ b/crates/conf/tests/settings.rs
@@ -146,3 +146,16 @@
     assert_eq!(millicores(r#"{ "cores": 0.2, "link": 1000.0 }"#), Ok(200));
     assert!(millicores(r#"{ "cores": 0.0, "link": 1000.0 }"#).is_err());
 }
+
+#[test]
+fn check_quotas_out_of_range_are_refused() {
+    let with =
+        |quotas: &str| GOOD.replace("\"admin\"", &format!("\"quotas\": {quotas}, \"admin\""));
+    let text = with(r#"{ "window": "5s", "excess": 0.1, "slack": 20 }"#);
+    let quotas = Settings::parse(&text).unwrap().quotas.unwrap();
+    assert_eq!(quotas.window.as_secs(), 5);
+    assert_eq!(quotas.slack, 20);
+    let faults = faults(&with(r#"{ "window": "10ms", "excess": 2.0, "slack": 20 }"#));
+    assert!(faults.contains("quotas.window:"), "{faults}");
+    assert!(faults.contains("quotas.excess:"), "{faults}");
+}
--- a/crates/node/src/gauges.rs
+++ b/crates/node/src/gauges.rs
@@ -230,7 +230,7 @@
         meter,
         weak,
         "quota_share_permille",
-        "Share of the quotas that this VM holds as their home",
+        "Share of the quotas that this VM holds as a home",
         |s| (s.quota_counts().share * 1e3) as u64,
     );
 }
--- a/crates/node/src/quotas.rs
+++ b/crates/node/src/quotas.rs
@@ -9,7 +9,6 @@
 use std::time::Duration;
 use std::time::SystemTime;
 
-use base::rendezvous;
 use base::TeamId;
 use base::Time;
 use base::VmId;
@@ -18,6 +17,7 @@
 use entry::Refusal;
 use route::instance;
 use route::msg::RefusalReason;
+use route::quota;
 use route::quota::Answer;
 use route::quota::AskId;
 use route::quota::Counts;
@@ -30,6 +30,7 @@
 use route::quota::Terms;
 use route::quota::ASK_AGAIN;
 use route::quota::ASK_LIMIT;
+use route::quota::LANES;
 use wire::Msg;
 
 use crate::shared::lock;
@@ -37,8 +38,8 @@
 use crate::shared::Shared;
 use crate::view::View;
 
-/// The key by which the home of the quotas is chosen.
-const HOME_KEY: u64 = 0x71_75_6f_74_61;
+/// The keys by which the homes of the lanes are chosen.
+const HOME_KEYS: [u64; LANES] = [0x71_75_6f_74_61, 0x71_75_6f_74_62];
 /// The interval of the lines about refused calls.
 const REFUSALS_INTERVAL: Duration = Duration::from_secs(1);
 /// The most teams in lines about refused calls of one interval.
@@ -136,9 +137,8 @@
         if limits.is_empty() && !was_active {
             return;
         }
-        log::info!(teams = limits.len() as u64, revision = state.revision; "quota: limits in force");
         let now = self.clock.now();
-        let is_active = !limits.is_empty();
+        let teams = limits.len();
         let view = self.view();
         let mut inner = lock(&self.quotas.inner);
         let quotas = inner.quotas.get_or_insert_with(|| {
@@ -153,11 +153,14 @@
             );
             Box::new(quotas)
         });
-        quotas.set_limits(limits, now);
+        if !quotas.set_limits(limits, now) {
+            return;
+        }
         quotas.set_view(home_view(&view, self.self_id), now);
         let effects = inner.effects(now);
-        self.quotas.active.store(is_active, Ordering::Relaxed);
+        self.quotas.active.store(teams > 0, Ordering::Relaxed);
         drop(inner);
+        log::info!(teams = teams as u64, revision = state.revision; "quota: limits in force");
         self.run_quota_effects(effects);
     }
 
@@ -217,7 +220,7 @@
         let result = match taken {
             Taken::Now(token) => Ok(Some(token)),
             Taken::Refused(retry_after) => Err(retry_after),
-            Taken::Wait(ask, _) => match self.wait_for_token(ask, &answer).await {
+            Taken::Wait(ask) => match self.wait_for_token(ask, &answer).await {
                 Answer::Granted(token) => Ok(Some(token)),
                 Answer::Refused(retry_after) => Err(retry_after),
             },
@@ -253,7 +256,7 @@
         let mut inner = lock(&self.quotas.inner);
         let quotas = inner.quotas.as_mut().filter(|q| q.limits(team))?;
         let taken = quotas.take(team, now);
-        if let Taken::Wait(ask, _) = taken {
+        if let Taken::Wait(ask) = taken {
             inner.waiters.push((ask, sender));
         }
         let effects = inner.effects(now);
@@ -262,14 +265,18 @@
         Some((taken, receiver))
     }
 
-    /// Waits for the answer to an ask, which is sent again once. Without an answer, the call
-    /// is refused, and the membership checks the home.
+    /// Waits for the answer to an ask. Without one it goes to the home of the other lane, and
+    /// the membership checks the first one; then the call is refused.
     async fn wait_for_token(&self, ask: AskId, answer: &async_channel::Receiver<Answer>) -> Answer {
         if let Some(Ok(answer)) = net::timeout(ASK_AGAIN, answer.recv()).await {
             return answer;
         }
         let now = self.clock.now();
-        self.with_quotas(|quotas| quotas.ask(ask, now));
+        let mut silent = None;
+        self.with_quotas(|quotas| silent = quotas.ask_other(ask, now));
+        if let Some(home) = silent.filter(|home| *home != self.self_id) {
+            self.with_members(|members| members.report_unresponsive(home, now));
+        }
         let left = ASK_LIMIT.saturating_sub(ASK_AGAIN);
         if let Some(Ok(answer)) = net::timeout(left, answer.recv()).await {
             return answer;
@@ -280,15 +287,7 @@
             return answer;
         }
         let quotas = inner.quotas.as_mut();
-        let (home, retry_after) = quotas.map_or((None, Duration::ZERO), |quotas| {
-            (quotas.home_vm(), quotas.give_up(ask))
-        });
-        drop(inner);
-        if let Some(home) = home.filter(|home| *home != self.self_id) {
-            let now = self.clock.now();
-            self.with_members(|members| members.report_unresponsive(home, now));
-        }
-        Answer::Refused(retry_after)
+        Answer::Refused(quotas.map_or(Duration::ZERO, |quotas| quotas.give_up(ask)))
     }
 
     /// Runs `f` on the quotas if any team has one, and carries out what follows.
@@ -350,9 +349,13 @@
 /// should exist does not know the fleet, and has no home.
 fn home_view(view: &View, self_id: VmId) -> HomeView<'_> {
     let is_lost = view.vms == [self_id] && view.undiscovered > 0;
-    let home = rendezvous::first(HOME_KEY, &view.eligible);
+    let homes = if is_lost {
+        [None; LANES]
+    } else {
+        quota::choose_homes(HOME_KEYS, &view.eligible)
+    };
     HomeView {
-        home: home.filter(|_| !is_lost),
+        homes,
         alive: &view.alive,
         registered: registered(view),
     }
@@ -360,14 +363,17 @@
 
 fn log_note(note: Note) {
     match note {
-        Note::HomeTaken => log::info!("quota: this VM is the home of the quotas"),
-        Note::HomeLeft(parts) => {
-            log::info!(parts = parts as u64; "quota: this VM is the home no longer");
+        Note::HomeTaken(lane) => {
+            log::info!(lane = lane; "quota: this VM is the home of a lane");
+        }
+        Note::HomeLeft(lane, parts) => {
+            log::info!(lane = lane, parts = parts as u64; "quota: this VM is the home no longer");
         }
-        Note::Share(share) => {
+        Note::Share(lane, share) => {
             log::info!(
+                lane = lane,
                 share = format!("{share:.3}");
-                "quota: the share of the quotas that this home holds has passed the half"
+                "quota: the share of the quotas that this home holds has passed half of its lane"
             );
         }
         Note::Paused => log::info!("quota: paused; tokens that were granted ahead are dropped"),
--- a/crates/route/src/quota/bucket.rs
+++ b/crates/route/src/quota/bucket.rs
@@ -96,7 +96,7 @@
     /// these, or when there will be a token.
     pub fn take(&mut self, extra: u32, inflow: Inflow, now: Time) -> Result<u32, Duration> {
         self.fill(inflow, now);
-        let credit = (self.credit * inflow.credit.min(1.0) - self.credit_used).max(0.0);
+        let credit = (self.credit * inflow.credit - self.credit_used).max(0.0);
         if self.tokens + credit < 1.0 {
             return Err(self.promise(inflow.share, now));
         }
--- a/crates/route/src/quota/delegator.rs
+++ b/crates/route/src/quota/delegator.rs
@@ -10,6 +10,7 @@
 use crate::quota::with_margin;
 use crate::quota::CREDIT_LIFE;
 use crate::quota::HOLD;
+use crate::quota::LANES;
 use crate::quota::LEASE;
 
 /// A process of a home.
@@ -28,7 +29,7 @@
     pub credit: f64,
 }
 
-/// The delegator's side of a VM's part: at any time at most one home may use it.
+/// The delegator's side of one lane of a VM's part: at any time at most one home may use it.
 #[derive(Clone, Debug)]
 pub struct Delegator {
     lessee: Option<Lessee>,
@@ -75,7 +76,7 @@
                 self.end_within(HOLD, now);
             }
         }
-        let part = 1.0 / f64::from(fleet.max(1));
+        let part = 1.0 / (f64::from(fleet.max(1)) * LANES as f64);
         let is_free = self.lessee == Some(home) || now >= self.until;
         if is_free {
             self.until = self.until.max(now + with_margin(LEASE));
--- a/crates/route/src/quota/desk.rs
+++ b/crates/route/src/quota/desk.rs
@@ -7,9 +7,11 @@
 use base::VmId;
 
 use crate::quota::AskId;
+use crate::quota::Lane;
 use crate::quota::ASK_LIMIT;
 use crate::quota::GIVE_BACK_LIMIT;
 use crate::quota::HOLD;
+use crate::quota::LANES;
 
 /// The time over which the demand of a team is averaged.
 const DEMAND_TIME: Duration = Duration::from_secs(1);
@@ -19,6 +21,8 @@
 const CLOSED_MAX: Duration = Duration::from_millis(100);
 /// When a team without calls is forgotten.
 const IDLE_TIME: Duration = Duration::from_secs(5);
+/// For how long a lane whose home did not answer is asked second.
+const SILENT_TIME: Duration = Duration::from_millis(500);
 /// The most asks at once. Beyond it calls are refused.
 const ASKS_MAX: usize = 4096;
 
@@ -31,6 +35,8 @@
     pub ask: AskId,
     /// The VM that granted it.
     pub home: VmId,
+    /// The lane that it belongs to.
+    pub lane: Lane,
     /// When the token was taken.
     pub at: Time,
     /// When a token that was granted ahead lapses; `None` for others.
@@ -44,8 +50,19 @@
     Now(Token),
     /// There will be a token after this time.
     Refused(Duration),
-    /// The home has to be asked, for so many tokens more than one.
-    Wait(AskId, u32),
+    /// A home has to answer first.
+    Wait(AskId),
+}
+
+/// What follows from a home's refusal.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Denied {
+    /// The other home is to be asked.
+    AskOther,
+    /// The answer of the other home is awaited, or no call waits any more.
+    Nothing,
+    /// There will be a token after this time.
+    Refused(Duration),
 }
 
 /// An ask that has no answer yet.
@@ -55,6 +72,11 @@
     team: TeamId,
     extra: u32,
     at: Time,
+    /// The lane whose home was asked last.
+    lane: usize,
+    /// The lanes whose homes were asked, and the refusals of those.
+    asked: [bool; LANES],
+    refused: [Option<Duration>; LANES],
 }
 
 /// What the VM knows of a team.
@@ -66,7 +88,8 @@
     until: Time,
     ask: AskId,
     home: VmId,
-    /// When the home will have a token, if it refused one.
+    lane: Lane,
+    /// When a home will have a token, if it refused one.
     retry_at: Time,
     /// Until when calls are refused unasked.
     closed_until: Time,
@@ -83,6 +106,8 @@
     /// Sorted by number.
     asks: Vec<Ask>,
     next: AskId,
+    /// Until when each lane is asked second.
+    silent_until: [Time; LANES],
 }
 
 impl Desk {
@@ -92,6 +117,7 @@
             entries: Vec::new(),
             asks: Vec::new(),
             next: first,
+            silent_until: [Time::ZERO; LANES],
         }
     }
 
@@ -105,6 +131,7 @@
                 team,
                 ask: entry.ask,
                 home: entry.home,
+                lane: entry.lane,
                 at: now,
                 until: Some(entry.until),
             });
@@ -118,25 +145,47 @@
         }
         let ask = self.next;
         self.next = self.next.wrapping_add(1);
-        let at = now;
+        let lane = self.first_lane(ask, now);
+        let mut asked = [false; LANES];
+        asked[lane] = true;
         self.asks.push(Ask {
             ask,
             team,
             extra,
-            at,
+            at: now,
+            lane,
+            asked,
+            refused: [None; LANES],
         });
-        Taken::Wait(ask, extra)
+        Taken::Wait(ask)
     }
 
-    /// Returns the team of an ask without an answer, and how many tokens it asks for ahead.
-    pub fn pending(&self, ask: AskId) -> Option<(TeamId, u32)> {
+    /// Returns the lane of an ask without an answer, the team, and how many tokens it asks
+    /// for ahead.
+    pub fn pending(&self, ask: AskId) -> Option<(Lane, TeamId, u32)> {
         let found = self.asks.iter().find(|pending| pending.ask == ask)?;
-        Some((found.team, found.extra))
+        Some((found.lane as Lane, found.team, found.extra))
     }
 
-    /// Records a grant of `home`. Returns the token of the call that asked; `None` if it no
+    /// Turns an ask that got no answer to the other lane. Returns the lane that is silent;
+    /// `None` if no call waits any more.
+    pub fn turn(&mut self, ask: AskId, now: Time) -> Option<Lane> {
+        let found = self.asks.iter_mut().find(|pending| pending.ask == ask)?;
+        let silent = found.lane;
+        found.turn();
+        self.silent_until[silent] = now + SILENT_TIME;
+        Some(silent as Lane)
+    }
+
+    /// Records a grant of the VM `home` from a lane. Returns the token of the call that asked; `None` if it no
     /// longer waits.
-    pub fn granted(&mut self, home: VmId, ask: AskId, mut extra: u32, now: Time) -> Option<Token> {
+    pub fn granted(
+        &mut self,
+        (home, lane): (VmId, Lane),
+        ask: AskId,
+        mut extra: u32,
+        now: Time,
+    ) -> Option<Token> {
         let asked = self.remove(ask)?;
         let team = asked.team;
         let until = asked.at + HOLD;
@@ -146,6 +195,7 @@
             team,
             ask,
             home,
+            lane,
             at: now,
             until: None,
         });
@@ -157,25 +207,37 @@
             entry.until = until;
             entry.ask = ask;
             entry.home = home;
+            entry.lane = lane;
         }
         token
     }
 
-    /// Records that the home has no token for an ask until `retry_after` has passed. Returns
-    /// whether the ask waited.
-    pub fn denied(&mut self, ask: AskId, retry_after: Duration, now: Time) -> bool {
-        let Some(asked) = self.remove(ask) else {
-            return false;
+    /// Records that the home of `lane` has no token for an ask until `retry_after` has passed.
+    pub fn denied(&mut self, lane: Lane, ask: AskId, retry_after: Duration, now: Time) -> Denied {
+        let found = self.asks.iter_mut().find(|pending| pending.ask == ask);
+        let Some(asked) = found.filter(|_| usize::from(lane) < LANES) else {
+            return Denied::Nothing;
         };
-        let entry = self.entry(asked.team, now);
+        asked.refused[usize::from(lane)] = Some(retry_after);
+        if !asked.asked.iter().all(|asked| *asked) {
+            asked.turn();
+            return Denied::AskOther;
+        }
+        if asked.refused.iter().any(Option::is_none) {
+            return Denied::Nothing;
+        }
+        let retry_after = asked.retry_after().unwrap_or(retry_after);
+        let team = asked.team;
+        self.remove(ask);
+        let entry = self.entry(team, now);
         entry.retry_at = now + retry_after;
         entry.closed_until = now + retry_after.min(CLOSED_MAX);
-        true
+        Denied::Refused(retry_after)
     }
 
-    /// Gives up an ask whose call no longer waits.
-    pub fn give_up(&mut self, ask: AskId) {
-        self.remove(ask);
+    /// Gives up an ask whose call no longer waits. Returns the delay that a home named.
+    pub fn give_up(&mut self, ask: AskId) -> Option<Duration> {
+        self.remove(ask)?.retry_after()
     }
 
     /// Takes a token back whose call certainly did not run. Returns the home that has to be
@@ -204,6 +266,18 @@
         self.entries.retain(|entry| now < entry.seen + IDLE_TIME);
     }
 
+    /// Returns the lane to ask first: each in turn, or the one whose home answers.
+    fn first_lane(&self, ask: AskId, now: Time) -> usize {
+        let lane = (ask % LANES as AskId) as usize;
+        let other = (lane + 1) % LANES;
+        let is_silent = |lane: usize| now < self.silent_until[lane];
+        if is_silent(lane) && !is_silent(other) {
+            other
+        } else {
+            lane
+        }
+    }
+
     fn remove(&mut self, ask: AskId) -> Option<Ask> {
         let index = self.asks.iter().position(|pending| pending.ask == ask)?;
         Some(self.asks.remove(index))
@@ -219,6 +293,18 @@
     }
 }
 
+impl Ask {
+    fn turn(&mut self) {
+        self.lane = (self.lane + 1) % LANES;
+        self.asked[self.lane] = true;
+    }
+
+    /// Returns the shortest delay that a home named.
+    fn retry_after(&self) -> Option<Duration> {
+        self.refused.iter().flatten().min().copied()
+    }
+}
+
 impl Entry {
     fn new(team: TeamId, now: Time) -> Self {
         Self {
@@ -227,6 +313,7 @@
             until: Time::ZERO,
             ask: 0,
             home: 0,
+            lane: 0,
             retry_at: Time::ZERO,
             closed_until: Time::ZERO,
             demand: 0.0,
--- a/crates/route/src/quota/home.rs
+++ b/crates/route/src/quota/home.rs
@@ -17,6 +17,7 @@
 use crate::quota::CREDIT_LIFE;
 use crate::quota::GIVE_BACK_LIMIT;
 use crate::quota::HOLD;
+use crate::quota::LANES;
 
 /// How long a grant is remembered, so that a repeated ask takes no second token.
 const RECENT_TIME: Duration = ASK_LIMIT.saturating_add(GIVE_BACK_LIMIT);
@@ -212,7 +213,11 @@
         Inflow {
             share: self.parts.share(),
             flow: self.parts.flow(),
-            credit: if has_credit { self.credit } else { 0.0 },
+            credit: if has_credit {
+                self.credit.min(1.0 / LANES as f64)
+            } else {
+                0.0
+            },
         }
     }
 
--- a/crates/route/src/quota/mod.rs
+++ b/crates/route/src/quota/mod.rs
@@ -16,17 +16,22 @@
 
 use std::time::Duration;
 
+use base::rendezvous;
 use base::TeamId;
+use base::VmId;
 
 pub use bucket::Bucket;
 pub use bucket::Inflow;
 pub use delegator::Delegator;
+pub use desk::Denied;
 pub use desk::Desk;
 pub use desk::Taken;
 pub use desk::Token;
 pub use fleet::FleetSize;
 pub use home::Home;
 pub use msg::AskId;
+pub use msg::Lane;
+pub use msg::QuotaBody;
 pub use msg::QuotaMsg;
 pub use vm::Answer;
 pub use vm::Counts;
@@ -34,22 +39,25 @@
 pub use vm::Note;
 pub use vm::Quotas;
 
+/// The number of lanes into which each part is divided. Each has a home of its own, so that
+/// the loss of one leaves most of what teams usually need.
+pub const LANES: usize = 2;
 /// How long a part is delegated.
-pub const LEASE: Duration = Duration::from_millis(2400);
+pub const LEASE: Duration = Duration::from_millis(3000);
 /// How long a token may be held by the VM that asked for it.
 pub const HOLD: Duration = Duration::from_millis(400);
 /// By how much a delegator counts its leases longer than the home does.
 const DRIFT_MARGIN: f64 = 1.05;
 /// How long a call waits for a token.
 pub const ASK_LIMIT: Duration = Duration::from_millis(100);
-/// When an ask that has no answer is sent again.
+/// When an ask that has no answer is sent to the home of the other lane.
 pub const ASK_AGAIN: Duration = Duration::from_millis(40);
 /// The latest time after it was taken at which a token is given back.
 pub const GIVE_BACK_LIMIT: Duration = Duration::from_millis(100);
 /// A limit of at least this many calls a second is none.
 const RATE_MAX: f64 = 1e6;
-/// The least cap of a bucket: a share of it that is a bit less than 1 must hold a token.
-const STOCK_MIN: f64 = 2.0;
+/// The least stock: the share of one lane, while some parts are missing, must hold a token.
+const STOCK_MIN: f64 = 3.0;
 /// The share of the tolerance that adds to the stock of tokens.
 const STOCK_SHARE: f64 = 0.25;
 /// How long a new home may use its credit.
@@ -117,3 +125,14 @@
 fn with_margin(duration: Duration) -> Duration {
     duration.mul_f64(DRIFT_MARGIN)
 }
+
+/// Returns the home of each lane among the VMs `eligible`: another VM for each if possible,
+/// so that the loss of one moves one lane only.
+pub fn choose_homes(keys: [u64; LANES], eligible: &[VmId]) -> [Option<VmId>; LANES] {
+    let mut left = eligible.to_vec();
+    keys.map(|key| {
+        let home = rendezvous::first(key, &left).or_else(|| rendezvous::first(key, eligible));
+        left.retain(|vm| Some(*vm) != home);
+        home
+    })
+}
--- a/crates/route/src/quota/msg.rs
+++ b/crates/route/src/quota/msg.rs
@@ -12,9 +12,21 @@
 /// The number of an ask, by which its answer and a give-back are matched to it.
 pub type AskId = u64;
 
-/// A message between the home of the quotas and another VM.
+/// The number of one of the lanes into which each part is divided; see [`super::LANES`].
+pub type Lane = u8;
+
+/// A message between the home of a lane and another VM.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct QuotaMsg {
+    /// The lane.
+    pub lane: Lane,
+    /// The content.
+    pub body: QuotaBody,
+}
+
+/// The content of a message between the home of a lane and another VM.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
-pub enum QuotaMsg {
+pub enum QuotaBody {
     /// The home asks a VM for its part.
     Collect {
         /// The home's process.
--- a/crates/route/src/quota/parts.rs
+++ b/crates/route/src/quota/parts.rs
@@ -6,13 +6,14 @@
 use base::VmId;
 
 use crate::quota::HOLD;
+use crate::quota::LANES;
 use crate::quota::LEASE;
 
 /// How long after its stamp the home uses a part: tokens that it grants then can be used for
 /// as long as the rest of the lease.
 const USABLE: Duration = LEASE.saturating_sub(HOLD);
 /// When a part is asked for again after it was delegated.
-const RENEW_DELAY: Duration = Duration::from_millis(900);
+const RENEW_DELAY: Duration = Duration::from_millis(1200);
 /// When a part is asked for again that was not delegated.
 const COLLECT_AGAIN: Duration = Duration::from_millis(250);
 
@@ -44,9 +45,10 @@
 }
 
 impl Parts {
-    /// Returns the sum of the shares, at most 1 even if VMs differ on their number.
+    /// Returns the sum of the shares, at most that of a lane even if VMs differ on their
+    /// number.
     pub(crate) fn share(&self) -> f64 {
-        self.share.min(1.0)
+        self.share.min(1.0 / LANES as f64)
     }
 
     /// Returns shares times seconds since the home's start.
--- a/crates/route/src/quota/vm.rs
+++ b/crates/route/src/quota/vm.rs
@@ -9,14 +9,18 @@
 use crate::instance::InstanceId;
 use crate::quota::AskId;
 use crate::quota::Delegator;
+use crate::quota::Denied;
 use crate::quota::Desk;
 use crate::quota::FleetSize;
 use crate::quota::Home;
+use crate::quota::Lane;
 use crate::quota::Limit;
+use crate::quota::QuotaBody;
 use crate::quota::QuotaMsg;
 use crate::quota::Taken;
 use crate::quota::Terms;
 use crate::quota::Token;
+use crate::quota::LANES;
 
 /// The retry delay of a call for which no home answered. The next home has tokens by then.
 const NO_HOME_RETRY_AFTER: Duration = Duration::from_millis(500);
@@ -24,8 +28,8 @@
 /// The VMs as far as quotas are concerned.
 #[derive(Clone, Copy, Debug)]
 pub struct HomeView<'a> {
-    /// The home of the quotas.
-    pub home: Option<VmId>,
+    /// The home of each lane.
+    pub homes: [Option<VmId>; LANES],
     /// The VMs that respond, this one included, sorted.
     pub alive: &'a [VmId],
     /// The number of registered VMs, whether they respond or not.
@@ -44,12 +48,12 @@
 /// A decision for the log.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Note {
-    /// This VM is the home from now on.
-    HomeTaken,
-    /// This VM is no longer the home, and returned so many parts.
-    HomeLeft(usize),
-    /// The share of the quotas that this home holds has passed the half.
-    Share(f64),
+    /// This VM is the home of a lane from now on.
+    HomeTaken(Lane),
+    /// This VM is no longer the home of a lane, and returned so many parts.
+    HomeLeft(Lane, usize),
+    /// The share of the quotas that the home of a lane holds has passed half of the lane.
+    Share(Lane, f64),
     /// The VM was paused, and dropped its tokens.
     Paused,
 }
@@ -67,6 +71,16 @@
     pub messages: u64,
 }
 
+/// One lane of the quotas at one VM.
+#[derive(Clone, Debug)]
+struct LaneState {
+    home_vm: Option<VmId>,
+    delegator: Delegator,
+    home: Home,
+    /// Whether the home held most of the lane when that was last noted.
+    holds_most: bool,
+}
+
 /// The quotas at one VM.
 #[derive(Clone, Debug)]
 pub struct Quotas {
@@ -77,12 +91,8 @@
     limits: Vec<Limit>,
     fleet: FleetSize,
     alive: Vec<VmId>,
-    home_vm: Option<VmId>,
-    delegator: Delegator,
-    home: Home,
+    lanes: [LaneState; LANES],
     desk: Desk,
-    /// Whether the home held most of the quotas when that was last noted.
-    holds_most: bool,
     outgoing: Vec<(VmId, QuotaMsg)>,
     answers: Vec<(AskId, Answer)>,
     notes: Vec<Note>,
@@ -99,6 +109,12 @@
         start: Time,
         first: AskId,
     ) -> Self {
+        let lane = LaneState {
+            home_vm: None,
+            delegator: Delegator::new(start, terms.window),
+            home: Home::new(terms),
+            holds_most: false,
+        };
         Self {
             self_id,
             instance,
@@ -106,11 +122,8 @@
             limits: Vec::new(),
             fleet: FleetSize::new(),
             alive: Vec::new(),
-            home_vm: None,
-            delegator: Delegator::new(start, terms.window),
-            home: Home::new(terms),
+            lanes: [lane.clone(), lane],
             desk: Desk::new(first),
-            holds_most: false,
             outgoing: Vec::new(),
             answers: Vec::new(),
             notes: Vec::new(),
@@ -130,14 +143,14 @@
             .is_ok()
     }
 
-    /// Returns the home of the quotas.
-    pub fn home_vm(&self) -> Option<VmId> {
-        self.home_vm
+    /// Returns the home of each lane.
+    pub fn homes(&self) -> [Option<VmId>; LANES] {
+        std::array::from_fn(|lane| self.lanes[lane].home_vm)
     }
 
-    /// Returns the share of the quotas that this VM holds as their home.
+    /// Returns the share of the quotas that this VM holds as the home of lanes.
     pub fn share(&self) -> f64 {
-        self.home.share()
+        self.lanes.iter().map(|lane| lane.home.share()).sum()
     }
 
     /// Returns the counts since the start.
@@ -160,55 +173,62 @@
         std::mem::take(&mut self.notes)
     }
 
-    /// Puts `limits` in force.
-    pub fn set_limits(&mut self, mut limits: Vec<Limit>, now: Time) {
+    /// Puts `limits` in force. Returns whether they differ from those before.
+    pub fn set_limits(&mut self, mut limits: Vec<Limit>, now: Time) -> bool {
         limits.sort_unstable_by_key(|limit| limit.team);
+        if limits == self.limits {
+            return false;
+        }
         self.limits = limits;
-        self.home.set_limits(&self.limits, now);
-        if !self.is_active() {
-            self.stop_home(now);
+        for lane in &mut self.lanes {
+            lane.home.set_limits(&self.limits, now);
         }
+        self.choose_roles(now);
+        true
     }
 
     /// Records a change of the fleet.
     pub fn set_view(&mut self, view: HomeView<'_>, now: Time) {
         self.fleet.observe(view.registered, now);
         self.alive = view.alive.to_vec();
-        self.home_vm = view.home;
-        self.choose_role(now);
+        for (lane, home) in self.lanes.iter_mut().zip(view.homes) {
+            lane.home_vm = home;
+        }
+        self.choose_roles(now);
     }
 
     /// Asks for parts that are due, and forgets what is outdated.
     pub fn tick(&mut self, registered: u32, now: Time) {
         self.fleet.observe(registered, now);
-        self.choose_role(now);
         self.desk.tick(now);
-        let due = self.home.collect(&self.alive, now);
-        let collect = QuotaMsg::Collect {
+        let collect = QuotaBody::Collect {
             instance: self.instance,
             stamp: now,
             fleet: self.fleet.get(),
         };
-        for vm in due {
-            self.send(vm, collect, now);
-        }
-        let holds_most = self.home.share() > 0.5;
-        if self.home.is_active() && holds_most != self.holds_most {
-            self.holds_most = holds_most;
-            self.notes.push(Note::Share(self.home.share()));
+        for lane in 0..LANES {
+            let due = self.lanes[lane].home.collect(&self.alive, now);
+            for vm in due {
+                self.send(vm, lane as Lane, collect, now);
+            }
+            self.note_share(lane);
         }
     }
 
     /// Returns the parts to their owners, at a planned stop.
     pub fn leave(&mut self, now: Time) {
-        self.home_vm = None;
-        self.stop_home(now);
+        for lane in 0..LANES {
+            self.lanes[lane].home_vm = None;
+            self.stop_home(lane, now);
+        }
     }
 
     /// Drops what may be outdated after this VM was paused.
     pub fn resume_after_pause(&mut self, now: Time) {
         self.desk.drop_tokens();
-        self.home.collect(&[], now);
+        for lane in &mut self.lanes {
+            lane.home.collect(&[], now);
+        }
         self.notes.push(Note::Paused);
     }
 
@@ -218,140 +238,194 @@
         match taken {
             Taken::Now(_) => self.counts.granted += 1,
             Taken::Refused(_) => self.counts.refused += 1,
-            Taken::Wait(ask, _) => self.ask(ask, now),
+            Taken::Wait(ask) => self.ask(ask, now),
         }
         taken
     }
 
-    /// Sends an ask that has no answer, again if it was sent before.
-    pub fn ask(&mut self, ask: AskId, now: Time) {
-        let (Some((team, extra)), Some(home)) = (self.desk.pending(ask), self.home_vm) else {
-            return;
-        };
-        self.send(home, QuotaMsg::Ask { ask, team, extra }, now);
+    /// Sends an ask that got no answer to the other lane. Returns the home that did not
+    /// answer; `None` if there is none or no call waits any more.
+    pub fn ask_other(&mut self, ask: AskId, now: Time) -> Option<VmId> {
+        let silent = self.desk.turn(ask, now)?;
+        self.ask(ask, now);
+        self.lanes[usize::from(silent)].home_vm
     }
 
     /// Gives up an ask that got no answer in time. Returns the time after which the caller
     /// should try again.
     pub fn give_up(&mut self, ask: AskId) -> Duration {
-        self.desk.give_up(ask);
         self.counts.unanswered += 1;
         self.counts.refused += 1;
-        NO_HOME_RETRY_AFTER
+        self.desk.give_up(ask).unwrap_or(NO_HOME_RETRY_AFTER)
     }
 
     /// Takes a token back whose call certainly did not run.
     pub fn give_back(&mut self, token: Token, now: Time) {
         if let Some(home) = self.desk.give_back(token, now) {
-            self.send(home, QuotaMsg::GiveBack { ask: token.ask }, now);
+            let body = QuotaBody::GiveBack { ask: token.ask };
+            self.send(home, token.lane, body, now);
         }
     }
 
     /// Processes a message of the VM `from`.
     pub fn receive(&mut self, from: VmId, msg: QuotaMsg, now: Time) {
-        if !self.is_active() {
+        let index = usize::from(msg.lane);
+        if !self.is_active() || index >= LANES {
             return;
         }
-        match msg {
-            QuotaMsg::Collect {
+        let lane = &mut self.lanes[index];
+        match msg.body {
+            QuotaBody::Collect {
                 instance,
                 stamp,
                 fleet,
-            } => self.delegate((from, instance), stamp, fleet, now),
-            QuotaMsg::Delegate {
+            } => self.delegate(msg.lane, (from, instance), stamp, fleet, now),
+            QuotaBody::Delegate {
                 instance,
                 stamp,
                 share,
                 credit,
             } => {
                 if instance == self.instance {
-                    self.home.delegate(from, stamp, (share, credit), now);
+                    lane.home.delegate(from, stamp, (share, credit), now);
                 }
             }
-            QuotaMsg::Return {
+            QuotaBody::Return {
                 instance,
                 stamp,
                 held,
-            } => self.delegator.take_back((from, instance), stamp, held, now),
-            QuotaMsg::Ask { ask, team, extra } => self.serve((from, ask), team, extra, now),
-            QuotaMsg::Grant { ask, extra } => self.finish_grant(from, ask, extra, now),
-            QuotaMsg::Deny { ask, retry_after } => {
-                if self.desk.denied(ask, retry_after, now) {
-                    self.counts.refused += 1;
-                    self.answers.push((ask, Answer::Refused(retry_after)));
+            } => lane.delegator.take_back((from, instance), stamp, held, now),
+            QuotaBody::Ask { ask, team, extra } => {
+                self.serve(msg.lane, (from, ask), team, extra, now);
+            }
+            QuotaBody::Grant { ask, extra } => {
+                let granted = self.desk.granted((from, msg.lane), ask, extra, now);
+                if let Some(token) = granted {
+                    self.counts.granted += 1;
+                    self.answers.push((ask, Answer::Granted(token)));
                 }
             }
-            QuotaMsg::GiveBack { ask } => self.home.give_back(from, ask, now),
+            QuotaBody::Deny { ask, retry_after } => {
+                self.finish_denied(msg.lane, ask, retry_after, now);
+            }
+            QuotaBody::GiveBack { ask } => lane.home.give_back(from, ask, now),
         }
     }
 
-    /// Delegates this VM's part to `home` if it is the home by this VM's view.
-    fn delegate(&mut self, home: (VmId, InstanceId), stamp: Time, fleet: u32, now: Time) {
-        if self.home_vm != Some(home.0) {
-            return;
-        }
+    /// Delegates a lane of this VM's part to `home` if it is the home by this VM's view.
+    fn delegate(
+        &mut self,
+        lane: Lane,
+        home: (VmId, InstanceId),
+        stamp: Time,
+        fleet: u32,
+        now: Time,
+    ) {
         let fleet = fleet.max(self.fleet.get());
         let window = self.terms.window;
-        if let Some(delegation) = self.delegator.collect(home, stamp, fleet, window, now) {
-            let delegate = QuotaMsg::Delegate {
+        let state = &mut self.lanes[usize::from(lane)];
+        if state.home_vm != Some(home.0) {
+            return;
+        }
+        let delegation = state.delegator.collect(home, stamp, fleet, window, now);
+        if let Some(delegation) = delegation {
+            let delegate = QuotaBody::Delegate {
                 instance: home.1,
                 stamp,
                 share: delegation.share,
                 credit: delegation.credit,
             };
-            self.send(home.0, delegate, now);
+            self.send(home.0, lane, delegate, now);
+        }
+    }
+
+    /// Sends an ask to the home of its lane.
+    fn ask(&mut self, ask: AskId, now: Time) {
+        let Some((lane, team, extra)) = self.desk.pending(ask) else {
+            return;
+        };
+        if let Some(home) = self.lanes[usize::from(lane)].home_vm {
+            self.send(home, lane, QuotaBody::Ask { ask, team, extra }, now);
         }
     }
 
     /// Answers an ask of the VM `from`. A VM that is not the home lets it ask another one.
-    fn serve(&mut self, (from, ask): (VmId, AskId), team: TeamId, extra: u32, now: Time) {
-        if !self.home.is_active() {
+    fn serve(
+        &mut self,
+        lane: Lane,
+        (from, ask): (VmId, AskId),
+        team: TeamId,
+        extra: u32,
+        now: Time,
+    ) {
+        let home = &mut self.lanes[usize::from(lane)].home;
+        if !home.is_active() {
             return;
         }
-        let answer = match self.home.take((from, ask), team, extra, now) {
-            Ok(extra) => QuotaMsg::Grant { ask, extra },
-            Err(retry_after) => QuotaMsg::Deny { ask, retry_after },
+        let answer = match home.take((from, ask), team, extra, now) {
+            Ok(extra) => QuotaBody::Grant { ask, extra },
+            Err(retry_after) => QuotaBody::Deny { ask, retry_after },
         };
-        self.send(from, answer, now);
+        self.send(from, lane, answer, now);
     }
 
-    fn finish_grant(&mut self, from: VmId, ask: AskId, extra: u32, now: Time) {
-        if let Some(token) = self.desk.granted(from, ask, extra, now) {
-            self.counts.granted += 1;
-            self.answers.push((ask, Answer::Granted(token)));
+    fn finish_denied(&mut self, lane: Lane, ask: AskId, retry_after: Duration, now: Time) {
+        match self.desk.denied(lane, ask, retry_after, now) {
+            Denied::AskOther => self.ask(ask, now),
+            Denied::Nothing => {}
+            Denied::Refused(retry_after) => {
+                self.counts.refused += 1;
+                self.answers.push((ask, Answer::Refused(retry_after)));
+            }
         }
     }
 
-    /// Becomes the home, or gives that up, as the view says.
-    fn choose_role(&mut self, now: Time) {
-        let should_be = self.is_active() && self.home_vm == Some(self.self_id);
-        if should_be && !self.home.is_active() {
-            self.home.start(&self.limits, now);
-            self.notes.push(Note::HomeTaken);
-        } else if !should_be {
-            self.stop_home(now);
+    /// Becomes the home of lanes, or gives that up, as the view says.
+    fn choose_roles(&mut self, now: Time) {
+        for index in 0..LANES {
+            let lane = &mut self.lanes[index];
+            let is_chosen = !self.limits.is_empty() && lane.home_vm == Some(self.self_id);
+            if !is_chosen {
+                self.stop_home(index, now);
+            } else if !lane.home.is_active() {
+                lane.home.start(&self.limits, now);
+                self.notes.push(Note::HomeTaken(index as Lane));
+            }
         }
     }
 
-    fn stop_home(&mut self, now: Time) {
-        if !self.home.is_active() {
+    fn stop_home(&mut self, index: usize, now: Time) {
+        let lane = &mut self.lanes[index];
+        if !lane.home.is_active() {
             return;
         }
-        let (owners, held) = self.home.stop(now);
-        self.holds_most = false;
-        self.notes.push(Note::HomeLeft(owners.len()));
-        let give = QuotaMsg::Return {
+        let (owners, held) = lane.home.stop(now);
+        lane.holds_most = false;
+        let number = index as Lane;
+        self.notes.push(Note::HomeLeft(number, owners.len()));
+        let give = QuotaBody::Return {
             instance: self.instance,
             stamp: now,
             held,
         };
         for vm in owners {
-            self.send(vm, give, now);
+            self.send(vm, number, give, now);
+        }
+    }
+
+    fn note_share(&mut self, index: usize) {
+        let lane = &mut self.lanes[index];
+        let share = lane.home.share();
+        let holds_most = share * LANES as f64 > 0.5;
+        if lane.home.is_active() && holds_most != lane.holds_most {
+            lane.holds_most = holds_most;
+            self.notes.push(Note::Share(index as Lane, share));
         }
     }
 
     /// Queues a message. One to this VM itself is processed at once.
-    fn send(&mut self, to: VmId, msg: QuotaMsg, now: Time) {
+    fn send(&mut self, to: VmId, lane: Lane, body: QuotaBody, now: Time) {
+        let msg = QuotaMsg { lane, body };
         if to == self.self_id {
             self.receive(to, msg, now);
         } else {
