Test quotas with restarted herds, older builds and views that differ

The tests lacked the restart of half of the fleet, VMs of a build that knows no quotas, VMs that differ on their number, and the datagrams of the new messages.

--- a/crates/route/tests/quota_sim/mod.rs
+++ b/crates/route/tests/quota_sim/mod.rs
@@ -88,6 +88,8 @@
     pub(crate) loss: f64,
     pub(crate) duplicates: f64,
     pub(crate) delay_max: Duration,
+    /// VMs from this one on run a build that knows no quotas.
+    pub(crate) old_from: usize,
     /// Whether most calls with a token find no room and give it back.
     pub(crate) refuse_runs: bool,
     pub(crate) granted: Vec<u64>,
@@ -134,6 +136,7 @@
             loss: 0.0,
             duplicates: 0.0,
             delay_max: Duration::from_millis(4),
+            old_from: usize::MAX,
             refuse_runs: false,
             granted: vec![0; teams],
             refused: vec![0; teams],
@@ -325,6 +328,10 @@
             self.update_view(vm);
         }
         let state = &mut self.vms[vm];
+        if vm >= self.old_from {
+            state.inbox.clear();
+            return;
+        }
         if !state.up || self.now < state.frozen_until {
             return;
         }
@@ -439,7 +446,7 @@
     }
 
     fn call(&mut self, team: u64) {
-        let vm = self.rng.usize(..self.vms.len());
+        let vm = self.rng.usize(..self.vms.len().min(self.old_from));
         let state = &mut self.vms[vm];
         if !state.up || self.now < state.frozen_until {
             return;
--- a/crates/route/tests/quotas.rs
+++ b/crates/route/tests/quotas.rs
@@ -11,8 +11,13 @@
 use route::quota::Bucket;
 use route::quota::Delegator;
 use route::quota::FleetSize;
+use route::quota::HomeView;
 use route::quota::Limit;
+use route::quota::QuotaBody;
+use route::quota::QuotaMsg;
+use route::quota::Quotas;
 use route::quota::Terms;
+use route::quota::LANES;
 use route::quota::LEASE;
 
 /// The number of generated scripts.
@@ -210,6 +215,88 @@
     fleet.check_bound();
 }
 
+#[test]
+fn herd_that_restarts_keeps_the_bound_and_is_served_soon() {
+    let usual = usual_rates();
+    let mut fleet = Fleet::new(120, Rules::new(limits(&usual)), 7);
+    fleet.run(Duration::from_secs(5));
+    fleet.demand = usual.iter().map(|usual| usual * 1.5).collect();
+    fleet.run(Duration::from_secs(4));
+    fleet.clear_counts();
+    for vm in (0..120).step_by(2) {
+        fleet.restart(vm, Duration::from_millis(500));
+    }
+    fleet.run(Duration::from_secs(5));
+    let (granted, refused) = fleet.totals();
+    eprintln!("herd: {granted} granted and {refused} refused in 5 s");
+    fleet.demand = usual.clone();
+    fleet.run(Duration::from_secs(2));
+    fleet.clear_counts();
+    fleet.run(Duration::from_secs(4));
+    let (granted, refused) = fleet.totals();
+    assert!(refused * 200 < granted, "{refused} of {granted}");
+    fleet.check_bound();
+}
+
+#[test]
+fn parts_of_older_builds_are_not_used() {
+    let rules = Rules::new(vec![Limit::new(0, 60.0, 0.0).unwrap()]);
+    let mut fleet = Fleet::new(12, rules, 8);
+    fleet.old_from = 8;
+    fleet.run(Duration::from_secs(5));
+    fleet.demand = vec![300.0];
+    fleet.run(Duration::from_secs(5));
+    fleet.clear_counts();
+    fleet.run(Duration::from_secs(10));
+    let granted = fleet.granted[0];
+    assert!((360..=420).contains(&granted), "{granted}");
+}
+
+#[test]
+fn vm_takes_the_larger_number_of_vms() {
+    let limit = Limit::new(1, 10.0, 5.0).unwrap();
+    let mut quotas = Quotas::new(3, 50, TERMS, Time::ZERO, 0);
+    quotas.set_limits(vec![limit], Time::ZERO);
+    let view = HomeView {
+        homes: [Some(1), Some(2)],
+        alive: &[1, 2, 3],
+        registered: 5,
+    };
+    let now = Time::from_secs(20);
+    quotas.set_view(view, now);
+    for (fleet, parts) in [(4, 5.0), (10, 10.0)] {
+        let collect = QuotaMsg {
+            lane: 0,
+            body: QuotaBody::Collect {
+                instance: 9,
+                stamp: now,
+                fleet,
+            },
+        };
+        quotas.receive(1, collect, now);
+        let sent = quotas.take_messages();
+        let [(1, QuotaMsg { lane: 0, body })] = sent[..] else {
+            panic!("{sent:?}");
+        };
+        let QuotaBody::Delegate { share, .. } = body else {
+            panic!("{body:?}");
+        };
+        assert!((share * parts * LANES as f64 - 1.0).abs() < 1e-9, "{share}");
+    }
+    // A VM that is not the home by this VM's view gets nothing, and without limits nobody does.
+    let body = QuotaBody::Collect {
+        instance: 9,
+        stamp: now,
+        fleet: 5,
+    };
+    quotas.receive(2, QuotaMsg { lane: 0, body }, now);
+    quotas.set_limits(Vec::new(), now);
+    quotas.receive(1, QuotaMsg { lane: 0, body }, now);
+    quotas.tick(5, now);
+    assert!(quotas.take_messages().is_empty());
+    assert!(!quotas.limits(1));
+}
+
 #[test]
 fn lower_limit_binds_within_a_window() {
     let rules = Rules::new(vec![Limit::new(0, 100.0, 50.0).unwrap()]);
--- a/crates/wire/tests/datagrams.rs
+++ b/crates/wire/tests/datagrams.rs
@@ -49,6 +49,23 @@
     });
 }
 
+#[test]
+fn quota_messages_are_recent_and_round_trip() {
+    let body = route::quota::QuotaBody::Delegate {
+        instance: 7,
+        stamp: std::time::Duration::from_millis(3),
+        share: 0.0125,
+        credit: 0.0,
+    };
+    let msg = Msg::Quota(route::quota::QuotaMsg { lane: 1, body });
+    assert!(msg.is_recent());
+    assert!(!acquire(1).is_recent());
+    let mut datagram = Datagram::new(7);
+    assert!(datagram.add(&msg));
+    let opened = datagram::open(&datagram.seal(&keys(1, 2)), &keys(1, 2));
+    assert_eq!(opened, Ok((7, vec![msg])));
+}
+
 #[test]
 fn open_tampered_or_foreign_datagram() {
     let mut datagram = Datagram::new(7);
