--- a/crates/conf/tests/settings.rs
+++ b/crates/conf/tests/settings.rs
@@ -191,3 +191,16 @@
         .check()
         .is_err_and(|errors| errors.to_string().contains("teams: ")));
 }
+
+#[test]
+fn check_quotas_out_of_range_are_refused() {
+    let with =
+        |quotas: &str| GOOD.replace("\"admin\"", &format!("\"quotas\": {quotas}, \"admin\""));
+    let text = with(r#"{ "window": "5s", "excess": 0.1, "slack": 20 }"#);
+    let quotas = Settings::parse(&text).unwrap().quotas.unwrap();
+    assert_eq!(quotas.window.as_secs(), 5);
+    assert_eq!(quotas.slack, 20);
+    let faults = faults(&with(r#"{ "window": "10ms", "excess": 2.0, "slack": 20 }"#));
+    assert!(faults.contains("quotas.window:"), "{faults}");
+    assert!(faults.contains("quotas.excess:"), "{faults}");
+}
