Order waiting calls by rank, lateness, shares and work

The queue knew three classes, folded two ranks into one and took every call for as long as the usual one, so a short urgent call at a service of long ones was late from the start. Requests with a ranking are now ordered by precedence, weighed by their own work, turned away when dearer ones leave them no room, and held back while calls of higher ranks need the last slots. Kinds and teams far below the others go first. They travel in a message of their own, first in the ranked form and then in the plain one.

--- a/crates/route/src/coordinator.rs
+++ b/crates/route/src/coordinator.rs
@@ -146,6 +146,7 @@
                 }
             }
             Body::Acquire { epoch, .. }
+            | Body::AcquireRanked { epoch, .. }
             | Body::Refresh { epoch, .. }
             | Body::Release { epoch, .. }
                 if epoch.home == self.home.vm =>
--- a/crates/route/src/follower/mod.rs
+++ b/crates/route/src/follower/mod.rs
@@ -9,6 +9,7 @@
 
 mod fallback;
 mod home;
+pub mod ranked;
 mod summaries;
 
 use std::time::Duration;
@@ -20,6 +21,7 @@
 use base::Time;
 use base::VmId;
 
+use self::ranked::RankedForm;
 use crate::cold_rate::ColdGrants;
 use crate::epoch::Epoch;
 use crate::handover::DatedSummary;
@@ -85,6 +87,10 @@
     deadline: Time,
     requested_at: Time,
     stage: Stage,
+    /// The epoch of the home to which the request was last sent.
+    sent_to: Option<Epoch>,
+    /// Whether it was sent to that home in the plain form.
+    sent_plain: bool,
 }
 
 /// A cancelled attempt that the server may still run.
@@ -152,6 +158,7 @@
     lost_connections: Vec<LostConnection>,
     rate_notes: RateNotes,
     cold_grants: ColdGrants,
+    ranked_form: RankedForm,
     /// The last attempt id that was assigned; its upper half is the instance.
     last_id: AttemptId,
     /// The summaries of the last snapshot, sorted by server.
@@ -188,6 +195,7 @@
             lost_connections: Vec::new(),
             rate_notes: RateNotes::default(),
             cold_grants: ColdGrants::default(),
+            ranked_form: RankedForm::default(),
             last_id: u64::from(instance) << instance::COUNTER_BITS,
             summaries: Vec::new(),
             snapshot_epoch: Epoch::default(),
@@ -282,6 +290,8 @@
             request,
             requested_at: now,
             stage: Stage::requested(now),
+            sent_to: None,
+            sent_plain: false,
         });
         if self.following {
             self.send_acquire(self.attempts.len() - 1, now);
@@ -355,11 +365,13 @@
                 server,
             } => {
                 if self.is_current(epoch, now) {
+                    self.record_reply(call);
                     self.receive_grant(call, server, now);
                 }
             }
             Body::Queued { epoch, call } => {
                 if self.is_current(epoch, now) {
+                    self.record_reply(call);
                     self.receive_queued(call, now);
                 }
             }
@@ -370,6 +382,7 @@
                 after,
             } => {
                 if self.is_current(epoch, now) {
+                    self.record_reply(call);
                     self.receive_refusal(call, reason, after);
                 }
             }
@@ -383,6 +396,7 @@
             | Body::Refresh { .. }
             | Body::Stale { .. }
             | Body::Acquire { .. }
+            | Body::AcquireRanked { .. }
             | Body::Lost { .. }
             | Body::RateLimits { .. }
             | Body::ColdGrants { .. }
@@ -499,18 +513,48 @@
         }
     }
 
-    /// Sends a permit request with the time that is left to the attempt.
+    /// Records a reply to the permit request of `call`.
+    fn record_reply(&mut self, call: AttemptId) {
+        let epoch = self.highest_epoch;
+        let found = self.find(call).map(|index| &self.attempts[index]);
+        let waiting = found.filter(|attempt| {
+            let ranked = attempt.request.ranking.is_some();
+            let waits = matches!(attempt.stage, Stage::Waiting { .. });
+            ranked && waits && attempt.sent_to == Some(epoch)
+        });
+        if let Some(plain) = waiting.map(|attempt| attempt.sent_plain) {
+            self.ranked_form.record_reply(epoch, plain);
+        }
+    }
+
+    /// Sends a permit request with the time that is left to the attempt, in a form that the
+    /// home should be able to read.
     fn send_acquire(&mut self, index: usize, now: Time) {
-        let attempt = &self.attempts[index];
+        let epoch = self.highest_epoch;
+        let attempt = &mut self.attempts[index];
+        let sent = attempt.sent_to == Some(epoch);
+        let ranking = attempt.request.ranking;
+        let ranking = ranking.filter(|_| self.ranked_form.is_next(epoch, sent));
+        attempt.sent_to = Some(epoch);
+        attempt.sent_plain = (sent && attempt.sent_plain) || ranking.is_none();
+        let call = attempt.id;
         let mut request = attempt.request.clone();
         request.left = attempt.deadline.saturating_sub(now);
         request.goal = request
             .goal
             .saturating_sub(now.saturating_sub(attempt.requested_at));
-        let body = Body::Acquire {
-            epoch: self.highest_epoch,
-            call: attempt.id,
-            ask: request,
+        let body = match ranking {
+            Some(ranking) => Body::AcquireRanked {
+                epoch,
+                call,
+                ask: request,
+                ranking: Box::new(ranking),
+            },
+            None => Body::Acquire {
+                epoch,
+                call,
+                ask: request,
+            },
         };
         self.send_home(body);
     }
--- a/crates/route/src/ledger/admission.rs
+++ b/crates/route/src/ledger/admission.rs
@@ -31,21 +31,23 @@
     /// The mean over all calls only serves as an upper bound. Where hosts are
     /// slow by turns, a few calls take far longer than the mean and most take
     /// less.
-    fn likely_time(&self) -> Duration {
+    pub(super) fn likely_time(&self) -> Duration {
         let contended = self.typical_time * (1.0 + self.contention());
         Duration::from_secs_f64(contended.min(self.mean_time))
     }
 
     /// Grants a permit to `waiter`, queues it, or refuses it.
     pub(super) fn admit(&mut self, mut waiter: Waiter, now: Time) {
-        let service_time = self.likely_time();
+        self.record_ask(&mut waiter, now);
+        let service_time = self.service_time(&waiter);
         waiter.late = waiter.request.goal < service_time;
         if !waiter.late && self.mean_slowdown > 1.0 {
             waiter.in_time_until = now + waiter.request.goal.saturating_sub(service_time);
         }
         let ahead = self.queue.ahead_of(&waiter);
-        if ahead == 0 {
+        if ahead == 0 && !self.is_held_back(&waiter, now) {
             if let Some(index) = self.choose_server(&waiter, false, now) {
+                self.record_serve(&waiter);
                 if self.probe_first(&mut waiter, index, now) {
                     self.queue.add(waiter);
                 } else {
@@ -58,17 +60,17 @@
         let no_alternative = rescue && !self.has_alternative(&waiter.request.avoid);
         if no_alternative || self.spec.open_slots() == 0 {
             self.refuse(
-                waiter.vm,
-                waiter.call,
+                &waiter,
                 RefusalReason::NoServer,
                 NO_SERVER_RETRY_AFTER,
+                false,
             );
             return;
         }
-        let mut wait = self.estimated_wait(ahead + 1, now);
+        let mut wait = self.wait_of(&waiter, ahead, now);
         if !waiter.late && wait.mul_f64(WAIT_MARGIN) + service_time > waiter.request.goal {
             waiter.late = true;
-            wait = self.estimated_wait(self.queue.ahead_of(&waiter) + 1, now);
+            wait = self.wait_of(&waiter, self.queue.ahead_of(&waiter), now);
         }
         let until = if waiter.late {
             now + waiter.request.late_wait
@@ -78,16 +80,21 @@
         waiter.expires = waiter.expires.min(until);
         let fits = now + wait <= waiter.expires && self.queue.has_room(waiter.request.class);
         if !fits {
-            self.refuse(
-                waiter.vm,
-                waiter.call,
-                RefusalReason::Overload,
-                wait.max(RETRY_AFTER_MIN),
-            );
+            let after = match waiter.request.ranking {
+                Some(_) => self.retry_after(&waiter, now),
+                None => wait.max(RETRY_AFTER_MIN),
+            };
+            self.refuse(&waiter, RefusalReason::Overload, after, false);
             return;
         }
         self.counts.queued += 1;
+        self.record_serve(&waiter);
         self.send_queued(waiter.vm, waiter.call);
+        let ranked = waiter.request.ranking.is_some();
+        let is_last = self.queue.ahead_of(&waiter) == self.queue.len();
         self.queue.add(waiter);
+        if ranked && !is_last {
+            self.evict(now);
+        }
     }
 }
--- a/crates/route/src/ledger/decision.rs
+++ b/crates/route/src/ledger/decision.rs
@@ -7,6 +7,7 @@
 
 use crate::msg::AttemptId;
 use crate::msg::AttemptKind;
+use crate::msg::Ranking;
 use crate::msg::RefusalReason;
 
 /// A decision of the home together with the values that it was based on.
@@ -34,6 +35,8 @@
         age: Duration,
         /// Requests in the queue at the time of the grant.
         waiting: usize,
+        /// What the call was weighed by, if the request said so.
+        ranking: Option<Ranking>,
     },
     /// A server began or ceased to limit the rate of its calls.
     RateLimited {
@@ -54,5 +57,9 @@
         after: Duration,
         /// Requests in the queue at the time of the refusal.
         waiting: usize,
+        /// What the call was weighed by, if the request said so.
+        ranking: Option<Ranking>,
+        /// Whether the request had been queued and gave way to dearer ones.
+        evicted: bool,
     },
 }
--- a/crates/route/src/ledger/grants.rs
+++ b/crates/route/src/ledger/grants.rs
@@ -17,7 +17,6 @@
 use super::LINGER_MIN;
 use super::LINGER_SERVICE_TIMES;
 use super::PERMIT_GRACE;
-use super::RETRY_AFTER_MIN;
 use crate::msg::AttemptId;
 use crate::msg::AttemptKind;
 use crate::msg::RefusalReason;
@@ -49,6 +48,7 @@
             slowdown: self.slowdown_of(choice, now),
             age: choice.limit.age(now),
             waiting: self.queue.len(),
+            ranking: waiter.request.ranking,
         });
         self.send_grant(waiter.vm, waiter.call, server);
     }
@@ -153,10 +153,7 @@
             self.decrement_busy(&permit);
         }
         for waiter in self.queue.extract_if(|waiter| now >= waiter.expires) {
-            let wait = self
-                .estimated_wait(self.queue.len(), now)
-                .max(RETRY_AFTER_MIN);
-            self.refuse(waiter.vm, waiter.call, RefusalReason::Expired, wait);
+            self.turn_away(&waiter, RefusalReason::Expired, false, now);
         }
         self.followers
             .retain(|follower| now < follower.last_request + FOLLOWER_RETENTION);
--- a/crates/route/src/ledger/mod.rs
+++ b/crates/route/src/ledger/mod.rs
@@ -15,6 +15,7 @@
 mod followers;
 mod grants;
 mod placement;
+mod ranks;
 mod servers;
 mod slowdown;
 
@@ -30,6 +31,7 @@
 pub use self::decision::Decision;
 use self::servers::Server;
 use crate::budget::Budget;
+use crate::demand::Demand;
 use crate::epoch::Epoch;
 use crate::epoch::HomeId;
 use crate::handover::Handover;
@@ -49,6 +51,7 @@
 use crate::queue::Queue;
 use crate::queue::Waiter;
 use crate::quorum::Quorum;
+use crate::shares::Shares;
 use crate::spec::ShardSpec;
 
 /// Lower bound of the time without a response after which a VM counts as
@@ -85,6 +88,9 @@
 /// free.
 const QUEUE_SCAN_MAX: usize = 8;
 
+/// The number of ranks whose refusals are counted apart.
+pub const RANK_COUNTS: usize = 4;
+
 /// The membership of the fleet as this VM sees it, which the home gets from its
 /// environment.
 #[derive(Clone, Copy, Debug)]
@@ -164,6 +170,11 @@
     pub queued: u64,
     /// Requests refused.
     pub refused: u64,
+    /// Requests refused, of those with a ranking, by rank; the last number counts all
+    /// ranks from there on.
+    pub refused_by_rank: [u64; RANK_COUNTS],
+    /// Requests refused after they had been queued, as dearer ones needed the room.
+    pub evicted: u64,
     /// Probes started.
     pub probes: u64,
 }
@@ -216,6 +227,10 @@
     /// the followers have not been sent yet.
     summaries_changed: bool,
     last_broadcast: Time,
+    /// What calls of each rank have needed lately.
+    demand: Demand,
+    /// How well kinds and teams have been served lately.
+    shares: Shares,
     counts: Counts,
     decisions: Vec<Decision>,
     actions: Vec<Action>,
@@ -255,6 +270,8 @@
             idle_gap: 0.0,
             summaries_changed: true,
             last_broadcast: Time::ZERO,
+            demand: Demand::default(),
+            shares: Shares::default(),
             counts: Counts::default(),
             decisions: Vec::new(),
             actions: Vec::new(),
@@ -355,6 +372,7 @@
         self.request_acknowledgements(now);
         self.forget_stale(now);
         self.update_typical_time();
+        self.update_queue_order(now);
         self.probe_for_waiting(now);
         self.serve_queue(now);
         self.send_snapshots(now);
@@ -392,6 +410,17 @@
                     self.acquire(from, call, request, now);
                 }
             }
+            Body::AcquireRanked {
+                epoch,
+                call,
+                ask: mut request,
+                ranking,
+            } => {
+                if self.is_current(from, epoch) {
+                    request.ranking = Some(*ranking);
+                    self.acquire(from, call, request, now);
+                }
+            }
             Body::Release { epoch, release } => {
                 if self.is_current(from, epoch) {
                     self.release(from, release, now);
@@ -435,11 +464,11 @@
             return;
         }
         let uses_retry_budget = matches!(request.kind, AttemptKind::Retry | AttemptKind::Rescue);
+        let waiter = Waiter::new(from, call, request, now);
         if uses_retry_budget && !self.retry_budget.try_spend(now) {
-            self.refuse(from, call, RefusalReason::Budget, BUDGET_RETRY_AFTER);
+            self.refuse(&waiter, RefusalReason::Budget, BUDGET_RETRY_AFTER, false);
             return;
         }
-        let waiter = Waiter::new(from, call, request, now);
         if waiter.request.kind == AttemptKind::Hedge {
             self.admit_hedge(&waiter, now);
         } else {
@@ -461,12 +490,7 @@
                 self.hedge_budget.try_spend(now);
                 self.grant(waiter, index, now);
             }
-            None => self.refuse(
-                waiter.vm,
-                waiter.call,
-                RefusalReason::Budget,
-                BUDGET_RETRY_AFTER,
-            ),
+            None => self.refuse(waiter, RefusalReason::Budget, BUDGET_RETRY_AFTER, false),
         }
     }
 
@@ -494,6 +518,10 @@
         let mut index = 0;
         while index < self.queue.len().min(QUEUE_SCAN_MAX) {
             let waiter = self.queue.list()[index].clone();
+            if self.is_held_back(&waiter, now) {
+                index += 1;
+                continue;
+            }
             match self.choose_server(&waiter, false, now) {
                 Some(_) if self.awaits_probes(&waiter, now) => index += 1,
                 Some(server) => {
@@ -542,14 +570,22 @@
         self.send(to, Body::Queued { epoch, call });
     }
 
-    fn refuse(&mut self, to: VmId, call: AttemptId, reason: RefusalReason, after: Duration) {
+    /// Refuses `waiter`; `evicted` says whether it gave way to dearer ones in the queue.
+    fn refuse(&mut self, waiter: &Waiter, reason: RefusalReason, after: Duration, evicted: bool) {
         self.counts.refused += 1;
+        if let Some(ranking) = &waiter.request.ranking {
+            let index = (ranking.rank as usize).min(RANK_COUNTS - 1);
+            self.counts.refused_by_rank[index] += 1;
+        }
+        let call = waiter.call;
         self.decisions.push(Decision::Refused {
-            vm: to,
+            vm: waiter.vm,
             call,
             reason,
             after,
             waiting: self.queue.len(),
+            ranking: waiter.request.ranking,
+            evicted,
         });
         let epoch = self.epoch;
         let body = Body::Refuse {
@@ -558,7 +594,7 @@
             reason,
             after,
         };
-        self.send(to, body);
+        self.send(waiter.vm, body);
     }
 
     fn send(&mut self, to: VmId, body: Body) {
--- a/crates/route/src/ledger/placement.rs
+++ b/crates/route/src/ledger/placement.rs
@@ -29,18 +29,28 @@
     /// from the limits and rate limits of the servers that are up and the mean time of a
     /// call.
     pub(super) fn estimated_wait(&self, ahead: usize, now: Time) -> Duration {
-        let up = self.servers.iter().filter(|server| {
-            let open = self.spec.server(server.id).is_some_and(|s| s.open);
-            open && server.limit.warmth(&self.spec) != Warmth::Down
-        });
         let call_secs = self.mean_time + self.idle_gap;
-        let slots: f64 = up.clone().map(|server| server.capacity(call_secs)).sum();
+        let slots = self.capacity();
         let rounds = ahead as f64 / if slots > 0.0 { slots } else { 1.0 };
         // The rates of several servers may allow the next calls all at the same time.
-        let next = up.map(|server| server.rate_delay(now)).min();
+        let next = self.up_servers().map(|server| server.rate_delay(now)).min();
         Duration::from_secs_f64(rounds * call_secs).max(next.unwrap_or_default())
     }
 
+    /// Returns how many calls the servers that are up can run at once.
+    pub(super) fn capacity(&self) -> f64 {
+        let call_secs = self.mean_time + self.idle_gap;
+        let slots = self.up_servers().map(|server| server.capacity(call_secs));
+        slots.sum()
+    }
+
+    fn up_servers(&self) -> impl Iterator<Item = &Server> {
+        self.servers.iter().filter(|server| {
+            let open = self.spec.server(server.id).is_some_and(|s| s.open);
+            open && server.limit.warmth(&self.spec) != Warmth::Down
+        })
+    }
+
     /// Returns the index of the best server for `waiter`, or none if no server
     /// has room for it; with `spare_only`, only warm servers with a free slot
     /// count.
@@ -63,9 +73,10 @@
         };
         let critical = waiter.request.class == Class::Critical;
         let untried = all().filter(|c| !avoid.contains(&self.servers[c.index].id));
+        let work_factor = self.work_factor(waiter);
         let in_time = |c: &Candidate| {
             let left = (waiter.request.goal + waiter.queued_at).saturating_sub(now);
-            now >= waiter.in_time_until || c.predicted_time() <= left.as_secs_f64()
+            now >= waiter.in_time_until || c.predicted_time() * work_factor <= left.as_secs_f64()
         };
         let best = choose::best(untried.filter(in_time), critical);
         let other_only = spare_only || waiter.request.kind == AttemptKind::Rescue;
--- /dev/null
+++ b/crates/route/src/ledger/ranks.rs
@@ -0,0 +1,206 @@
+//! How the home serves calls with a ranking: what it learns of them, how long they would
+//! wait, and which of those in the queue it turns away.
+//!
+//! Requests without a ranking are served by class as before, and none of this applies to
+//! them. See `docs/design/overload.md`.
+
+use std::time::Duration;
+
+use base::Rank;
+use base::Time;
+
+use super::Ledger;
+use super::RETRY_AFTER_MIN;
+use crate::msg::AttemptKind;
+use crate::msg::RefusalReason;
+use crate::queue::Waiter;
+
+/// The factor by which the estimated wait of a queued call may exceed the time that it
+/// has. Being above 1, it keeps calls from being queued and turned away by turns.
+const EVICT_MARGIN: f64 = 1.25;
+/// The longest time after which a caller is asked to repeat a call for which there was too
+/// little room: nobody knows the demand of the time after.
+const RETRY_AFTER_MAX: Duration = Duration::from_secs(5);
+
+impl Ledger {
+    /// Records a new request in the demand and the shares, and sets its standing.
+    pub(super) fn record_ask(&mut self, waiter: &mut Waiter, now: Time) {
+        let Some(ranking) = waiter.request.ranking else {
+            return;
+        };
+        self.shares.ask(&ranking, now);
+        waiter.standing = self.shares.standing(&ranking);
+        if waiter.request.kind == AttemptKind::First {
+            let work = self.service_time(waiter);
+            let slack = waiter.request.goal.saturating_sub(work);
+            self.demand.record(ranking.rank, work, slack, now);
+        }
+    }
+
+    /// Records that a request was granted or queued.
+    pub(super) fn record_serve(&mut self, waiter: &Waiter) {
+        if let Some(ranking) = &waiter.request.ranking {
+            self.shares.serve(ranking);
+        }
+    }
+
+    /// Returns the service time to be expected for the call.
+    pub(super) fn service_time(&self, waiter: &Waiter) -> Duration {
+        let ranking = waiter.request.ranking;
+        let known = ranking.map(|ranking| ranking.work);
+        known
+            .filter(|work| !work.is_zero())
+            .unwrap_or_else(|| self.likely_time())
+    }
+
+    /// Returns the factor on the time of a usual call for this call.
+    pub(super) fn work_factor(&self, waiter: &Waiter) -> f64 {
+        let work = waiter.request.ranking.map(|ranking| ranking.work);
+        match work {
+            Some(work) if !work.is_zero() && self.typical_time > 0.0 => {
+                work.as_secs_f64() / self.typical_time
+            }
+            _ => 1.0,
+        }
+    }
+
+    /// Returns the estimated wait of `waiter` with `ahead` queued requests before it.
+    pub(super) fn wait_of(&self, waiter: &Waiter, ahead: usize, now: Time) -> Duration {
+        let Some(ranking) = waiter.request.ranking else {
+            return self.estimated_wait(ahead + 1, now);
+        };
+        let before = self.queue.list()[..ahead].iter();
+        let load: f64 = before.map(|other| self.slot_secs(other)).sum();
+        let load = load + self.slot_secs(waiter);
+        if waiter.standing.kind_short {
+            return self.time_for(load, now);
+        }
+        self.time_above(load, ranking.rank, now)
+    }
+
+    /// Returns the time after which calls of the same rank should have room.
+    ///
+    /// It is the same for all calls of a rank and never shorter than for a higher one,
+    /// whose queued calls go first and whose new ones take their part of the slots.
+    pub(super) fn retry_after(&self, waiter: &Waiter, now: Time) -> Duration {
+        let rank = waiter.rank();
+        let before = self.queue.list().iter();
+        let before = before.filter(|other| other.rank() <= rank);
+        let load: f64 = before.map(|other| self.slot_secs(other)).sum();
+        let wait = self.time_above(load, rank, now);
+        wait.clamp(RETRY_AFTER_MIN, RETRY_AFTER_MAX)
+    }
+
+    /// Returns whether the free slots have to be left to calls of higher ranks.
+    pub(super) fn is_held_back(&self, waiter: &Waiter, now: Time) -> bool {
+        let Some(ranking) = waiter.request.ranking else {
+            return false;
+        };
+        if waiter.standing.kind_short {
+            return false;
+        }
+        let slots = self.capacity();
+        let hold_secs = self.mean_time + self.idle_gap;
+        let reserve = self.demand.reserve(ranking.rank, slots, hold_secs, now);
+        if reserve < 1.0 {
+            return false;
+        }
+        let in_use: u32 = self.servers.iter().map(|server| server.busy).sum();
+        slots - f64::from(in_use) < reserve.floor() + 1.0
+    }
+
+    /// Brings the queue in line with what was served since the last call, and turns away
+    /// the calls for which no room is left.
+    pub(super) fn update_queue_order(&mut self, now: Time) {
+        if !self.queue.is_ranked() {
+            return;
+        }
+        let shares = &self.shares;
+        self.queue.reorder(|ranking| shares.standing(ranking));
+        self.evict(now);
+    }
+
+    /// Refuses the queued calls that cannot be served in time any more, now that calls of
+    /// higher precedence are queued before them.
+    ///
+    /// The first in the queue stays: it gets the next slot, whatever the estimate says. A
+    /// call that was late from the start keeps its short wait.
+    pub(super) fn evict(&mut self, now: Time) {
+        let mut load = 0.0;
+        let mut evicted = Vec::new();
+        for waiter in self.queue.list() {
+            let with_own = load + self.slot_secs(waiter);
+            if load > 0.0 && self.is_hopeless(waiter, with_own, now) {
+                evicted.push((waiter.vm, waiter.call));
+            } else {
+                load = with_own;
+            }
+        }
+        if evicted.is_empty() {
+            return;
+        }
+        evicted.sort_unstable();
+        let gone = |w: &Waiter| evicted.binary_search(&(w.vm, w.call)).is_ok();
+        for waiter in self.queue.extract_if(gone) {
+            self.counts.evicted += 1;
+            self.turn_away(&waiter, RefusalReason::Overload, true, now);
+        }
+    }
+
+    /// Refuses a request that was queued.
+    pub(super) fn turn_away(
+        &mut self,
+        waiter: &Waiter,
+        reason: RefusalReason,
+        evicted: bool,
+        now: Time,
+    ) {
+        let after = match &waiter.request.ranking {
+            Some(ranking) => {
+                self.shares.withdraw(ranking);
+                self.retry_after(waiter, now)
+            }
+            None => self
+                .estimated_wait(self.queue.len(), now)
+                .max(RETRY_AFTER_MIN),
+        };
+        self.refuse(waiter, reason, after, evicted);
+    }
+
+    /// Returns whether the call cannot be served in time if `load` slot seconds come
+    /// before its end in the queue.
+    fn is_hopeless(&self, waiter: &Waiter, load: f64, now: Time) -> bool {
+        let Some(ranking) = waiter.request.ranking else {
+            return false;
+        };
+        if waiter.late || waiter.standing.kind_short {
+            return false;
+        }
+        let left = waiter.expires.saturating_sub(now);
+        self.time_above(load, ranking.rank, now) > left.mul_f64(EVICT_MARGIN)
+    }
+
+    /// Returns the time for which the call keeps a slot, in seconds.
+    fn slot_secs(&self, waiter: &Waiter) -> f64 {
+        let work = waiter.request.ranking.map(|ranking| ranking.work);
+        let work = work.filter(|work| !work.is_zero());
+        work.map_or(self.mean_time, |work| work.as_secs_f64()) + self.idle_gap
+    }
+
+    /// Returns the time in which the servers can spend `load` slot seconds.
+    fn time_for(&self, load: f64, now: Time) -> Duration {
+        let call_secs = self.mean_time + self.idle_gap;
+        let calls = if call_secs > 0.0 {
+            (load / call_secs).ceil() as usize
+        } else {
+            0
+        };
+        self.estimated_wait(calls, now)
+    }
+
+    /// Returns the same while calls above `rank` keep coming as they did.
+    fn time_above(&self, load: f64, rank: Rank, now: Time) -> Duration {
+        let left = self.demand.left(rank, self.capacity(), now);
+        self.time_for(load, now).div_f64(left)
+    }
+}
--- a/crates/route/src/msg.rs
+++ b/crates/route/src/msg.rs
@@ -369,6 +369,19 @@
         /// The grants.
         grants: Vec<ColdGrant>,
     },
+    /// A follower requests a permit and says what the home weighs the call by. Builds from
+    /// before this message drop the datagram that it is in; see
+    /// [`RankedForm`](crate::follower::ranked::RankedForm).
+    AcquireRanked {
+        /// The epoch that the follower has acknowledged.
+        epoch: Epoch,
+        /// Id of the attempt.
+        call: AttemptId,
+        /// The properties of the attempt.
+        ask: PermitRequest,
+        /// What the call is weighed by.
+        ranking: Box<Ranking>,
+    },
 }
 
 impl Body {
@@ -381,6 +394,7 @@
                 | Self::Refresh { .. }
                 | Self::Stale { .. }
                 | Self::Acquire { .. }
+                | Self::AcquireRanked { .. }
                 | Self::Release { .. }
                 | Self::Lost { .. }
                 | Self::RateLimits { .. }
--- a/crates/route/src/queue.rs
+++ b/crates/route/src/queue.rs
@@ -1,16 +1,20 @@
 //! Permit requests that are queued at the home.
 //!
-//! They are ordered by priority class. Within a class, requests that can still meet
-//! their target latency come before those that cannot, and each of the two groups is
-//! ordered by deadline.
+//! They are ordered by their [`Precedence`]. Of requests without a ranking that is the
+//! priority class; within a class, requests that can still meet their target latency come
+//! before those that cannot, and each of the two groups is ordered by deadline.
 
 use base::Class;
+use base::Rank;
 use base::ServerId;
 use base::Time;
 use base::VmId;
 
 use crate::msg::AttemptId;
 use crate::msg::PermitRequest;
+use crate::msg::Ranking;
+use crate::precedence::Precedence;
+use crate::shares::Standing;
 
 /// The most requests of each class that are queued at one home, by class rank.
 const QUEUE_MAX: [usize; 3] = [4096, 2048, 8192];
@@ -42,6 +46,9 @@
     pub late: bool,
     /// Until this time the request waits for the results of the probes of `probed`.
     pub probe_until: Time,
+    /// How well calls of the same kind and team have been served, if the request has a
+    /// ranking.
+    pub standing: Standing,
 }
 
 impl Waiter {
@@ -60,17 +67,25 @@
             in_time_until: Time::ZERO,
             late: false,
             probe_until: Time::ZERO,
+            standing: Standing::default(),
         }
     }
 
-    fn order(&self) -> (Class, bool, Time, VmId, AttemptId) {
-        (
-            self.request.class,
-            self.late,
-            self.deadline,
-            self.vm,
-            self.call,
-        )
+    /// Returns the place of the request among those that wait.
+    pub fn precedence(&self) -> Precedence {
+        match &self.request.ranking {
+            Some(ranking) => Precedence::by_rank(ranking, self.standing, self.late, self.deadline),
+            None => Precedence::by_class(self.request.class, self.late, self.deadline),
+        }
+    }
+
+    /// Returns the priority of the request.
+    pub fn rank(&self) -> Rank {
+        self.precedence().rank
+    }
+
+    pub(crate) fn order(&self) -> (Precedence, VmId, AttemptId) {
+        (self.precedence(), self.vm, self.call)
     }
 }
 
@@ -102,13 +117,24 @@
 
     /// Returns whether one more request of `class` may be queued.
     pub fn has_room(&self, class: Class) -> bool {
-        let from = self
-            .0
-            .partition_point(|waiter| waiter.request.class < class);
-        let to = self
-            .0
-            .partition_point(|waiter| waiter.request.class <= class);
-        to - from < QUEUE_MAX[class.rank()]
+        let same = self.0.iter().filter(|w| w.request.class == class);
+        same.count() < QUEUE_MAX[class.rank()]
+    }
+
+    /// Returns whether a request with a ranking is queued.
+    pub fn is_ranked(&self) -> bool {
+        self.0.iter().any(|w| w.request.ranking.is_some())
+    }
+
+    /// Sets the standing of each request with a ranking to what `standing` returns, and
+    /// sorts the queue by it.
+    pub fn reorder(&mut self, standing: impl Fn(&Ranking) -> Standing) {
+        for waiter in &mut self.0 {
+            if let Some(ranking) = &waiter.request.ranking {
+                waiter.standing = standing(ranking);
+            }
+        }
+        self.0.sort_by_key(Waiter::order);
     }
 
     /// Returns whether a request of `vm` for this attempt is queued.
--- a/crates/wire/src/msg.rs
+++ b/crates/wire/src/msg.rs
@@ -68,6 +68,9 @@
     /// Such a build drops the whole datagram that the message is in, so the message must not
     /// share one with messages that it can read. See `docs/design/wire.md`.
     pub fn is_recent(&self) -> bool {
-        false
+        match self {
+            Self::Route(msg) => matches!(msg.body, route::msg::Body::AcquireRanked { .. }),
+            _ => false,
+        }
     }
 }
