Learn the work of calls and show what ranks change under load

Permit requests name how long calls of their mapping usually take, which each VM learns from those that it serves. The home adds how much longer calls take at full servers: in a burst, calls at a service of 112 servers were admitted for 320 ms and took 544, so all were late. Requests have a ranking where the layout has teams, or ranks that the classes fold.

--- a/crates/conf/src/layout.rs
+++ b/crates/conf/src/layout.rs
@@ -88,6 +88,23 @@
     pub teams: Option<Vec<Team>>,
 }
 
+impl Layout {
+    /// Returns whether calls are weighed against others by more than their class: there are
+    /// teams, or a class holds calls of different ranks, which it would treat alike.
+    pub fn weighs_calls(&self) -> bool {
+        let mut ranks: Vec<(Class, Rank)> = self
+            .mappings
+            .iter()
+            .filter(|mapping| !mapping.shares.is_empty())
+            .map(|mapping| (mapping.class, mapping.rank))
+            .collect();
+        ranks.sort_unstable();
+        ranks.dedup();
+        let folded = ranks.windows(2).any(|pair| pair[0].0 == pair[1].0);
+        self.teams.is_some() || folded
+    }
+}
+
 impl Mapping {
     /// Creates the mapping of calls that cannot be served, because the configuration
     /// does not say how in a way that this version can read.
--- a/crates/conf/src/state.rs
+++ b/crates/conf/src/state.rs
@@ -37,6 +37,8 @@
     /// The prefixes of all services or mappings, sorted.
     rules: Vec<PrefixRule>,
     layout: Option<Arc<Layout>>,
+    /// Whether the layout says that calls are weighed by more than their class.
+    weighs_calls: bool,
 }
 
 /// The service that a call belongs to, and how the call is treated.
@@ -48,6 +50,8 @@
     pub mapping: Option<&'a Mapping>,
     /// How the call is treated.
     pub rule: CallRule,
+    /// Whether the call is weighed by more than its class when there is too little room.
+    pub weighed: bool,
 }
 
 /// The index of the server `id` in the server list of its service.
@@ -84,6 +88,7 @@
             failure_domains: head.domains.clone(),
             service_ids,
             layout: None,
+            weighs_calls: false,
         }
     }
 
@@ -124,6 +129,7 @@
         Self {
             rules,
             layout: Some(layout.clone()),
+            weighs_calls: layout.weighs_calls(),
             ..Self::new(&head, services, domain_orders)
         }
     }
@@ -154,6 +160,7 @@
                 service,
                 mapping: None,
                 rule: service.rule(method, path),
+                weighed: false,
             });
         };
         let mapping = &layout.mappings[index];
@@ -162,6 +169,7 @@
             service,
             mapping: Some(mapping),
             rule: mapping.rule(),
+            weighed: self.weighs_calls,
         })
     }
 
--- a/crates/entry/src/call.rs
+++ b/crates/entry/src/call.rs
@@ -22,6 +22,7 @@
 use route::attempts::Verdict;
 use route::crashes::Fingerprint;
 use route::msg::RefusalReason;
+use route::work::WorkKey;
 
 use crate::attempt::FailedAttempt;
 use crate::attempt::ServerResponse;
@@ -39,6 +40,9 @@
     pub(crate) rule: CallRule,
     /// The team that makes the call; `None` if calls need no key.
     pub(crate) team: Option<TeamId>,
+    /// Identifies calls that take about as long as this one; `None` if the call is not
+    /// weighed by the time that it takes.
+    pub(crate) work_key: Option<WorkKey>,
     /// When the caller's time limit or the rule's deadline passes.
     pub(crate) deadline: Time,
     /// When the target latency passes, less the time that the call had used before it
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod relay;
 pub mod request;
 pub mod tracked_body;
+mod work;
 
 pub use dialect::Dialect;
 pub use pool::Pools;
--- a/crates/entry/src/proxy.rs
+++ b/crates/entry/src/proxy.rs
@@ -43,6 +43,7 @@
 use route::msg::PermitRequest;
 use route::msg::Ranking;
 use route::msg::RefusalReason;
+use route::work::WorkKey;
 use smol::Timer;
 
 use crate::attempt::Attempt;
@@ -77,6 +78,7 @@
 use crate::request::CallBody;
 use crate::request::OutgoingRequest;
 use crate::tracked_body::TrackedBody;
+use crate::work::SharedWorkTimes;
 
 /// How many attempts that certainly did not run the call are made at most, in addition to
 /// the route's limit, which bounds the attempts that may have run it.
@@ -122,6 +124,7 @@
     calls: Arc<RecentCalls>,
     dialect: Arc<dyn Dialect>,
     elapsed: ElapsedEstimator,
+    work_times: SharedWorkTimes,
     identity: Identity,
 }
 
@@ -177,6 +180,7 @@
             calls,
             dialect: Arc::new(Native),
             elapsed: ElapsedEstimator::default(),
+            work_times: SharedWorkTimes::default(),
             identity,
         }
     }
@@ -382,6 +386,7 @@
             service,
             rule,
             team: None,
+            work_key: route.weighed.then(|| work_key(&route)),
             deadline: began + limit,
             target_time: (began + rule.target).saturating_sub(elapsed),
             span,
@@ -542,10 +547,10 @@
             kind,
             avoid,
             domain: self.identity.domain,
-            ranking: call.team.map(|team| Ranking {
+            ranking: call.work_key.map(|key| Ranking {
                 rank: call.rule.rank,
-                team,
-                work: Duration::ZERO,
+                team: call.team.unwrap_or_default(),
+                work: self.work_times.get(key),
                 target: call.rule.target,
             }),
         };
@@ -662,6 +667,9 @@
         match result {
             Ok(response) => {
                 self.metrics.record_attempt(&call.service.name, "answered");
+                if !response.parts.status.is_server_error() {
+                    self.work_times.record(call.work_key, response.took);
+                }
                 Ok(Served {
                     response,
                     served_by,
@@ -722,6 +730,12 @@
     }
 }
 
+/// Returns what identifies calls that take about as long as those of `route`.
+fn work_key(route: &RouteMatch<'_>) -> WorkKey {
+    let mapping = route.mapping.map_or("", |mapping| &mapping.name);
+    base::hash::of(&["work", &route.service.name, mapping])
+}
+
 /// Returns the place of a request on its connection; an empty one over HTTP/2.
 fn place_of<B>(request: &Request<B>) -> Place {
     request.extensions().get().cloned().unwrap_or_default()
--- a/crates/node/src/gauges.rs
+++ b/crates/node/src/gauges.rs
@@ -5,6 +5,7 @@
 
 use entry::Ports;
 use opentelemetry::metrics::Meter;
+use route::ledger::RANK_COUNTS;
 
 use crate::shared::Shared;
 
@@ -168,6 +169,25 @@
         "Calls that wait at this VM's homes",
         |s| s.home_counts().iter().map(|home| home.waiting as u64).sum(),
     );
+    for (rank, name) in REFUSED_BY_RANK.into_iter().enumerate() {
+        gauge(
+            &meter,
+            &weak,
+            name,
+            "Calls of this rank that this VM's homes refused; the last one has all from 3 on",
+            move |s| {
+                let homes = s.home_counts();
+                homes.iter().map(|h| h.counts.refused_by_rank[rank]).sum()
+            },
+        );
+    }
+    gauge(
+        &meter,
+        &weak,
+        "evicted",
+        "Calls that this VM's homes refused after they had been queued, as dearer ones came",
+        |s| s.home_counts().iter().map(|h| h.counts.evicted).sum(),
+    );
     gauge(
         &meter,
         &weak,
@@ -196,6 +216,14 @@
     );
 }
 
+/// The names of the gauges of refused calls, by rank.
+const REFUSED_BY_RANK: [&str; RANK_COUNTS] = [
+    "refused_rank_0",
+    "refused_rank_1",
+    "refused_rank_2",
+    "refused_rank_3",
+];
+
 fn gauge(
     meter: &Meter,
     weak: &Weak<Shared>,
--- a/crates/node/src/shard.rs
+++ b/crates/node/src/shard.rs
@@ -367,6 +367,7 @@
             slowdown,
             age,
             waiting,
+            ranking,
         } => log::info!(
             vm = format!("{vm:x}"),
             call = *call,
@@ -377,7 +378,10 @@
             expected_ms = expected * 1e3,
             pace = *slowdown,
             age_ms = age.as_millis() as u64,
-            waiting = *waiting as u64;
+            waiting = *waiting as u64,
+            rank = ranking.map(|ranking| ranking.rank),
+            team = ranking.map(|ranking| format!("{:x}", ranking.team)),
+            work_ms = ranking.map(|ranking| ranking.work.as_millis() as u64);
             "home: granted"
         ),
         Decision::RateLimited { server, per_second } => log::info!(
@@ -392,12 +396,18 @@
             reason,
             after,
             waiting,
+            ranking,
+            evicted,
         } => log::info!(
             vm = format!("{vm:x}"),
             call = *call,
             reason = reason.name(),
             after_ms = after.as_millis() as u64,
-            waiting = *waiting as u64;
+            waiting = *waiting as u64,
+            rank = ranking.map(|ranking| ranking.rank),
+            team = ranking.map(|ranking| format!("{:x}", ranking.team)),
+            work_ms = ranking.map(|ranking| ranking.work.as_millis() as u64),
+            evicted = *evicted;
             "home: refused"
         ),
     }
--- a/crates/route/src/demand.rs
+++ b/crates/route/src/demand.rs
@@ -15,7 +15,7 @@
 /// The most ranks that are told apart; those beyond count as the last one.
 const RANKS_MAX: usize = 16;
 /// The part of the slots that all calls need from which on there is too little room.
-const SCARCE: f64 = 0.9;
+const SCARCE: f64 = 0.75;
 /// The largest part of the slots that is kept free.
 const RESERVE_MAX: f64 = 0.5;
 
@@ -60,23 +60,23 @@
         (1.0 - self.above(rank, now).slots / slots.max(1.0)).max(0.05)
     }
 
-    /// Returns how many of `slots` a call of `rank` has to leave free, if a slot is held for
-    /// `hold_secs` on average.
+    /// Returns how many of `slots` calls of `rank` and below may not use.
     ///
-    /// It is what arrives above `rank` within the time that such calls can wait, beyond the
-    /// slots that become free by then, and never more than they keep busy. While there is
-    /// room for all, it is nothing.
-    pub fn reserve(&self, rank: Rank, slots: f64, hold_secs: f64, now: Time) -> f64 {
+    /// It is what calls above `rank` keep busy, with one standard deviation of a Poisson
+    /// distribution, less the slots that become free while such a call can wait. While there
+    /// is room for all, it is nothing, and it vanishes when no such calls come any more.
+    pub fn reserve(&self, rank: Rank, slots: f64, now: Time) -> f64 {
         let above = self.above(rank, now);
-        let all = self.sum(|_| true, now);
-        if above.calls <= 0.0 || hold_secs <= 0.0 || all.slots < SCARCE * slots {
+        let others = self.sum(|other| other >= rank, now);
+        let is_scarce = above.slots + others.slots >= SCARCE * slots;
+        if above.calls <= 0.0 || others.slots <= 0.0 || !is_scarce {
             return 0.0;
         }
         let wait_secs = above.slack / above.calls;
-        let arrivals = above.calls * wait_secs;
-        let freed = slots / hold_secs * wait_secs;
-        let most = above.slots.min(slots * RESERVE_MAX);
-        (arrivals + arrivals.sqrt() - freed).clamp(0.0, most)
+        let hold_secs = others.slots / others.calls;
+        let freed = (slots - above.slots).max(0.0) / hold_secs * wait_secs;
+        let needed = above.slots + above.slots.sqrt() - freed;
+        needed.clamp(0.0, slots * RESERVE_MAX)
     }
 
     fn sum(&self, counts: impl Fn(Rank) -> bool, now: Time) -> Flow {
--- a/crates/route/src/ledger/grants.rs
+++ b/crates/route/src/ledger/grants.rs
@@ -29,6 +29,10 @@
         let server = self.servers[index].id;
         let left = waiter.deadline.saturating_sub(now);
         self.add_permit(waiter.vm, waiter.call, server, left, now);
+        if let Some(permit) = self.permits.get_mut(waiter.vm, waiter.call) {
+            permit.work = waiter.request.ranking.map_or(Duration::ZERO, |r| r.work);
+            permit.rank = waiter.request.ranking.map(|r| r.rank);
+        }
         self.counts.granted += 1;
         if waiter.request.kind == AttemptKind::First {
             // A call that one shard refuses asks another one, so a request that is not
@@ -71,6 +75,8 @@
             expires: now + left + PERMIT_GRACE,
             concurrent: self.busy(server),
             lingers: false,
+            work: Duration::ZERO,
+            rank: None,
         };
         if !self.permits.add(permit) {
             return;
--- a/crates/route/src/ledger/mod.rs
+++ b/crates/route/src/ledger/mod.rs
@@ -227,6 +227,9 @@
     /// the followers have not been sent yet.
     summaries_changed: bool,
     last_broadcast: Time,
+    /// The moving average of the time of a call that found its server with one free slot,
+    /// by the time that its request named.
+    work_pace: f64,
     /// What calls of each rank have needed lately.
     demand: Demand,
     /// How well kinds and teams have been served lately.
@@ -270,6 +273,7 @@
             idle_gap: 0.0,
             summaries_changed: true,
             last_broadcast: Time::ZERO,
+            work_pace: slowdown::FULL_PACE_START,
             demand: Demand::default(),
             shares: Shares::default(),
             counts: Counts::default(),
--- a/crates/route/src/ledger/ranks.rs
+++ b/crates/route/src/ledger/ranks.rs
@@ -13,6 +13,7 @@
 use super::RETRY_AFTER_MIN;
 use crate::msg::AttemptKind;
 use crate::msg::RefusalReason;
+use crate::permits::Permit;
 use crate::queue::Waiter;
 
 /// The factor by which the estimated wait of a queued call may exceed the time that it
@@ -22,6 +23,11 @@
 /// little room: nobody knows the demand of the time after.
 const RETRY_AFTER_MAX: Duration = Duration::from_secs(5);
 
+/// Weight of one call in the moving average of [`Ledger::record_work`].
+const PACE_WEIGHT: f64 = 0.03;
+/// Cap on what one call contributes to it.
+const PACE_OUTLIER: f64 = 5.0;
+
 impl Ledger {
     /// Records a new request in the demand and the shares, and sets its standing.
     pub(super) fn record_ask(&mut self, waiter: &mut Waiter, now: Time) {
@@ -46,11 +52,27 @@
 
     /// Returns the service time to be expected for the call.
     pub(super) fn service_time(&self, waiter: &Waiter) -> Duration {
-        let ranking = waiter.request.ranking;
-        let known = ranking.map(|ranking| ranking.work);
-        known
-            .filter(|work| !work.is_zero())
-            .unwrap_or_else(|| self.likely_time())
+        self.work_now(waiter).unwrap_or_else(|| self.likely_time())
+    }
+
+    /// Returns how long a call takes now of which the request names the usual time.
+    ///
+    /// That time is an average of one VM over calls at servers of any load. The home sees
+    /// the calls of all VMs, and how much longer those at full servers take.
+    fn work_now(&self, waiter: &Waiter) -> Option<Duration> {
+        let work = waiter.request.ranking.map(|ranking| ranking.work);
+        let work = work.filter(|work| !work.is_zero())?;
+        Some(work.mul_f64(self.work_pace))
+    }
+
+    /// Records the service time `took`, in seconds, of a call at a server of `slots` slots if
+    /// it took the last one, as calls that had to wait do.
+    pub(super) fn record_work(&mut self, permit: &Permit, took: f64, slots: u32) {
+        if permit.work.is_zero() || permit.concurrent + 1 < slots {
+            return;
+        }
+        let pace = (took / permit.work.as_secs_f64()).min(PACE_OUTLIER);
+        self.work_pace += (pace - self.work_pace) * PACE_WEIGHT;
     }
 
     /// Returns the factor on the time of a usual call for this call.
@@ -100,13 +122,13 @@
             return false;
         }
         let slots = self.capacity();
-        let hold_secs = self.mean_time + self.idle_gap;
-        let reserve = self.demand.reserve(ranking.rank, slots, hold_secs, now);
+        let reserve = self.demand.reserve(ranking.rank, slots, now).floor();
         if reserve < 1.0 {
             return false;
         }
-        let in_use: u32 = self.servers.iter().map(|server| server.busy).sum();
-        slots - f64::from(in_use) < reserve.floor() + 1.0
+        let permits = self.permits.list().iter();
+        let same = permits.filter(|p| p.rank.is_none_or(|rank| rank >= ranking.rank));
+        same.count() as f64 + 1.0 > slots - reserve
     }
 
     /// Brings the queue in line with what was served since the last call, and turns away
@@ -182,8 +204,7 @@
 
     /// Returns the time for which the call keeps a slot, in seconds.
     fn slot_secs(&self, waiter: &Waiter) -> f64 {
-        let work = waiter.request.ranking.map(|ranking| ranking.work);
-        let work = work.filter(|work| !work.is_zero());
+        let work = self.work_now(waiter);
         work.map_or(self.mean_time, |work| work.as_secs_f64()) + self.idle_gap
     }
 
--- a/crates/route/src/ledger/servers.rs
+++ b/crates/route/src/ledger/servers.rs
@@ -177,6 +177,7 @@
             self.mean_time += (took - self.mean_time) * MEAN_TIME_WEIGHT;
             let slots = self.spec.server(release.server).map_or(1, |s| s.slots);
             self.record_contention(took, permit.concurrent, slots);
+            self.record_work(permit, took, slots);
         }
         self.record_load(release.server, release.load, now);
         self.lift_rate_limit(permit, release);
--- a/crates/route/src/ledger/slowdown.rs
+++ b/crates/route/src/ledger/slowdown.rs
@@ -39,6 +39,9 @@
 /// Lower bound of the contention that is assumed. Assuming too much only
 /// spreads the calls over more servers, which costs nothing.
 const CONTENTION_MIN: f64 = 0.4;
+/// How much longer than usual a call is expected to take at a full server before one has
+/// shown it.
+pub(super) const FULL_PACE_START: f64 = 1.0 + CONTENTION_MIN;
 /// Upper bound of the contention that is assumed.
 const CONTENTION_MAX: f64 = 2.0;
 /// A server is worth a probe only if its cost at the usual speed of its host is
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -36,6 +36,7 @@
 pub mod shares;
 pub mod spec;
 pub mod verify;
+pub mod work;
 
 pub use attempts::Attempts;
 pub use coordinator::Coordinator;
--- a/crates/route/src/permits.rs
+++ b/crates/route/src/permits.rs
@@ -1,5 +1,8 @@
 //! The permits that a home has granted and that have not ended yet.
 
+use std::time::Duration;
+
+use base::Rank;
 use base::ServerId;
 use base::Time;
 use base::VmId;
@@ -24,6 +27,10 @@
     /// Whether the holder has given up the attempt, or has failed, while the server
     /// may still run the attempt.
     pub lingers: bool,
+    /// How long such a call usually takes, as its request said; zero if it did not.
+    pub work: Duration,
+    /// The priority of the call, if its request said so.
+    pub rank: Option<Rank>,
 }
 
 /// Permits, sorted by holder and attempt.
