Test the forms of ranked requests, the shares and the reserve

A home of an earlier build drops ranked requests, so the follower's choice of form is tested with and without replies, and the simulated network now has VMs of both kinds.

--- a/crates/conf/tests/catalog.rs
+++ b/crates/conf/tests/catalog.rs
@@ -55,6 +55,22 @@
     })
 }
 
+#[test]
+fn calls_are_weighed_with_teams_or_folded_ranks_only() {
+    let mut one = Layout::clone(&layout(1));
+    one.mappings.push(Mapping {
+        class: base::Class::Critical,
+        rank: 1,
+        ..one.mappings[0].clone()
+    });
+    assert!(!one.weighs_calls());
+    let mut folded = one.clone();
+    folded.mappings[0].class = base::Class::Critical;
+    assert!(folded.weighs_calls());
+    one.teams = Some(Vec::new());
+    assert!(one.weighs_calls());
+}
+
 /// A change that a VM receives: name, revision and whether the entry exists; for a
 /// layout, revision and ticket number.
 #[derive(Clone, Copy, Debug, TypeGenerator)]
--- a/crates/route/tests/sim/mod.rs
+++ b/crates/route/tests/sim/mod.rs
@@ -23,6 +23,7 @@
 use route::msg::Body;
 use route::msg::Envelope;
 use route::msg::PermitRequest;
+use route::msg::Ranking;
 use route::msg::Release;
 use route::spec::Announcement;
 use route::spec::ServerSpec;
@@ -247,14 +248,22 @@
         self.collect_output(index);
     }
 
-    /// Requests a permit on a VM for a call that has `left` until its deadline.
+    /// Requests a permit on a VM for a call that has `left` until its deadline. Every other
+    /// VM ranks its calls, as if the others were of a build from before rankings.
     pub(crate) fn acquire(&mut self, index: usize, left: Duration) {
         let vm = &mut self.vms[index];
         if vm.paused {
             return;
         }
         vm.requested += 1;
-        vm.follower.acquire(request(left), self.now);
+        let mut request = request(left);
+        request.ranking = (index % 2 == 1).then(|| Ranking {
+            rank: left.as_millis() as u32 % 3,
+            team: left.as_millis() as u64 % 2,
+            work: left / 16,
+            target: left / 2,
+        });
+        vm.follower.acquire(request, self.now);
         self.collect_output(index);
     }
 
--- a/crates/wire/tests/datagrams.rs
+++ b/crates/wire/tests/datagrams.rs
@@ -35,6 +35,35 @@
     })
 }
 
+#[test]
+fn ranked_requests_are_read_and_travel_apart() {
+    let Msg::Route(route::Msg { shard, body }) = acquire(3) else {
+        unreachable!();
+    };
+    let Body::Acquire { epoch, call, ask } = body else {
+        unreachable!();
+    };
+    let ranking = Box::new(route::msg::Ranking {
+        rank: 4,
+        team: 5,
+        work: std::time::Duration::from_millis(6),
+        target: std::time::Duration::from_millis(7),
+    });
+    let body = Body::AcquireRanked {
+        epoch,
+        call,
+        ask,
+        ranking,
+    };
+    let msg = Msg::Route(route::Msg { shard, body });
+    assert!(msg.is_recent() && !acquire(3).is_recent());
+    let mut datagram = Datagram::new(7);
+    datagram.add(&msg);
+    let bytes = datagram.seal(&keys(1, 2));
+    let (_, opened) = datagram::open(&bytes, &keys(1, 2)).unwrap();
+    assert_eq!(opened, [msg]);
+}
+
 #[test]
 fn open_returns_added_messages() {
     cases::check::<Vec<u64>>(500, |calls| {
