--- a/crates/route/src/shares.rs
+++ b/crates/route/src/shares.rs
@@ -29,7 +29,7 @@
 /// The share of a team that asks far more than the others, as a part of theirs.
 const HEAVY_WEIGHT_MIN: f64 = 0.7;
 /// Steps of the level for each factor of two of the share.
-const LEVEL_STEPS: f64 = 8.0;
+const LEVEL_STEPS: f64 = 2.0;
 /// The least share that has a level of its own, as a power of two.
 const LEVEL_LOG_MIN: f64 = -8.0;
 
