Compute the room and the standings once for the whole queue

Each waiting call had its own pass over all servers and teams, which would cost a home with a thousand queued calls at a hundred servers more than the calls themselves.

--- a/crates/route/src/ledger/ranks.rs
+++ b/crates/route/src/ledger/ranks.rs
@@ -94,10 +94,12 @@
         let before = self.queue.list()[..ahead].iter();
         let load: f64 = before.map(|other| self.slot_secs(other)).sum();
         let load = load + self.slot_secs(waiter);
+        let room = self.room(now);
         if waiter.standing.kind_short {
-            return self.time_for(load, now);
+            return room.time_for(load);
         }
-        self.time_above(load, ranking.rank, now)
+        room.time_for(load)
+            .div_f64(self.left_to(ranking.rank, &room, now))
     }
 
     /// Returns the time after which calls of the same rank should have room.
@@ -109,7 +111,8 @@
         let before = self.queue.list().iter();
         let before = before.filter(|other| other.rank() <= rank);
         let load: f64 = before.map(|other| self.slot_secs(other)).sum();
-        let wait = self.time_above(load, rank, now);
+        let room = self.room(now);
+        let wait = room.time_for(load).div_f64(self.left_to(rank, &room, now));
         wait.clamp(RETRY_AFTER_MIN, RETRY_AFTER_MAX)
     }
 
@@ -137,8 +140,8 @@
         if !self.queue.is_ranked() {
             return;
         }
-        let shares = &self.shares;
-        self.queue.reorder(|ranking| shares.standing(ranking));
+        let standings = self.shares.standings();
+        self.queue.reorder(|ranking| standings.of(ranking));
         self.evict(now);
     }
 
@@ -148,11 +151,17 @@
     /// The first in the queue stays: it gets the next slot, whatever the estimate says. A
     /// call that was late from the start keeps its short wait.
     pub(super) fn evict(&mut self, now: Time) {
+        let room = self.room(now);
+        let mut left = (Rank::MAX, 1.0);
         let mut load = 0.0;
         let mut evicted = Vec::new();
         for waiter in self.queue.list() {
             let with_own = load + self.slot_secs(waiter);
-            if load > 0.0 && self.is_hopeless(waiter, with_own, now) {
+            if left.0 != waiter.rank() {
+                left = (waiter.rank(), self.left_to(waiter.rank(), &room, now));
+            }
+            let wait = room.time_for(with_own).div_f64(left.1);
+            if load > 0.0 && is_hopeless(waiter, wait, now) {
                 evicted.push((waiter.vm, waiter.call));
             } else {
                 load = with_own;
@@ -189,39 +198,44 @@
         self.refuse(waiter, reason, after, evicted);
     }
 
-    /// Returns whether the call cannot be served in time if `load` slot seconds come
-    /// before its end in the queue.
-    fn is_hopeless(&self, waiter: &Waiter, load: f64, now: Time) -> bool {
-        let Some(ranking) = waiter.request.ranking else {
-            return false;
-        };
-        if waiter.late || waiter.standing.kind_short {
-            return false;
-        }
-        let left = waiter.expires.saturating_sub(now);
-        self.time_above(load, ranking.rank, now) > left.mul_f64(EVICT_MARGIN)
-    }
-
     /// Returns the time for which the call keeps a slot, in seconds.
     fn slot_secs(&self, waiter: &Waiter) -> f64 {
         let work = self.work_now(waiter);
         work.map_or(self.mean_time, |work| work.as_secs_f64()) + self.idle_gap
     }
 
-    /// Returns the time in which the servers can spend `load` slot seconds.
-    fn time_for(&self, load: f64, now: Time) -> Duration {
-        let call_secs = self.mean_time + self.idle_gap;
-        let calls = if call_secs > 0.0 {
-            (load / call_secs).ceil() as usize
-        } else {
-            0
-        };
-        self.estimated_wait(calls, now)
+    /// Returns the room that the servers have now.
+    fn room(&self, now: Time) -> Room {
+        Room {
+            slots: self.capacity(),
+            next: self.estimated_wait(0, now),
+        }
     }
 
-    /// Returns the same while calls above `rank` keep coming as they did.
-    fn time_above(&self, load: f64, rank: Rank, now: Time) -> Duration {
-        let left = self.demand.left(rank, self.capacity(), now);
-        self.time_for(load, now).div_f64(left)
+    /// Returns the part of `room` that calls above `rank` leave if they keep coming.
+    fn left_to(&self, rank: Rank, room: &Room, now: Time) -> f64 {
+        self.demand.left(rank, room.slots, now)
     }
 }
+
+/// What the servers can run at a time.
+struct Room {
+    slots: f64,
+    /// The time until the rate limits of the servers allow a call.
+    next: Duration,
+}
+
+impl Room {
+    /// Returns the time in which the servers can spend `load` slot seconds.
+    fn time_for(&self, load: f64) -> Duration {
+        let slots = if self.slots > 0.0 { self.slots } else { 1.0 };
+        Duration::from_secs_f64(load / slots).max(self.next)
+    }
+}
+
+/// Returns whether a queued call that waits for `wait` more cannot be served in time.
+fn is_hopeless(waiter: &Waiter, wait: Duration, now: Time) -> bool {
+    let is_judged = waiter.request.ranking.is_some() && !waiter.late;
+    let left = waiter.expires.saturating_sub(now);
+    is_judged && !waiter.standing.kind_short && wait > left.mul_f64(EVICT_MARGIN)
+}
--- a/crates/route/src/shares.rs
+++ b/crates/route/src/shares.rs
@@ -96,11 +96,27 @@
 
     /// Returns how well the kind and the team of a call were served.
     pub fn standing(&self, ranking: &Ranking) -> Standing {
+        let peers = self.teams.of_rank(ranking.rank);
+        self.judge(ranking, self.kinds.total(), peers)
+    }
+
+    /// Returns the standings of all calls, for many of them at once.
+    pub fn standings(&self) -> Standings<'_> {
+        let mut ranks: Vec<Rank> = self.teams.0.iter().map(|record| record.key.0).collect();
+        ranks.dedup();
+        let peers = |rank| (rank, self.teams.of_rank(rank));
+        Standings {
+            shares: self,
+            total: self.kinds.total(),
+            peers: ranks.into_iter().map(peers).collect(),
+        }
+    }
+
+    fn judge(&self, ranking: &Ranking, total: Tally, peers: Peers) -> Standing {
         let kind = self.kinds.get(kind_key(ranking));
         let team = self.teams.get(team_key(ranking));
-        let peers = self.teams.of_rank(ranking.rank);
         Standing {
-            kind_short: kind.is_short(self.kinds.total(), KIND_SHARE_MIN),
+            kind_short: kind.is_short(total, KIND_SHARE_MIN),
             team_short: team.is_short(peers.tally, TEAM_SHARE_MIN),
             level: level(team.share() / peers.weight(team)),
         }
@@ -119,6 +135,26 @@
     }
 }
 
+/// The standings of all calls at one time.
+#[derive(Clone, Debug)]
+pub struct Standings<'a> {
+    shares: &'a Shares,
+    total: Tally,
+    /// Sorted by rank.
+    peers: Vec<(Rank, Peers)>,
+}
+
+impl Standings<'_> {
+    /// Returns how well the kind and the team of a call were served.
+    pub fn of(&self, ranking: &Ranking) -> Standing {
+        let found = self
+            .peers
+            .binary_search_by_key(&ranking.rank, |peers| peers.0);
+        let peers = found.map_or_else(|_| Peers::default(), |index| self.peers[index].1);
+        self.shares.judge(ranking, self.total, peers)
+    }
+}
+
 /// Calls of the same rank and target latency count as a kind.
 fn kind_key(ranking: &Ranking) -> (Rank, u64) {
     (ranking.rank, ranking.target.as_micros() as u64)
--- a/crates/route/tests/ranked.rs
+++ b/crates/route/tests/ranked.rs
@@ -192,6 +192,10 @@
         shares.serve(&last);
     }
     assert!(!shares.standing(&last).kind_short);
+    let standings = shares.standings();
+    for ranking in [heavy, light, last, ranking(9, 9, 9)] {
+        assert_eq!(standings.of(&ranking), shares.standing(&ranking));
+    }
 }
 
 #[test]
