Log the rank, team and work of each decision as plain values

Optional values would have been logged as the text None. A request without a ranking is logged with the rank of its class, and team and work 0.

--- a/crates/node/src/shard.rs
+++ b/crates/node/src/shard.rs
@@ -379,9 +379,9 @@
             pace = *slowdown,
             age_ms = age.as_millis() as u64,
             waiting = *waiting as u64,
-            rank = ranking.map(|ranking| ranking.rank),
-            team = ranking.map(|ranking| format!("{:x}", ranking.team)),
-            work_ms = ranking.map(|ranking| ranking.work.as_millis() as u64);
+            rank = ranking.rank,
+            team = format!("{:x}", ranking.team),
+            work_ms = ranking.work.as_millis() as u64;
             "home: granted"
         ),
         Decision::RateLimited { server, per_second } => log::info!(
@@ -404,9 +404,9 @@
             reason = reason.name(),
             after_ms = after.as_millis() as u64,
             waiting = *waiting as u64,
-            rank = ranking.map(|ranking| ranking.rank),
-            team = ranking.map(|ranking| format!("{:x}", ranking.team)),
-            work_ms = ranking.map(|ranking| ranking.work.as_millis() as u64),
+            rank = ranking.rank,
+            team = format!("{:x}", ranking.team),
+            work_ms = ranking.work.as_millis() as u64,
             evicted = *evicted;
             "home: refused"
         ),
--- a/crates/route/src/ledger/decision.rs
+++ b/crates/route/src/ledger/decision.rs
@@ -35,8 +35,8 @@
         age: Duration,
         /// Requests in the queue at the time of the grant.
         waiting: usize,
-        /// What the call was weighed by, if the request said so.
-        ranking: Option<Ranking>,
+        /// What the call was weighed by.
+        ranking: Ranking,
     },
     /// A server began or ceased to limit the rate of its calls.
     RateLimited {
@@ -57,8 +57,8 @@
         after: Duration,
         /// Requests in the queue at the time of the refusal.
         waiting: usize,
-        /// What the call was weighed by, if the request said so.
-        ranking: Option<Ranking>,
+        /// What the call was weighed by.
+        ranking: Ranking,
         /// Whether the request had been queued and gave way to dearer ones.
         evicted: bool,
     },
--- a/crates/route/src/ledger/grants.rs
+++ b/crates/route/src/ledger/grants.rs
@@ -52,7 +52,7 @@
             slowdown: self.slowdown_of(choice, now),
             age: choice.limit.age(now),
             waiting: self.queue.len(),
-            ranking: waiter.request.ranking,
+            ranking: waiter.ranking(),
         });
         self.send_grant(waiter.vm, waiter.call, server);
     }
--- a/crates/route/src/ledger/mod.rs
+++ b/crates/route/src/ledger/mod.rs
@@ -588,7 +588,7 @@
             reason,
             after,
             waiting: self.queue.len(),
-            ranking: waiter.request.ranking,
+            ranking: waiter.ranking(),
             evicted,
         });
         let epoch = self.epoch;
--- a/crates/route/src/queue.rs
+++ b/crates/route/src/queue.rs
@@ -79,6 +79,15 @@
         }
     }
 
+    /// Returns what the request is weighed by; without a ranking, the rank that follows from
+    /// its class.
+    pub fn ranking(&self) -> Ranking {
+        self.request.ranking.unwrap_or_else(|| Ranking {
+            rank: self.rank(),
+            ..Ranking::default()
+        })
+    }
+
     /// Returns the priority of the request.
     pub fn rank(&self) -> Rank {
         self.precedence().rank
