--- a/crates/route/src/precedence.rs
+++ b/crates/route/src/precedence.rs
@@ -36,13 +36,10 @@
 
 impl Precedence {
     /// Returns the place of a call of which only the class is known.
-    ///
-    /// The most urgent class holds two ranks, and the call may be of either, so it is taken
-    /// for the less urgent one.
     pub fn by_class(class: Class, late: bool, deadline: Time) -> Self {
         Self {
             settled: true,
-            rank: class.rank() as Rank + 1,
+            rank: rank_of(class),
             late,
             team_settled: true,
             work: 0,
@@ -66,6 +63,14 @@
     }
 }
 
+/// Returns the rank of a call of which only the class is known.
+///
+/// The most urgent class holds two ranks, and the call may be of either, so it is taken for
+/// the less urgent one.
+pub fn rank_of(class: Class) -> Rank {
+    class.rank() as Rank + 1
+}
+
 /// Returns the number of binary digits of `millis`: times that are nearly the same must
 /// compare as equal, as they are estimates.
 fn magnitude(millis: u128) -> u8 {
--- a/crates/route/src/queue.rs
+++ b/crates/route/src/queue.rs
@@ -13,6 +13,7 @@
 use crate::msg::AttemptId;
 use crate::msg::PermitRequest;
 use crate::msg::Ranking;
+use crate::precedence;
 use crate::precedence::Precedence;
 use crate::shares::Standing;
 
@@ -90,7 +91,8 @@
 
     /// Returns the priority of the request.
     pub fn rank(&self) -> Rank {
-        self.precedence().rank
+        let ranking = &self.request.ranking;
+        ranking.map_or_else(|| precedence::rank_of(self.request.class), |r| r.rank)
     }
 
     pub(crate) fn order(&self) -> (Precedence, VmId, AttemptId) {
