--- a/crates/conf/src/state.rs
+++ b/crates/conf/src/state.rs
@@ -45,6 +45,8 @@
     team_table: TeamTable,
     /// Whether the deployment has teams, so that a layout without any is incomplete.
     needs_teams: bool,
+    /// Whether the layout says that calls are weighed by more than their class.
+    weighs_calls: bool,
 }
 
 /// The service that a call belongs to, and how the call is treated.
@@ -59,6 +61,8 @@
     /// The team that makes the call; `None` if it needs no key, and before
     /// [`State::authenticate`].
     pub team: Option<&'a Team>,
+    /// Whether the call is weighed by more than its class when there is too little room.
+    pub weighed: bool,
 }
 
 /// The index of the server `id` in the server list of its service.
@@ -97,6 +101,7 @@
             layout: None,
             team_table: TeamTable::default(),
             needs_teams: false,
+            weighs_calls: false,
         }
     }
 
@@ -138,6 +143,7 @@
             rules,
             layout: Some(layout.clone()),
             team_table: TeamTable::new(layout.teams.as_deref().unwrap_or_default()),
+            weighs_calls: layout.weighs_calls(),
             ..Self::new(&head, services, domain_orders)
         }
     }
@@ -178,6 +184,7 @@
                 mapping: None,
                 rule: service.rule(method, path),
                 team: None,
+                weighed: false,
             });
         };
         let mapping = &layout.mappings[index];
@@ -187,6 +194,7 @@
             mapping: Some(mapping),
             rule: mapping.rule(),
             team: None,
+            weighed: self.weighs_calls,
         })
     }
 
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod request;
 mod team;
 pub mod tracked_body;
+mod work;
 
 pub use dialect::Dialect;
 pub use pool::Pools;
--- a/crates/route/src/ledger/grants.rs
+++ b/crates/route/src/ledger/grants.rs
@@ -17,7 +17,6 @@
 use super::LINGER_MIN;
 use super::LINGER_SERVICE_TIMES;
 use super::PERMIT_GRACE;
-use super::RETRY_AFTER_MIN;
 use crate::msg::AttemptId;
 use crate::msg::AttemptKind;
 use crate::msg::RefusalReason;
@@ -30,6 +29,10 @@
         let server = self.servers[index].id;
         let left = waiter.deadline.saturating_sub(now);
         self.add_permit(waiter.vm, waiter.call, server, left, now);
+        if let Some(permit) = self.permits.get_mut(waiter.vm, waiter.call) {
+            permit.work = waiter.request.ranking.map_or(Duration::ZERO, |r| r.work);
+            permit.rank = waiter.request.ranking.map(|r| r.rank);
+        }
         self.counts.granted += 1;
         if waiter.request.kind == AttemptKind::First {
             // A call that one shard refuses asks another one, so a request that is not
@@ -49,6 +52,7 @@
             slowdown: self.slowdown_of(choice, now),
             age: choice.limit.age(now),
             waiting: self.queue.len(),
+            ranking: waiter.ranking(),
         });
         self.send_grant(waiter.vm, waiter.call, server);
     }
@@ -71,6 +75,8 @@
             expires: now + left + PERMIT_GRACE,
             concurrent: self.busy(server),
             lingers: false,
+            work: Duration::ZERO,
+            rank: None,
         };
         if !self.permits.add(permit) {
             return;
@@ -153,10 +159,7 @@
             self.decrement_busy(&permit);
         }
         for waiter in self.queue.extract_if(|waiter| now >= waiter.expires) {
-            let wait = self
-                .estimated_wait(self.queue.len(), now)
-                .max(RETRY_AFTER_MIN);
-            self.refuse(waiter.vm, waiter.call, RefusalReason::Expired, wait);
+            self.turn_away(&waiter, RefusalReason::Expired, false, now);
         }
         self.followers
             .retain(|follower| now < follower.last_request + FOLLOWER_RETENTION);
--- a/crates/wire/src/msg.rs
+++ b/crates/wire/src/msg.rs
@@ -71,6 +71,10 @@
     /// Such a build drops the whole datagram that the message is in, so the message must not
     /// share one with messages that it can read. See `docs/design/wire.md`.
     pub fn is_recent(&self) -> bool {
-        matches!(self, Self::Quota(_))
+        match self {
+            Self::Route(msg) => matches!(msg.body, route::msg::Body::AcquireRanked { .. }),
+            Self::Quota(_) => true,
+            _ => false,
+        }
     }
 }
