Roll out versions of a service by share, evidence and verdict

Operators write an order at rollouts/SERVICE, and no code read it, so a bad version got as many calls as its servers had slots for.

Homes now bound the calls of a version on trial by their own first attempts, compare its responses with those of the old version by kind of call, and close it by themselves. One VM decides from the reports of the homes (trial, surge, switch) and writes the status under the revision that was read. A roll-back binds at once by messages of a kind of its own and is written once the registry answers; final states never revert. Orders reach all VMs in datagrams and as an optional field of the catalog's update. Versions without homes' word for a lease get nothing, and fallback slots never use them.

Without the section rollouts in the settings nothing is read or sent. The template of the deployment renders it only where the bound of exposure exists; the test of the template fills it both ways, and the harness of the daemon leaves it out.

--- a/crates/base/src/id.rs
+++ b/crates/base/src/id.rs
@@ -19,6 +19,9 @@
 pub type ShardId = u64;
 /// Identifies a team; the hash of its name.
 pub type TeamId = u64;
+/// Identifies an order of a roll-out. A later order of the same version for the same
+/// service has another id.
+pub type OrderId = u64;
 /// The number of a ticket, which an operator assigns.
 pub type TicketNo = u64;
 /// The version number of a configuration object, which grows with each accepted
--- a/crates/base/src/lib.rs
+++ b/crates/base/src/lib.rs
@@ -17,6 +17,7 @@
 pub use call::Rank;
 pub use clock::Clock;
 pub use id::DomainId;
+pub use id::OrderId;
 pub use id::RegionId;
 pub use id::Revision;
 pub use id::ServerId;
--- a/crates/conf/src/catalog.rs
+++ b/crates/conf/src/catalog.rs
@@ -23,6 +23,7 @@
 use crate::domains::DomainOrder;
 use crate::domains::DomainOrders;
 use crate::layout::Layout;
+use crate::rollout::Rollout;
 use crate::server::Mode;
 use crate::server::Server;
 use crate::server::MAX_SLOTS;
@@ -61,6 +62,9 @@
     /// number them.
     #[serde(default)]
     pub announced: u64,
+    /// The version of the server's software; empty if the server does not announce it.
+    #[serde(default)]
+    pub version: String,
 }
 
 /// The value of the entry of a failure domain that is out of service.
@@ -171,6 +175,10 @@
     /// See [`Catalog::note_list`]; 0 if the sender knows of no list.
     #[serde(default)]
     pub listed: Revision,
+    /// All roll-outs, whatever the peer knows: the revisions that peers exchange do not
+    /// cover them.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub rollouts: Vec<CatalogEntry<Rollout>>,
 }
 
 /// A VM's local copy of the service registry.
@@ -179,6 +187,7 @@
     layout: Option<(Revision, Arc<Layout>)>,
     servers: Vec<CatalogEntry<Instance>>,
     outs: Vec<CatalogEntry<DomainOut>>,
+    rollouts: Vec<CatalogEntry<Rollout>>,
     /// The revision of the first list of the latest era that is known to a VM.
     listed: Revision,
     changes: u64,
@@ -460,6 +469,69 @@
         changed
     }
 
+    /// Returns the entries of the roll-outs, sorted by name, tombstones included.
+    pub fn rollouts(&self) -> &[CatalogEntry<Rollout>] {
+        &self.rollouts
+    }
+
+    /// Updates the roll-out `name`, or deletes it if `value` is `None`; returns whether the
+    /// entry changed.
+    pub fn set_rollout(
+        &mut self,
+        name: &str,
+        revision: Revision,
+        value: Option<Rollout>,
+        now: Time,
+    ) -> bool {
+        // The status is written under the entry's revision, so a change of the revision
+        // alone is news too.
+        let differs = |old: &Option<Rollout>, new: &Option<Rollout>| old.is_some() || new.is_some();
+        let changed = set_entry(&mut self.rollouts, name, revision, value, now, differs);
+        self.changes += u64::from(changed);
+        changed
+    }
+
+    /// Applies the entry of a roll-out that a peer sent; returns whether anything changed.
+    pub fn merge_rollout(&mut self, entry: CatalogEntry<Rollout>, now: Time) -> bool {
+        let mut changed = self.set_rollout(&entry.name, entry.revision, entry.value, now);
+        if let Some(HeldRemoval { revision, wait, .. }) = entry.removal {
+            changed |= self.hold_rollout(&entry.name, HeldRemoval::new(revision, wait, now));
+        }
+        changed
+    }
+
+    /// Holds back the deletion `removal` of the roll-out `name`; returns whether the catalog
+    /// changed.
+    pub fn hold_rollout(&mut self, name: &str, removal: HeldRemoval) -> bool {
+        let found = self
+            .rollouts
+            .binary_search_by(|e| e.name.as_str().cmp(name));
+        let changed = found.is_ok_and(|index| hold_entry(&mut self.rollouts[index], removal));
+        self.changes += u64::from(changed);
+        changed
+    }
+
+    /// Returns when the next roll-out is dropped that is missing from a restored copy.
+    pub fn next_rollout_removal(&self) -> Option<Time> {
+        next_removal(&self.rollouts)
+    }
+
+    /// Deletes the roll-outs whose deletions were held back until `known` or before; returns
+    /// their names and the revisions of the deletions.
+    pub fn remove_due_rollouts(&mut self, known: Time, now: Time) -> Vec<(String, Revision)> {
+        let due = due_removals(&self.rollouts, known);
+        for (name, revision) in &due {
+            self.set_rollout(name, *revision, None, now);
+        }
+        due
+    }
+
+    /// Returns the names of the roll-outs that are missing from `listed`, a sorted list of
+    /// all roll-outs read at `revision`, and have not changed after it.
+    pub fn missing_rollouts(&self, listed: &[String], revision: Revision) -> Vec<String> {
+        missing_names(&self.rollouts, listed, revision)
+    }
+
     /// Returns the names of the servers that are missing from `listed`, a sorted
     /// list of all servers read at `revision`, and have not changed after it.
     pub fn missing_servers(&self, listed: &[String], revision: Revision) -> Vec<String> {
@@ -497,6 +569,7 @@
             servers,
             outs: entries_after(&self.outs, known.outs, now),
             listed: self.listed,
+            rollouts: entries_after(&self.rollouts, 0, now),
         }
     }
 
@@ -523,6 +596,9 @@
                 changed |= self.hold_domain_out(&entry.name, removal);
             }
         }
+        for entry in update.rollouts {
+            changed |= self.merge_rollout(entry, now);
+        }
         changed
     }
 
@@ -553,12 +629,14 @@
             by: String::new(),
             at: 0,
         });
+        let rollouts = self.rollouts.iter().filter_map(|entry| entry.value.clone());
         let domain_orders = DomainOrders {
             revision: newest_revision(&self.outs),
             orders: orders.collect(),
         };
         let state =
-            State::from_layout(*revision, layout, services.collect(), domain_orders, region);
+            State::from_layout(*revision, layout, services.collect(), domain_orders, region)
+                .with_rollouts(rollouts.collect());
         Arc::new(state)
     }
 
@@ -597,6 +675,7 @@
                     0
                 },
                 watched: true,
+                version: instance.version.clone(),
                 ticket: 0,
             });
         }
--- a/crates/conf/src/registry.rs
+++ b/crates/conf/src/registry.rs
@@ -13,6 +13,8 @@
 use net::BoxFuture;
 
 use crate::catalog::Instance;
+use crate::rollout::Rollout;
+use crate::rollout::RolloutState;
 use crate::Layout;
 
 /// A kind of registry entries; each kind is listed and watched separately.
@@ -26,6 +28,8 @@
     DomainsOut,
     /// Entry VMs, by name.
     Vms,
+    /// Roll-outs of versions, by name.
+    Rollouts,
 }
 
 impl Topic {
@@ -36,6 +40,7 @@
             Self::Servers => "servers",
             Self::DomainsOut => "outs",
             Self::Vms => "vms",
+            Self::Rollouts => "rollouts",
         }
     }
 }
@@ -51,6 +56,8 @@
     DomainOut,
     /// The address at which its peers reach an entry VM.
     Vm(SocketAddr),
+    /// The order to move a service to another version.
+    Rollout(Rollout),
     /// A value that cannot be decoded, with the reason. The entry counts as having
     /// no value.
     Unreadable(String),
@@ -117,4 +124,16 @@
         address: SocketAddr,
         limit: Duration,
     ) -> BoxFuture<'a, plat::Result<()>>;
+
+    /// Writes the state of the roll-out `name` to the `target` version, if the entry still
+    /// has `revision`. Returns the entry as it is now if it has another revision, `None`
+    /// after a write. A write that failed may take effect later.
+    fn write_rollout<'a>(
+        &'a self,
+        name: &'a str,
+        revision: Revision,
+        state: RolloutState,
+        target: &'a str,
+        limit: Duration,
+    ) -> BoxFuture<'a, plat::Result<Option<RegistryEntry>>>;
 }
--- a/crates/conf/src/server.rs
+++ b/crates/conf/src/server.rs
@@ -56,6 +56,9 @@
     /// it is cold.
     #[serde(skip)]
     pub watched: bool,
+    /// The version of the server's software; empty if it is not known.
+    #[serde(skip)]
+    pub version: String,
     /// The number of the ticket that last changed this server. Operators leave it
     /// out; it is set when the ticket is applied.
     #[serde(default, skip_serializing_if = "is_zero")]
@@ -83,6 +86,7 @@
             instance: String::new(),
             cold: 0,
             watched: false,
+            version: String::new(),
             ticket: 0,
         }
     }
--- a/crates/conf/src/settings.rs
+++ b/crates/conf/src/settings.rs
@@ -226,6 +226,46 @@
     pub slack: u32,
 }
 
+/// The limits of roll-outs of new versions. With the section, the VM takes part in them.
+#[serde_as]
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Rollouts {
+    /// The most calls that a version on trial may get, as a fraction of the calls of its
+    /// service.
+    #[serde(default = "rollout_share")]
+    pub share: f64,
+    /// The number of calls beyond `share` that the operators tolerate. Homes do not use it;
+    /// the bad responses after which a version gets nothing stay below it.
+    #[serde(default = "rollout_slack")]
+    pub slack: u32,
+    /// The time in which a version that has been found to be bad must be out of use.
+    #[serde_as(as = "Span")]
+    #[serde(default = "rollback_time")]
+    pub rollback: Duration,
+}
+
+fn rollout_share() -> f64 {
+    0.05
+}
+
+fn rollout_slack() -> u32 {
+    20
+}
+
+fn rollback_time() -> Duration {
+    Duration::from_secs(5)
+}
+
+impl Default for Rollouts {
+    fn default() -> Self {
+        Self {
+            share: rollout_share(),
+            slack: rollout_slack(),
+            rollback: rollback_time(),
+        }
+    }
+}
+
 /// How to reach the platform.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Platform {
@@ -334,6 +374,9 @@
     /// service sets.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub second_attempts: Option<SecondAttempts>,
+    /// The limits of roll-outs; `None` if the VM takes no part in them.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub rollouts: Option<Rollouts>,
     /// How long the VM continues to accept calls after it reports that it is not
     /// ready, so that the load balancer in front of it notices.
     #[serde_as(as = "Span")]
@@ -487,6 +530,12 @@
             "grace",
             "leaves no time for calls in flight after the notice; write a shorter notice",
         );
+        let share = self.rollouts.map_or(0.0, |rollouts| rollouts.share);
+        errors.require(
+            (0.0..=0.5).contains(&share),
+            "rollouts.share",
+            "out of range; write 0 to 0.5",
+        );
         self.check_faults(&mut errors);
         errors.into_result(())
     }
--- a/crates/conf/src/state.rs
+++ b/crates/conf/src/state.rs
@@ -12,6 +12,7 @@
 use crate::layout::CallerLimits;
 use crate::layout::Layout;
 use crate::layout::Mapping;
+use crate::rollout::Rollout;
 use crate::server::Mode;
 use crate::server::Server;
 use crate::service::CallRule;
@@ -37,6 +38,8 @@
     /// The prefixes of all services or mappings, sorted.
     rules: Vec<PrefixRule>,
     layout: Option<Arc<Layout>>,
+    /// The roll-outs, sorted by service.
+    rollouts: Vec<Rollout>,
 }
 
 /// The service that a call belongs to, and how the call is treated.
@@ -84,9 +87,32 @@
             failure_domains: head.domains.clone(),
             service_ids,
             layout: None,
+            rollouts: Vec::new(),
         }
     }
 
+    /// Adds the roll-outs that are in the registry. If there are several for one service, the
+    /// first one counts.
+    pub fn with_rollouts(mut self, mut rollouts: Vec<Rollout>) -> Self {
+        rollouts.sort_by(|a, b| a.service.cmp(&b.service));
+        rollouts.dedup_by(|later, first| later.service == first.service);
+        self.rollouts = rollouts;
+        self
+    }
+
+    /// Returns the roll-outs, sorted by service.
+    pub fn rollouts(&self) -> &[Rollout] {
+        &self.rollouts
+    }
+
+    /// Returns the roll-out of the service named `service`.
+    pub fn rollout(&self, service: &str) -> Option<&Rollout> {
+        let found = self
+            .rollouts
+            .binary_search_by(|r| r.service.as_str().cmp(service));
+        found.ok().map(|index| &self.rollouts[index])
+    }
+
     /// Creates the state of a `layout`. All failure domains of the servers in `services`
     /// are taken to be in `region`.
     pub fn from_layout(
--- a/crates/conf/tests/catalog.rs
+++ b/crates/conf/tests/catalog.rs
@@ -27,6 +27,7 @@
         cold: Duration::ZERO,
         born: 1,
         announced: 0,
+        version: String::new(),
     }
 }
 
--- a/crates/conf/tests/removals.rs
+++ b/crates/conf/tests/removals.rs
@@ -58,6 +58,7 @@
         cold: Duration::ZERO,
         born: 1,
         announced: 0,
+        version: String::new(),
     }
 }
 
--- a/crates/conf/tests/restore.rs
+++ b/crates/conf/tests/restore.rs
@@ -96,6 +96,7 @@
         cold: Duration::ZERO,
         born: truth.born,
         announced: truth.announced,
+        version: String::new(),
     }
 }
 
--- a/crates/daemon/tests/harness/mod.rs
+++ b/crates/daemon/tests/harness/mod.rs
@@ -226,7 +226,14 @@
             ("internal_port_range.1", "7215".into()),
             ("ip", ip.to_string()),
         ];
-        let mut text = TEMPLATE.to_owned();
+        // The template has one section, for a bound that this deployment lacks.
+        let (before, section) = TEMPLATE.split_once("{{#").unwrap();
+        let (section, after) = section.split_once("{{/").unwrap();
+        let name = section.split_once("}}").unwrap().0;
+        let after = after
+            .strip_prefix(name)
+            .and_then(|rest| rest.strip_prefix("}}"));
+        let mut text = format!("{before}{}", after.unwrap());
         for (name, value) in values {
             text = text.replace(&format!("{{{{{name}}}}}"), &value);
         }
--- a/crates/load/src/fleet.rs
+++ b/crates/load/src/fleet.rs
@@ -417,6 +417,7 @@
         },
         watch: None,
         second_attempts: None,
+        rollouts: None,
         capacity: Capacity::default(),
         notice: Duration::from_millis(500),
         forget: Duration::from_secs(3600),
--- a/crates/node/src/gauges.rs
+++ b/crates/node/src/gauges.rs
@@ -180,6 +180,7 @@
                 .sum()
         },
     );
+    register_rollouts(&meter, &weak);
     gauge(
         &meter,
         &weak,
@@ -196,6 +197,45 @@
     );
 }
 
+/// Registers the gauges of roll-outs, which count what this VM's homes have counted.
+fn register_rollouts(meter: &Meter, weak: &Weak<Shared>) {
+    gauge(
+        meter,
+        weak,
+        "rollouts_running",
+        "Roll-outs that are under way",
+        |s| s.running_rollouts() as u64,
+    );
+    gauge(
+        meter,
+        weak,
+        "rollout_firsts",
+        "First attempts of services under roll-out",
+        |s| s.rollout_counts().firsts,
+    );
+    gauge(
+        meter,
+        weak,
+        "rollout_exposed",
+        "Attempts that went to versions on trial",
+        |s| s.rollout_counts().exposed,
+    );
+    gauge(
+        meter,
+        weak,
+        "rollout_old_bad",
+        "Failed and slow responses of versions next to one on trial",
+        |s| s.rollout_counts().old_bad,
+    );
+    gauge(
+        meter,
+        weak,
+        "rollout_target_bad",
+        "Failed and slow responses of versions on trial",
+        |s| s.rollout_counts().target_bad,
+    );
+}
+
 fn gauge(
     meter: &Meter,
     weak: &Weak<Shared>,
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -18,6 +18,8 @@
 pub mod registry;
 pub mod reload;
 pub mod restores;
+pub mod rollout_table;
+pub mod rollouts;
 pub mod shard;
 pub mod shard_table;
 pub mod shared;
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -251,6 +251,14 @@
             ],
         };
         self.tasks.extend(tasks.into_iter().chain(watches));
+        if let (Some(registry), Some(_)) = (&self.shared.registry, self.shared.settings.rollouts) {
+            let (shared, writer) = (self.shared.clone(), registry.clone());
+            let decider = self.supervise("roll-outs", move || {
+                shared.clone().run_rollouts(writer.clone())
+            });
+            self.tasks
+                .extend([self.follow_topic(registry, Topic::Rollouts), decider]);
+        }
         Ok(())
     }
 
--- a/crates/node/src/ports.rs
+++ b/crates/node/src/ports.rs
@@ -262,11 +262,14 @@
     }
 
     fn allows_server(&self, server: ServerId) -> bool {
-        lock(&self.notices).allows(server, self.clock.now())
+        let closed = self.is_closed_by_rollout(server);
+        !closed && lock(&self.notices).allows(server, self.clock.now())
     }
 
     fn denied_servers(&self) -> Vec<ServerId> {
-        lock(&self.notices).denied(self.clock.now())
+        let mut denied = lock(&self.notices).denied(self.clock.now());
+        self.add_closed_by_rollouts(&mut denied);
+        denied
     }
 
     fn rest_left(&self, service: &Service) -> Option<Duration> {
--- a/crates/node/src/readers.rs
+++ b/crates/node/src/readers.rs
@@ -104,7 +104,7 @@
     let longest = match topic {
         Topic::Layout => LAYOUT_WATCH_WAIT,
         Topic::Servers => SERVERS_WATCH_WAIT,
-        Topic::DomainsOut | Topic::Vms => WATCH_WAIT,
+        Topic::DomainsOut | Topic::Vms | Topic::Rollouts => WATCH_WAIT,
     };
     (longest + READ_DELAY).saturating_sub(since_last)
 }
@@ -165,6 +165,7 @@
     layout: TopicRead,
     servers: TopicRead,
     outs: TopicRead,
+    rollouts: TopicRead,
 }
 
 impl TopicReads {
@@ -209,6 +210,7 @@
             Topic::Layout => Some(&self.layout),
             Topic::Servers => Some(&self.servers),
             Topic::DomainsOut => Some(&self.outs),
+            Topic::Rollouts => Some(&self.rollouts),
             Topic::Vms => None,
         }
     }
--- a/crates/node/src/registry.rs
+++ b/crates/node/src/registry.rs
@@ -334,6 +334,7 @@
         let removed = match reader.topic {
             Topic::Servers => catalog.missing_servers(&names, revision),
             Topic::DomainsOut => catalog.missing_domains_out(&names, revision),
+            Topic::Rollouts => catalog.missing_rollouts(&names, revision),
             Topic::Layout | Topic::Vms => Vec::new(),
         };
         drop(catalog);
@@ -346,8 +347,9 @@
         });
         let mut items: Vec<RegistryEntry> = items.into_iter().chain(removed).collect();
         let count = items.len();
-        if reader.topic == Topic::DomainsOut {
-            items.retain(|item| item.value.is_some() || !self.hold_order(item));
+        if matches!(reader.topic, Topic::DomainsOut | Topic::Rollouts) {
+            let topic = reader.topic;
+            items.retain(|item| item.value.is_some() || !self.hold_order(topic, item));
         }
         let changed = self.apply_items(reader, items);
         log::info!(
@@ -385,9 +387,9 @@
         catalog.is_populated().then_some(latest)
     }
 
-    /// Holds back `removal`, by which a list lacks the order that a domain is out, if the
-    /// registry has just been restored. Returns whether it did.
-    fn hold_order(&self, removal: &RegistryEntry) -> bool {
+    /// Holds back `removal`, by which a list of `topic` lacks an order of the operators, if
+    /// the registry has just been restored. Returns whether it did.
+    fn hold_order(&self, topic: Topic, removal: &RegistryEntry) -> bool {
         let Some(noticed) = self.restores.last_noticed() else {
             return false;
         };
@@ -396,11 +398,18 @@
             return false;
         }
         log::info!(
-            "registry: the restored copy lacks the order that {} is out; it stays out",
-            removal.name
+            "registry: the restored copy lacks the order {} of {}; it still holds",
+            removal.name,
+            topic.name()
         );
         let held = HeldRemoval::new(removal.revision, due.saturating_sub(now), now);
-        if lock(&self.catalog).hold_domain_out(&removal.name, held) {
+        let mut catalog = lock(&self.catalog);
+        let changed = match topic {
+            Topic::Rollouts => catalog.hold_rollout(&removal.name, held),
+            _ => catalog.hold_domain_out(&removal.name, held),
+        };
+        drop(catalog);
+        if changed {
             self.put_in_force();
         }
         true
@@ -459,6 +468,7 @@
         let removed = match topic {
             Topic::Servers => catalog.remove_due_servers(known, now),
             Topic::DomainsOut => catalog.remove_due_domains_out(known, now),
+            Topic::Rollouts => catalog.remove_due_rollouts(known, now),
             Topic::Layout | Topic::Vms => return,
         };
         drop(catalog);
@@ -508,7 +518,7 @@
                 );
                 match topic {
                     Topic::Servers => catalog.set_server(&name, revision, None, now),
-                    Topic::Layout | Topic::DomainsOut | Topic::Vms => false,
+                    Topic::Layout | Topic::DomainsOut | Topic::Vms | Topic::Rollouts => false,
                 }
             }
             (Topic::Layout, Some(EntryValue::Layout(layout))) => {
@@ -529,9 +539,17 @@
             (Topic::DomainsOut, value) => {
                 catalog.set_domain_out(&name, revision, value.is_some(), now)
             }
+            (Topic::Rollouts, Some(EntryValue::Rollout(rollout))) => {
+                catalog.set_rollout(&name, revision, Some(rollout), now)
+            }
+            (Topic::Rollouts, None) => catalog.set_rollout(&name, revision, None, now),
             // The layout is never deleted, and entries of VMs are not applied.
             _ => false,
         };
+        drop(catalog);
+        if changed && topic == Topic::Rollouts {
+            self.share_rollout(&name);
+        }
         if changed {
             log::log!(
                 level,
@@ -606,6 +624,7 @@
     match topic {
         Topic::Servers => catalog.next_server_removal(),
         Topic::DomainsOut => catalog.next_domain_removal(),
+        Topic::Rollouts => catalog.next_rollout_removal(),
         Topic::Layout | Topic::Vms => None,
     }
 }
--- a/crates/node/src/shard.rs
+++ b/crates/node/src/shard.rs
@@ -9,6 +9,7 @@
 use std::sync::PoisonError;
 use std::time::Duration;
 
+use base::OrderId;
 use base::ServerId;
 use base::ServiceId;
 use base::ShardId;
@@ -26,6 +27,7 @@
 use route::msg::ProbeResult;
 use route::msg::Release;
 use route::policy::LocalPolicy;
+use route::rollout::Phase;
 use route::shards::ShardCapacity;
 use route::shards::FULL_BACKOFF_MAX;
 use route::AttemptId;
@@ -260,6 +262,13 @@
         self.update_follower(|side| side.follower.resume_after_pause(now))
     }
 
+    /// Passes the phase of a roll-out, which its decider told, to the coordinator.
+    pub fn hear_phase(&self, order: OrderId, phase: Phase, now: Time) -> Effects {
+        self.update_coordinator(now, |coordinator| {
+            coordinator.hear_phase(order, phase, now);
+        })
+    }
+
     /// Records the result of a health probe at the coordinator.
     pub fn record_probe(&self, server: ServerId, result: ProbeResult, now: Time) -> Effects {
         self.update_coordinator(now, |coordinator| {
@@ -380,6 +389,22 @@
             waiting = *waiting as u64;
             "home: granted"
         ),
+        Decision::VersionClosed {
+            order,
+            responses,
+            failed,
+            slow,
+            old_responses,
+            old_bad,
+        } => log::warn!(
+            order = format!("{order:x}"),
+            responses = *responses,
+            failed = *failed,
+            slow = *slow,
+            old_responses = *old_responses,
+            old_bad = *old_bad;
+            "home: a version is bad and gets no more calls"
+        ),
         Decision::RateLimited { server, per_second } => log::info!(
             server = format!("{server:x}"),
             limited = per_second.is_some(),
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -60,6 +60,7 @@
 use crate::reach::Reach;
 use crate::readers::TopicReads;
 use crate::restores::Restores;
+use crate::rollout_table::RolloutTable;
 use crate::shard::Effects;
 use crate::shard::ShardState;
 use crate::shard_table::ShardTable;
@@ -159,6 +160,8 @@
     pub(crate) notices: Mutex<Notices>,
     /// The requests under which servers crashed.
     pub(crate) crashes: Mutex<CrashTable>,
+    /// What this VM knows of roll-outs beyond the registry.
+    pub(crate) rollouts: Mutex<RolloutTable>,
     /// Whether this VM has a path to servers.
     pub(crate) reach: Reach,
     /// Serializes changes of `state` and `table`.
@@ -277,6 +280,7 @@
             memory: MemoryBudget::new(buffer),
             notices: Mutex::default(),
             crashes: Mutex::default(),
+            rollouts: Mutex::default(),
             listeners: parts.listeners,
             reach: Reach::default(),
             refresh_lock: Mutex::new(()),
@@ -356,6 +360,7 @@
         lock(&self.remembered_keys).set_view(&view.vms, complete, self.clock.now());
         write(&self.view, view.clone());
         self.send_crashes_to_joined(&old, &view);
+        self.send_rollouts_to_joined(&old, &view);
         let refresh_guard = lock(&self.refresh_lock);
         let pending = self.update_fleet();
         drop(refresh_guard);
@@ -449,7 +454,10 @@
         let table = self.table();
         let mut shards = Vec::new();
         let mut pending = Vec::new();
-        for spec in specs::of_state(&state, &self.settings.region, self.second_attempts()) {
+        let rollouts = self.rollout_rules();
+        self.close_ended_rollouts(&state, &rollouts);
+        let (region, limit) = (&self.settings.region, self.second_attempts());
+        for spec in specs::of_state(&state, region, limit, &rollouts) {
             let spec = Arc::new(spec);
             let shard = match table.get(spec.shard) {
                 Some(shard) => shard.clone(),
@@ -579,6 +587,7 @@
             Msg::Key(msg) => self.receive_key(from, msg),
             Msg::Crash(msg) => self.receive_crash(msg),
             Msg::Relay(msg) => self.receive_relay(from, msg),
+            Msg::Rollout(msg) => self.receive_rollout(from, msg),
         }
     }
 
--- a/crates/route/benches/cost.rs
+++ b/crates/route/benches/cost.rs
@@ -43,6 +43,7 @@
         slots: 2,
         connections: 220,
         open: true,
+        version: Default::default(),
         announced: Announcement::Unknown,
     };
     ShardSpec::new(base::id::service("s"), (0..servers).map(server).collect())
--- a/crates/route/src/coordinator.rs
+++ b/crates/route/src/coordinator.rs
@@ -10,6 +10,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use base::OrderId;
 use base::ServerId;
 use base::Time;
 use base::VmId;
@@ -25,6 +26,7 @@
 use crate::msg::Msg;
 use crate::msg::ProbeResult;
 use crate::msg::ServerSummary;
+use crate::rollout::Phase;
 use crate::spec::ShardSpec;
 
 /// The backoff after the first time that another home was accepted.
@@ -203,6 +205,13 @@
         }
     }
 
+    /// Passes the phase of a roll-out, which its decider told, to the ledger.
+    pub fn hear_phase(&mut self, order: OrderId, phase: Phase, now: Time) {
+        if let Some(ledger) = &mut self.ledger {
+            ledger.hear_phase(order, phase, now);
+        }
+    }
+
     /// Runs the ledger's periodic work.
     pub fn tick(&mut self, now: Time) {
         if let Some(ledger) = &mut self.ledger {
--- a/crates/route/src/follower/mod.rs
+++ b/crates/route/src/follower/mod.rs
@@ -35,6 +35,7 @@
 use crate::msg::Release;
 use crate::msg::Warmth;
 use crate::rate_limit::RateNotes;
+use crate::rollout::VersionGroup;
 use crate::spec::ShardSpec;
 
 /// The first timeout after which a permit request is sent again.
@@ -246,7 +247,7 @@
         let keys: Vec<(u64, u32)> = spec
             .servers
             .iter()
-            .filter(|server| server.open)
+            .filter(|server| server.open && server.version == VersionGroup::Old)
             .map(|server| (server.id, server.slots))
             .collect();
         self.owned_slots.clear();
--- a/crates/route/src/ledger/admission.rs
+++ b/crates/route/src/ledger/admission.rs
@@ -55,7 +55,7 @@
             }
         }
         let rescue = waiter.request.kind == AttemptKind::Rescue;
-        let no_alternative = rescue && !self.has_alternative(&waiter.request.avoid);
+        let no_alternative = rescue && !self.has_alternative(&waiter.request.avoid, now);
         if no_alternative || self.spec.open_slots() == 0 {
             self.refuse(
                 waiter.vm,
--- a/crates/route/src/ledger/decision.rs
+++ b/crates/route/src/ledger/decision.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use base::OrderId;
 use base::ServerId;
 use base::VmId;
 
@@ -42,6 +43,22 @@
         /// The calls that it takes in a second; none if it names no limit any more.
         per_second: Option<f64>,
     },
+    /// The home found by its own counts that the version on trial is bad, and gives it
+    /// nothing more.
+    VersionClosed {
+        /// The order of the roll-out.
+        order: OrderId,
+        /// Responses of the version.
+        responses: u32,
+        /// Those that failed.
+        failed: u32,
+        /// Those that were slow.
+        slow: u32,
+        /// Responses of the old version over the same time.
+        old_responses: u32,
+        /// Those that failed or were slow.
+        old_bad: u32,
+    },
     /// The home refused a request.
     Refused {
         /// The VM that requested the permit.
--- a/crates/route/src/ledger/grants.rs
+++ b/crates/route/src/ledger/grants.rs
@@ -30,6 +30,7 @@
         let server = self.servers[index].id;
         let left = waiter.deadline.saturating_sub(now);
         self.add_permit(waiter.vm, waiter.call, server, left, now);
+        self.record_exposure(waiter, server);
         self.counts.granted += 1;
         if waiter.request.kind == AttemptKind::First {
             // A call that one shard refuses asks another one, so a request that is not
@@ -70,6 +71,7 @@
             granted_at: now,
             expires: now + left + PERMIT_GRACE,
             concurrent: self.busy(server),
+            kind: 0,
             lingers: false,
         };
         if !self.permits.add(permit) {
--- a/crates/route/src/ledger/mod.rs
+++ b/crates/route/src/ledger/mod.rs
@@ -15,6 +15,7 @@
 mod followers;
 mod grants;
 mod placement;
+mod rollout;
 mod servers;
 mod slowdown;
 
@@ -49,6 +50,7 @@
 use crate::queue::Queue;
 use crate::queue::Waiter;
 use crate::quorum::Quorum;
+use crate::rollout::Exposure;
 use crate::spec::ShardSpec;
 
 /// Lower bound of the time without a response after which a VM counts as
@@ -212,6 +214,8 @@
     /// The moving average, in seconds, of the time between grant and release in
     /// which the server does not run the call.
     idle_gap: f64,
+    /// The exposure of a version on trial; none if no roll-out is under way.
+    exposure: Option<Exposure>,
     /// Whether a warmth, a limit or the specification has changed in a way that
     /// the followers have not been sent yet.
     summaries_changed: bool,
@@ -253,6 +257,7 @@
             mean_slowdown: 1.0,
             reports_warmth: None,
             idle_gap: 0.0,
+            exposure: None,
             summaries_changed: true,
             last_broadcast: Time::ZERO,
             counts: Counts::default(),
@@ -260,6 +265,7 @@
             actions: Vec::new(),
             spec,
         };
+        ledger.sync_rollout(now);
         ledger.sync_servers();
         ledger.assign_slots();
         ledger.update_epoch_state(now);
@@ -324,6 +330,7 @@
             .set_limits(spec.hedge_percent, spec.hedge_slack);
         self.spec = spec;
         self.summaries_changed = true;
+        self.sync_rollout(now);
         self.sync_servers();
         self.assign_slots();
         self.update_epoch_state(now);
@@ -481,6 +488,7 @@
         if permit.lingers || permit.server != release.server {
             return;
         }
+        self.record_evidence(&permit, &release, now);
         self.record_release(&permit, &release, now);
         match release.outcome {
             Outcome::Cancelled | Outcome::Late => self.linger(from, release.call, now),
--- a/crates/route/src/ledger/placement.rs
+++ b/crates/route/src/ledger/placement.rs
@@ -30,8 +30,11 @@
     /// call.
     pub(super) fn estimated_wait(&self, ahead: usize, now: Time) -> Duration {
         let up = self.servers.iter().filter(|server| {
-            let open = self.spec.server(server.id).is_some_and(|s| s.open);
-            open && server.limit.warmth(&self.spec) != Warmth::Down
+            let usable = self
+                .spec
+                .server(server.id)
+                .is_some_and(|s| self.may_use(s, now));
+            usable && server.limit.warmth(&self.spec) != Warmth::Down
         });
         let call_secs = self.mean_time + self.idle_gap;
         let slots: f64 = up.clone().map(|server| server.capacity(call_secs)).sum();
@@ -67,17 +70,25 @@
             let left = (waiter.request.goal + waiter.queued_at).saturating_sub(now);
             now >= waiter.in_time_until || c.predicted_time() <= left.as_secs_f64()
         };
+        if self.tries_version(waiter, now) {
+            let tried = untried.clone().filter(|c| self.is_on_trial(c.index));
+            let best = choose::best(tried.filter(in_time), critical);
+            if best.is_some() {
+                return best;
+            }
+        }
         let best = choose::best(untried.filter(in_time), critical);
         let other_only = spare_only || waiter.request.kind == AttemptKind::Rescue;
-        if best.is_some() || other_only || self.has_alternative(avoid) {
+        if best.is_some() || other_only || self.has_alternative(avoid, now) {
             return best;
         }
         choose::best(all().filter(in_time), critical)
     }
 
-    /// Returns whether an open server exists that is not in `avoid`.
-    pub(super) fn has_alternative(&self, avoid: &[ServerId]) -> bool {
-        let mut open = self.spec.servers.iter().filter(|server| server.open);
+    /// Returns whether a server that any attempt may use exists that is not in `avoid`.
+    pub(super) fn has_alternative(&self, avoid: &[ServerId], now: Time) -> bool {
+        let servers = self.spec.servers.iter();
+        let mut open = servers.filter(|server| self.may_use(server, now));
         open.any(|server| !avoid.contains(&server.id))
     }
 
@@ -92,7 +103,8 @@
     ) -> Option<Candidate> {
         let spec = self.spec.server(server.id)?;
         let allowed = server.allowed_vms.binary_search(&waiter.vm).is_ok();
-        if !spec.open || !server.limit.is_up(now) || !allowed {
+        if !self.may_expose(spec, waiter.request.kind, now) || !server.limit.is_up(now) || !allowed
+        {
             return None;
         }
         let warmth = server.limit.warmth(&self.spec);
--- a/crates/route/src/ledger/servers.rs
+++ b/crates/route/src/ledger/servers.rs
@@ -419,13 +419,18 @@
 impl Server {
     /// Returns whether the server may sustain fewer calls than it has slots.
     pub(super) fn is_cold(&self, spec: &ShardSpec, now: Time) -> bool {
-        let announced_cold = matches!(self.announced, Announcement::Cold(_))
-            && self.superseded_start != Some(self.announced);
-        announced_cold
+        self.is_announced_cold()
             || self.limit.warmth(spec) < Warmth::Lowered
             || self.limit.may_be_cold(spec, now)
     }
 
+    /// Returns whether the server announced that it is cold, and has not been found to be
+    /// warm since.
+    pub(super) fn is_announced_cold(&self) -> bool {
+        matches!(self.announced, Announcement::Cold(_))
+            && self.superseded_start != Some(self.announced)
+    }
+
     /// Applies a health check that reports the server as warm, which is newer
     /// than what the server announced.
     fn accept_warm(&mut self) {
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -30,6 +30,7 @@
 pub mod queue;
 pub mod quorum;
 pub mod rate_limit;
+pub mod rollout;
 pub mod shards;
 pub mod spec;
 pub mod verify;
--- a/crates/route/src/permits.rs
+++ b/crates/route/src/permits.rs
@@ -5,6 +5,7 @@
 use base::VmId;
 
 use crate::msg::AttemptId;
+use crate::rollout::evidence::KindId;
 
 /// The right of one attempt to be sent to one server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -21,6 +22,8 @@
     pub expires: Time,
     /// Calls that were already in flight at the server when the permit was granted.
     pub concurrent: u32,
+    /// The kind of the call while a roll-out is under way, 0 if it is not known.
+    pub kind: KindId,
     /// Whether the holder has given up the attempt, or has failed, while the server
     /// may still run the attempt.
     pub lingers: bool,
--- a/crates/route/src/spec.rs
+++ b/crates/route/src/spec.rs
@@ -9,6 +9,9 @@
 use base::ShardId;
 use base::VmId;
 
+use crate::rollout::Terms;
+use crate::rollout::VersionGroup;
+
 /// The most servers of a service that share one home, whatever their failure domains.
 /// With more servers, each failure domain has a home of its own. With fewer, a home per
 /// failure domain would have few servers to choose from.
@@ -37,6 +40,8 @@
     /// Whether the server may be given calls: it is neither draining nor in a failure
     /// domain that is out of service.
     pub open: bool,
+    /// The server's version with regard to a roll-out.
+    pub version: VersionGroup,
     /// The warmth that the server announced in the registry.
     pub announced: Announcement,
 }
@@ -91,6 +96,8 @@
     pub cold_duration: Duration,
     /// The longest deadline of the service's calls.
     pub max_deadline: Duration,
+    /// The terms of the roll-out that is under way; none if there is none.
+    pub rollout: Option<Terms>,
 }
 
 impl ShardSpec {
@@ -114,6 +121,7 @@
             cold_rate: 0.0,
             cold_duration: Duration::ZERO,
             max_deadline: Duration::ZERO,
+            rollout: None,
         }
     }
 
--- a/crates/route/tests/components.rs
+++ b/crates/route/tests/components.rs
@@ -57,6 +57,7 @@
         slots,
         connections,
         open: true,
+        version: Default::default(),
         announced: Announcement::Unknown,
     }
 }
--- a/crates/route/tests/load.rs
+++ b/crates/route/tests/load.rs
@@ -124,6 +124,7 @@
         slots,
         connections: 220,
         open: true,
+        version: Default::default(),
         announced,
     });
     ShardSpec {
--- a/crates/route/tests/sim/mod.rs
+++ b/crates/route/tests/sim/mod.rs
@@ -90,6 +90,7 @@
         slots,
         connections: 220,
         open: true,
+        version: Default::default(),
         announced: Announcement::Unknown,
     };
     let mut spec = ShardSpec::new(base::id::service("s"), (0..SERVERS).map(server).collect());
--- a/crates/wire/src/msg.rs
+++ b/crates/wire/src/msg.rs
@@ -6,6 +6,7 @@
 use route::crashes::Fingerprint;
 use route::keys::ClaimReply;
 use route::keys::KeyClaim;
+use route::rollout::RolloutMsg;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -60,6 +61,8 @@
     Crash(CrashMsg),
     /// Calls that are relayed to other VMs.
     Relay(RelayMsg),
+    /// Roll-outs of versions.
+    Rollout(RolloutMsg),
 }
 
 impl Msg {
@@ -68,6 +71,6 @@
     /// Such a build drops the whole datagram that the message is in, so the message must not
     /// share one with messages that it can read. See `docs/design/wire.md`.
     pub fn is_recent(&self) -> bool {
-        false
+        matches!(self, Self::Rollout(_))
     }
 }
