--- a/crates/node/src/readers.rs
+++ b/crates/node/src/readers.rs
@@ -46,6 +46,9 @@
 const LAYOUT_WATCH_WAIT: Duration = Duration::from_secs(1);
 /// The longest wait of a watch of another topic, whose changes have more time.
 const WATCH_WAIT: Duration = Duration::from_secs(3);
+/// The longest wait of a watch of the roll-outs. Most of the time there are none, and what
+/// binds at once passes between VMs.
+const ROLLOUTS_WATCH_WAIT: Duration = Duration::from_secs(8);
 /// The delay after changes of the servers were read, whose entries change with every
 /// heartbeat of a server.
 const SERVERS_READ_DELAY: Duration = Duration::from_millis(800);
@@ -104,7 +107,8 @@
     let longest = match topic {
         Topic::Layout => LAYOUT_WATCH_WAIT,
         Topic::Servers => SERVERS_WATCH_WAIT,
-        Topic::DomainsOut | Topic::Vms | Topic::Rollouts => WATCH_WAIT,
+        Topic::DomainsOut | Topic::Vms => WATCH_WAIT,
+        Topic::Rollouts => ROLLOUTS_WATCH_WAIT,
     };
     (longest + READ_DELAY).saturating_sub(since_last)
 }
--- a/crates/route/src/rollout/evidence.rs
+++ b/crates/route/src/rollout/evidence.rs
@@ -163,14 +163,18 @@
         cold: bool,
     ) {
         let failed = match outcome {
-            Outcome::Done => false,
+            Outcome::Done | Outcome::Cancelled => false,
             Outcome::Failed | Outcome::Broken | Outcome::Late => true,
-            // The server did not run the call, or was not given the time to.
-            Outcome::Shed | Outcome::Unreachable | Outcome::Cancelled | Outcome::Unused => return,
+            // The server did not run the call.
+            Outcome::Shed | Outcome::Unreachable | Outcome::Unused => return,
         };
         let counts = self.find(kind);
         let median = counts.old_times.median();
         let slow = !failed && !cold && median.is_some_and(|median| took > median * SLOW_FACTOR);
+        // A caller may give a call up because it is slow. Others show nothing.
+        if outcome == Outcome::Cancelled && !slow {
+            return;
+        }
         let tally = match group {
             VersionGroup::Old => &mut counts.counts.old,
             VersionGroup::Target => &mut counts.counts.target,
@@ -179,7 +183,7 @@
         tally.failed += u32::from(failed);
         tally.slow += u32::from(slow);
         match group {
-            VersionGroup::Old if !failed && !cold => counts.old_times.add(took),
+            VersionGroup::Old if outcome == Outcome::Done && !cold => counts.old_times.add(took),
             VersionGroup::Old => {}
             VersionGroup::Target => {
                 counts.record_server(server, failed || slow);
--- a/crates/route/tests/load.rs
+++ b/crates/route/tests/load.rs
@@ -22,6 +22,9 @@
 use route::msg::RateNote;
 use route::msg::RefusalReason;
 use route::msg::Release;
+use route::rollout::Phase;
+use route::rollout::Terms;
+use route::rollout::VersionGroup;
 use route::spec::Announcement;
 use route::spec::ServerSpec;
 use route::AttemptId;
@@ -104,6 +107,8 @@
     /// The slowdown of each server's host.
     slowdowns: Vec<u64>,
     fault: Option<Fault>,
+    /// Servers that fail all calls.
+    failing: Vec<ServerId>,
     /// Whether servers close the connection of a call that comes while all slots are busy.
     resets_when_full: bool,
     /// When the servers start to report in health checks that they are warm; none if they
@@ -166,6 +171,7 @@
             slow_share,
             slowdowns,
             fault: None,
+            failing: Vec::new(),
             resets_when_full: false,
             warm_at: None,
             rate_limit: None,
@@ -312,6 +318,9 @@
                         time = fault.took;
                     }
                 }
+                if self.failing.contains(&server) {
+                    outcome = Outcome::Failed;
+                }
                 if is_full {
                     outcome = Outcome::Broken;
                     time = RESET_TIME;
@@ -690,3 +699,59 @@
     let counts = &sim.counts;
     assert!(counts.in_time >= 180, "{counts:?}");
 }
+
+/// Returns a shard of eight servers of which the last four are of a version on trial.
+fn rollout_spec() -> ShardSpec {
+    let mut spec = spec(8, 4, Announcement::Warm);
+    for server in &mut spec.servers[4..] {
+        server.version = VersionGroup::Target;
+    }
+    spec.rollout = Some(Terms {
+        order: 7,
+        share: 0.1,
+        lease: Duration::from_secs(3),
+    });
+    spec
+}
+
+/// Runs for `secs` seconds in which the decider tells `phase` each second. Returns the
+/// grants for the old version and for the one on trial.
+fn run_phase(sim: &mut Sim, phase: Phase, secs: u32) -> (usize, usize) {
+    sim.granted.clear();
+    for _ in 0..secs {
+        let now = sim.now;
+        sim.ledger.hear_phase(7, phase, now);
+        sim.run(Duration::from_secs(1), 40.0);
+    }
+    let new = sim.granted.iter().filter(|(server, _)| *server > 4).count();
+    (sim.granted.len() - new, new)
+}
+
+#[test]
+fn rollout_share_holds_in_each_phase() {
+    let mut sim = Sim::new(rollout_spec(), 0.0);
+    sim.run(Duration::from_secs(5), 40.0);
+    assert!(sim.granted.iter().all(|(server, _)| *server <= 4));
+    let (old, new) = run_phase(&mut sim, Phase::Trial, 20);
+    assert!((10..(old + new) / 10).contains(&new), "{old} {new}");
+    let (old, surge) = run_phase(&mut sim, Phase::Surge, 5);
+    assert!(surge > new / 2 && surge <= old + 1, "{old} {surge}");
+    // Calls that were granted before the switch are still counted.
+    run_phase(&mut sim, Phase::Switch, 1);
+    let (old, new) = run_phase(&mut sim, Phase::Switch, 5);
+    assert!(old == 0 && new > 100, "{old} {new}");
+    let (old, new) = run_phase(&mut sim, Phase::RolledBack, 5);
+    assert!(old > 100 && new == 0, "{old} {new}");
+}
+
+#[test]
+fn rollout_of_a_failing_version_is_closed_by_the_home_alone() {
+    let mut sim = Sim::new(rollout_spec(), 0.0);
+    run_phase(&mut sim, Phase::Trial, 10);
+    sim.failing = (5..=8).collect();
+    run_phase(&mut sim, Phase::Trial, 30);
+    assert!(sim.ledger.exposure().unwrap().is_closed());
+    assert!(sim.counts.failed < 50, "{:?}", sim.counts);
+    let (old, new) = run_phase(&mut sim, Phase::Surge, 5);
+    assert!(old > 100 && new == 0, "{old} {new}");
+}
--- a/crates/route/tests/rollouts.rs
+++ b/crates/route/tests/rollouts.rs
@@ -458,6 +458,24 @@
     assert!(!home.allows(VersionGroup::Target, AttemptKind::First, at));
 }
 
+#[test]
+fn calls_given_up_because_they_are_slow_count() {
+    let terms = Terms {
+        order: 7,
+        share: SHARE,
+        lease: LEASE,
+    };
+    for (took, closes) in [(0.25, false), (2.0, true)] {
+        let mut home = Exposure::new(terms, Time::ZERO);
+        for n in 0..100_u64 {
+            home.record_end((n, VersionGroup::Old), 1, Outcome::Done, 0.2, false);
+            let server = (n % 8, VersionGroup::Target);
+            home.record_end(server, 1, Outcome::Cancelled, took, false);
+        }
+        assert_eq!(home.is_closed(), closes, "given up after {took} s");
+    }
+}
+
 #[test]
 fn one_bad_server_is_not_a_bad_version() {
     let terms = Terms {
