Check the exposure without a verdict, and roll-outs between peers and builds

A generated test without any verdict checks the bound itself, over homes that restart. Others check that fallback slots leave a version on trial alone, that peers pass orders on, and that old builds are not sent the messages among others.

--- a/crates/conf/tests/catalog.rs
+++ b/crates/conf/tests/catalog.rs
@@ -12,6 +12,8 @@
 use conf::Catalog;
 use conf::Layout;
 use conf::Mapping;
+use conf::Rollout;
+use conf::RolloutState;
 use conf::Service;
 
 /// Number of cases generated for each property.
@@ -215,6 +217,39 @@
     assert_eq!(live(&peer), ["i-1", "i-2"]);
 }
 
+/// Peers whose revisions are the same still pass roll-outs on, and a peer of an earlier
+/// build sends none.
+#[test]
+fn merge_rollout_reaches_a_peer_and_ends_with_its_entry() {
+    let rollout = |state| Rollout {
+        service: "plans".into(),
+        target: "v2".into(),
+        duration: Duration::from_secs(60),
+        order: 7,
+        state,
+    };
+    let (mut reader, mut peer) = (Catalog::new(), Catalog::new());
+    let json = serde_json::to_value(reader.changes_since(&peer.revisions(), Time::ZERO)).unwrap();
+    assert_eq!(json.get("rollouts"), None);
+    let pass_on = |reader: &Catalog, peer: &mut Catalog| {
+        let update = reader.changes_since(&peer.revisions(), Time::ZERO);
+        let json = serde_json::to_string(&update).unwrap();
+        peer.merge(serde_json::from_str(&json).unwrap(), Time::ZERO)
+    };
+    assert!(reader.set_rollout("plans", 5, Some(rollout(None)), Time::ZERO));
+    assert!(pass_on(&reader, &mut peer));
+    assert!(!pass_on(&reader, &mut peer));
+    assert_eq!(peer.rollouts()[0].value, Some(rollout(None)));
+    let state = Some(RolloutState::RolledBack);
+    assert!(peer.set_rollout("plans", 6, Some(rollout(state)), Time::ZERO));
+    // What is older never replaces it.
+    assert!(!pass_on(&reader, &mut peer));
+    assert_eq!(peer.rollouts()[0].value, Some(rollout(state)));
+    assert!(reader.set_rollout("plans", 8, None, Time::ZERO));
+    assert!(pass_on(&reader, &mut peer));
+    assert_eq!(peer.rollouts()[0].value, None);
+}
+
 /// Returns the names of the servers that `catalog` has.
 fn live(catalog: &Catalog) -> Vec<String> {
     let present = catalog.servers().iter().filter(|s| s.value.is_some());
--- a/crates/route/tests/homes.rs
+++ b/crates/route/tests/homes.rs
@@ -6,6 +6,8 @@
 use std::time::Duration;
 
 use base::Outcome;
+use route::rollout::VersionGroup;
+use route::ShardSpec;
 use sim::spec;
 use sim::Sim;
 use sim::VMS;
@@ -199,6 +201,37 @@
     assert!(fallbacks > 0, "no VM used a fallback slot");
 }
 
+/// The servers of a version on trial are warm, and still are no fallback.
+#[test]
+fn tick_unresponsive_home_uses_no_version_on_trial() {
+    let mut sim = Sim::new(spec(3, 2));
+    for _ in 0..60 {
+        for index in 0..VMS {
+            sim.acquire(index, Duration::from_secs(2));
+        }
+        sim.settle(Duration::from_millis(30));
+    }
+    let mut trial = ShardSpec::clone(&sim.spec);
+    for server in &mut trial.servers {
+        server.version = VersionGroup::Target;
+    }
+    let home = sim.home();
+    sim.pause(home);
+    let alive: Vec<u64> = sim.vms.iter().map(|vm| vm.id).collect();
+    for index in (0..VMS).filter(|index| *index != home) {
+        let now = sim.now;
+        let follower = &mut sim.vms[index].follower;
+        follower.set_fleet(&alive, &alive, &trial, now);
+        for _ in 0..10 {
+            sim.acquire(index, Duration::from_secs(2));
+        }
+    }
+    for _ in 0..100 {
+        sim.tick(Duration::from_millis(3));
+    }
+    assert!(sim.vms.iter().all(|vm| vm.follower.fallback_count() == 0));
+}
+
 #[test]
 fn tick_unresponsive_home_uses_no_cold_server() {
     let mut sim = Sim::new(spec(3, 1_000_000));
--- a/crates/route/tests/rollouts.rs
+++ b/crates/route/tests/rollouts.rs
@@ -454,6 +454,38 @@
     assert!(!home.allows(VersionGroup::Target, AttemptKind::First, at));
 }
 
+/// Without a verdict, whatever homes restart and whichever phase they were told.
+#[test]
+fn exposure_stays_within_the_share_of_the_first_attempts() {
+    cases::check::<u64>(200, |seed| {
+        let mut rng = fastrand::Rng::with_seed(*seed);
+        let terms = Terms {
+            order: 7,
+            share: 0.01 + 0.4 * rng.f64(),
+            lease: LEASE,
+        };
+        let mut homes = vec![Exposure::new(terms, Time::ZERO); rng.usize(1..6)];
+        let (mut requests, mut exposed) = (0_u64, 0_u64);
+        for n in 0..4000_u64 {
+            let now = Time::from_millis(n * 5);
+            let index = rng.usize(..homes.len());
+            let home = &mut homes[index];
+            match rng.u8(..100) {
+                0 => *home = Exposure::new(terms, now),
+                1..20 => home.hear(Phase::Trial, now),
+                20..25 => home.hear(Phase::Surge, now),
+                _ => {}
+            }
+            let kind = [AttemptKind::First, AttemptKind::Retry, AttemptKind::Hedge][rng.usize(..3)];
+            let target = home.allows(VersionGroup::Target, kind, now);
+            home.record_grant(group(target), kind);
+            requests += u64::from(kind == AttemptKind::First);
+            exposed += u64::from(target);
+            assert!(exposed as f64 <= terms.share * requests as f64);
+        }
+    });
+}
+
 #[test]
 fn calls_given_up_because_they_are_slow_count() {
     let terms = Terms {
--- a/crates/wire/tests/datagrams.rs
+++ b/crates/wire/tests/datagrams.rs
@@ -6,6 +6,7 @@
 use route::msg::AttemptKind;
 use route::msg::Body;
 use route::msg::PermitRequest;
+use route::rollout::RolloutMsg;
 use wire::datagram;
 use wire::datagram::Datagram;
 use wire::datagram::Error;
@@ -49,6 +50,17 @@
     });
 }
 
+#[test]
+fn rollouts_are_unknown_to_the_build_in_production() {
+    let entry = Msg::Rollout(RolloutMsg::Entry(vec![1, 2, 3]));
+    assert!(entry.is_recent());
+    assert!(!acquire(1).is_recent());
+    let mut datagram = Datagram::new(7);
+    datagram.add(&entry);
+    let bytes = datagram.seal(&keys(1, 2));
+    assert_eq!(datagram::open(&bytes, &keys(1, 2)), Ok((7, vec![entry])));
+}
+
 #[test]
 fn open_tampered_or_foreign_datagram() {
     let mut datagram = Datagram::new(7);
