--- a/crates/conf/src/bounds.rs
+++ b/crates/conf/src/bounds.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use crate::settings::Quotas;
+use crate::settings::Rollouts;
 use crate::Settings;
 
 /// Separates the bounds.
@@ -22,6 +23,8 @@
     pub teams: bool,
     /// The tolerance within which quotas are kept; `None` if it is not stated.
     pub quotas: Option<Quotas>,
+    /// The limits of roll-outs; `None` if they are not stated.
+    pub rollouts: Option<Rollouts>,
 }
 
 /// Why the text is no list of bounds.
@@ -31,7 +34,7 @@
     #[error("{0:?} has no name; write NAME=FIGURES")]
     NoName(String),
     /// No bound has this name.
-    #[error("there is no bound {0:?}; write teams or quotas")]
+    #[error("there is no bound {0:?}; write teams, quotas or rollouts")]
     Unknown(String),
     /// The figures are too few, too many or no numbers.
     #[error("{0:?} are not the figures of {1}; write {2}")]
@@ -43,6 +46,7 @@
     pub fn apply(&self, mut settings: Settings) -> Settings {
         settings.teams |= self.teams;
         settings.quotas = self.quotas.or(settings.quotas);
+        settings.rollouts = self.rollouts.or(settings.rollouts);
         settings
     }
 }
@@ -62,7 +66,8 @@
             match name {
                 "teams" => bounds.teams = is_stated,
                 "quotas" if is_stated => bounds.quotas = Some(parse_quotas(figures)?),
-                "quotas" => {}
+                "rollouts" if is_stated => bounds.rollouts = Some(parse_rollouts(figures)?),
+                "quotas" | "rollouts" => {}
                 other => return Err(BoundsError::Unknown(other.into())),
             }
         }
@@ -80,6 +85,16 @@
     })
 }
 
+fn parse_rollouts(text: &str) -> Result<Rollouts, BoundsError> {
+    let error = || BoundsError::Figures(text.into(), "rollouts", "SHARE:SLACK:ROLLBACK");
+    let [share, slack, rollback] = parse_figures(text).ok_or_else(error)?;
+    Ok(Rollouts {
+        share,
+        slack: slack as u32,
+        rollback: Duration::try_from_secs_f64(rollback).map_err(|_| error())?,
+    })
+}
+
 /// Returns the figures of a bound that has three.
 fn parse_figures(text: &str) -> Option<[f64; 3]> {
     let figures: Result<Vec<f64>, _> = text.split(FIGURE_SEPARATOR).map(str::parse).collect();
--- a/crates/conf/src/state.rs
+++ b/crates/conf/src/state.rs
@@ -12,6 +12,7 @@
 use crate::layout::CallerLimits;
 use crate::layout::Layout;
 use crate::layout::Mapping;
+use crate::rollout::Rollout;
 use crate::server::Mode;
 use crate::server::Server;
 use crate::service::CallRule;
@@ -47,6 +48,8 @@
     needs_teams: bool,
     /// Whether the layout says that calls are weighed by more than their class.
     weighs_calls: bool,
+    /// The roll-outs, sorted by service.
+    rollouts: Vec<Rollout>,
 }
 
 /// The service that a call belongs to, and how the call is treated.
@@ -102,9 +105,32 @@
             team_table: TeamTable::default(),
             needs_teams: false,
             weighs_calls: false,
+            rollouts: Vec::new(),
         }
     }
 
+    /// Adds the roll-outs that are in the registry. If there are several for one service, the
+    /// first one counts.
+    pub fn with_rollouts(mut self, mut rollouts: Vec<Rollout>) -> Self {
+        rollouts.sort_by(|a, b| a.service.cmp(&b.service));
+        rollouts.dedup_by(|later, first| later.service == first.service);
+        self.rollouts = rollouts;
+        self
+    }
+
+    /// Returns the roll-outs, sorted by service.
+    pub fn rollouts(&self) -> &[Rollout] {
+        &self.rollouts
+    }
+
+    /// Returns the roll-out of the service named `service`.
+    pub fn rollout(&self, service: &str) -> Option<&Rollout> {
+        let found = self
+            .rollouts
+            .binary_search_by(|r| r.service.as_str().cmp(service));
+        found.ok().map(|index| &self.rollouts[index])
+    }
+
     /// Creates the state of a `layout`. All failure domains of the servers in `services`
     /// are taken to be in `region`.
     pub fn from_layout(
--- a/crates/route/src/ledger/grants.rs
+++ b/crates/route/src/ledger/grants.rs
@@ -33,6 +33,7 @@
             permit.work = waiter.request.ranking.map_or(Duration::ZERO, |r| r.work);
             permit.rank = waiter.request.ranking.map(|r| r.rank);
         }
+        self.record_exposure(waiter, server);
         self.counts.granted += 1;
         if waiter.request.kind == AttemptKind::First {
             // A call that one shard refuses asks another one, so a request that is not
@@ -74,6 +75,7 @@
             granted_at: now,
             expires: now + left + PERMIT_GRACE,
             concurrent: self.busy(server),
+            kind: 0,
             lingers: false,
             work: Duration::ZERO,
             rank: None,
--- a/crates/route/src/ledger/mod.rs
+++ b/crates/route/src/ledger/mod.rs
@@ -16,6 +16,7 @@
 mod grants;
 mod placement;
 mod ranks;
+mod rollout;
 mod servers;
 mod slowdown;
 
@@ -51,6 +52,7 @@
 use crate::queue::Queue;
 use crate::queue::Waiter;
 use crate::quorum::Quorum;
+use crate::rollout::Exposure;
 use crate::shares::Shares;
 use crate::spec::ShardSpec;
 
@@ -223,6 +225,8 @@
     /// The moving average, in seconds, of the time between grant and release in
     /// which the server does not run the call.
     idle_gap: f64,
+    /// The exposure of a version on trial; none if no roll-out is under way.
+    exposure: Option<Exposure>,
     /// Whether a warmth, a limit or the specification has changed in a way that
     /// the followers have not been sent yet.
     summaries_changed: bool,
@@ -271,6 +275,7 @@
             mean_slowdown: 1.0,
             reports_warmth: None,
             idle_gap: 0.0,
+            exposure: None,
             summaries_changed: true,
             last_broadcast: Time::ZERO,
             work_pace: slowdown::FULL_PACE_START,
@@ -281,6 +286,7 @@
             actions: Vec::new(),
             spec,
         };
+        ledger.sync_rollout(now);
         ledger.sync_servers();
         ledger.assign_slots();
         ledger.update_epoch_state(now);
@@ -345,6 +351,7 @@
             .set_limits(spec.hedge_percent, spec.hedge_slack);
         self.spec = spec;
         self.summaries_changed = true;
+        self.sync_rollout(now);
         self.sync_servers();
         self.assign_slots();
         self.update_epoch_state(now);
@@ -509,6 +516,7 @@
         if permit.lingers || permit.server != release.server {
             return;
         }
+        self.record_evidence(&permit, &release, now);
         self.record_release(&permit, &release, now);
         match release.outcome {
             Outcome::Cancelled | Outcome::Late => self.linger(from, release.call, now),
--- a/crates/route/src/ledger/ranks.rs
+++ b/crates/route/src/ledger/ranks.rs
@@ -124,7 +124,7 @@
         if waiter.standing.kind_short {
             return false;
         }
-        let slots = self.capacity();
+        let slots = self.capacity(now);
         let reserve = self.demand.reserve(ranking.rank, slots, now).floor();
         if reserve < 1.0 {
             return false;
@@ -207,7 +207,7 @@
     /// Returns the room that the servers have now.
     fn room(&self, now: Time) -> Room {
         Room {
-            slots: self.capacity(),
+            slots: self.capacity(now),
             next: self.estimated_wait(0, now),
         }
     }
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -33,6 +33,7 @@
 pub mod quorum;
 pub mod quota;
 pub mod rate_limit;
+pub mod rollout;
 pub mod shards;
 pub mod shares;
 pub mod spec;
--- a/crates/route/tests/load_sim/mod.rs
+++ b/crates/route/tests/load_sim/mod.rs
@@ -161,6 +161,8 @@
     /// The slowdown of each server's host.
     slowdowns: Vec<u64>,
     pub(crate) fault: Option<Fault>,
+    /// Servers that fail all calls.
+    pub(crate) failing: Vec<ServerId>,
     /// Whether servers close the connection of a call that comes while all slots are busy.
     pub(crate) resets_when_full: bool,
     /// When the servers start to report in health checks that they are warm; none if they
@@ -183,6 +185,7 @@
         slots,
         connections: 220,
         open: true,
+        version: Default::default(),
         announced,
     });
     ShardSpec {
@@ -229,6 +232,7 @@
             slow_share,
             slowdowns,
             fault: None,
+            failing: Vec::new(),
             resets_when_full: false,
             warm_at: None,
             rate_limit: None,
@@ -436,6 +440,9 @@
                         time = fault.took;
                     }
                 }
+                if self.failing.contains(&server) {
+                    outcome = Outcome::Failed;
+                }
                 if is_full {
                     outcome = Outcome::Broken;
                     time = RESET_TIME;
--- a/crates/wire/src/msg.rs
+++ b/crates/wire/src/msg.rs
@@ -7,6 +7,7 @@
 use route::keys::ClaimReply;
 use route::keys::KeyClaim;
 use route::quota::QuotaMsg;
+use route::rollout::RolloutMsg;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -63,6 +64,8 @@
     Relay(RelayMsg),
     /// Quotas of teams.
     Quota(QuotaMsg),
+    /// Roll-outs of versions.
+    Rollout(RolloutMsg),
 }
 
 impl Msg {
@@ -73,7 +76,7 @@
     pub fn is_recent(&self) -> bool {
         match self {
             Self::Route(msg) => matches!(msg.body, route::msg::Body::AcquireRanked { .. }),
-            Self::Quota(_) => true,
+            Self::Quota(_) | Self::Rollout(_) => true,
             _ => false,
         }
     }
