Check in the soak that servers learn the team and never a key

The configuration of the soak has two teams. Callers send the key of their route's team and a forged name, and each server records a request that names another team or has a key; the rule "teams" reports it. The daemons run with the setting for teams.

--- a/crates/soak/src/caller.rs
+++ b/crates/soak/src/caller.rs
@@ -72,9 +72,22 @@
     },
     MOVING_ROUTE,
 ];
+/// The teams that make the requests.
+pub const TEAMS: [&str; 2] = ["reds", "blues"];
 /// The host of all routes.
 pub const HOST: &str = "soak.example";
 
+/// Returns the team that makes the requests of the route called `route`.
+pub fn team_of(route: &str) -> Option<&'static str> {
+    let index = ROUTES.iter().position(|known| known.name == route)?;
+    Some(TEAMS[index % TEAMS.len()])
+}
+
+/// Returns the key of `team`, which callers send.
+pub fn key_of(team: &str) -> String {
+    format!("key-of-{team}")
+}
+
 /// The VMs that get new connections, as the load balancer in front of the entry VMs
 /// would choose them by their readiness.
 #[derive(Clone, Default)]
@@ -242,13 +255,17 @@
 fn request_text(id: CallId, route: Route, name: &str, connection: &str) -> String {
     let method = if route.idempotent { "GET" } else { "POST" };
     let body = if route.idempotent { "" } else { "activate" };
+    let key = key_of(team_of(route.name).unwrap_or_default());
     format!(
         "{method} /{}/{name} HTTP/1.1\r\nHost: {HOST}\r\n{}: {id}\r\n{}: {}\r\n\
+         {}: {key}\r\n{}: forged\r\n\
          Connection: {connection}\r\ncontent-length: {}\r\n\r\n{body}",
         route.name,
         fields::CALL_ID,
         fields::TIME_LEFT_MS,
         REQUEST_TIMEOUT.as_millis(),
+        fields::KEY,
+        fields::TEAM,
         body.len()
     )
 }
--- a/crates/soak/src/record.rs
+++ b/crates/soak/src/record.rs
@@ -86,6 +86,17 @@
     pub executed: bool,
 }
 
+/// A request that reached a server with the name of another team, or with a key.
+#[derive(Clone, Debug)]
+pub struct Misnamed {
+    /// The id of the request.
+    pub call: CallId,
+    /// When the server had read the request.
+    pub at: Time,
+    /// What was wrong.
+    pub text: String,
+}
+
 /// What a server asks for in a response, beside the result of the request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ServerNotice {
@@ -209,6 +220,8 @@
     pub requests: Vec<Request>,
     /// Arrivals of requests at servers, in order.
     pub arrivals: Vec<Arrival>,
+    /// Requests that reached servers with the name of another team, or with a key.
+    pub misnamed: Vec<Misnamed>,
     /// Notices of servers, in the order in which they were sent.
     pub notices: Vec<NoticeSent>,
     /// Server instances in the order in which they started.
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -13,6 +13,7 @@
 use anyhow::Context;
 use net::cut::Cut;
 use rustix::process::Signal;
+use serde_json::json;
 use smol::channel;
 use smol::io::AsyncWriteExt;
 use smol::lock::Mutex;
@@ -23,11 +24,13 @@
 use stand::Route;
 use stand::Service;
 
+use crate::caller::key_of;
 use crate::caller::Caller;
 use crate::caller::Rotation;
 use crate::caller::HOST;
 use crate::caller::MOVING_ROUTE;
 use crate::caller::ROUTES;
+use crate::caller::TEAMS;
 use crate::http::MessageReader;
 use crate::link::Link;
 use crate::link::LinkFault;
@@ -325,7 +328,13 @@
             target: ROUTE_TARGET_LATENCY,
         });
         let routes: Vec<Route> = routes.collect();
-        let spec = stand::config_spec(1 + TICKET_STEP * number as u64, HOST, &services, &routes);
+        let ticket = 1 + TICKET_STEP * number as u64;
+        let mut spec = stand::config_spec(ticket, HOST, &services, &routes);
+        // Another key comes and goes with each configuration.
+        let teams = TEAMS.map(
+            |name| json!({ "name": name, "api_keys": [key_of(name), format!("{name}-{number}")] }),
+        );
+        spec["tenants"] = json!(teams);
         let mut record = self.recorder.lock();
         self.store.put(stand::CONFIG_KIND, stand::CONFIG_NAME, spec);
         let at = self.recorder.now();
--- a/crates/soak/src/server.rs
+++ b/crates/soak/src/server.rs
@@ -22,10 +22,13 @@
 use stand::ServerEntry;
 use stand::Store;
 
+use crate::caller::team_of;
 use crate::http::Message;
 use crate::http::MessageReader;
 use crate::link::Link;
+use crate::record::CallId;
 use crate::record::InstanceIndex;
+use crate::record::Misnamed;
 use crate::record::Recorder;
 use crate::record::ServerInstance;
 use crate::record::ServerNotice;
@@ -384,6 +387,19 @@
         state.up && state.instance == instance
     }
 
+    /// Records a request that names another team than that of its route, or has a key.
+    fn check_team(&self, call: CallId, request: &Message) {
+        let route = request.path.split('/').nth(1).unwrap_or_default();
+        let (expected, named) = (team_of(route), request.field(fields::TEAM));
+        let has_key = request.field(fields::KEY).is_some();
+        if named != expected || has_key {
+            let text = format!("a server got team {named:?}, not {expected:?}; key: {has_key}");
+            let at = self.recorder.now();
+            let misnamed = Misnamed { call, at, text };
+            self.recorder.lock().misnamed.push(misnamed);
+        }
+    }
+
     /// Executes a request and returns the bytes of the response, or `None` if the
     /// connection is to be closed without one.
     async fn respond(&self, instance: InstanceIndex, request: &Message) -> Option<Vec<u8>> {
@@ -396,6 +412,7 @@
             .to_owned();
         let call = text.parse().unwrap_or_default();
         let arrival = self.recorder.record_arrival(call, instance);
+        self.check_team(call, request);
         let name = self.lock().name.clone();
         if request
             .field(fields::EXPECTED_INSTANCE)
--- a/crates/soak/src/verify.rs
+++ b/crates/soak/src/verify.rs
@@ -147,6 +147,7 @@
     checker.check_responses();
     checker.check_executions();
     checker.check_configurations();
+    checker.check_teams();
     checker.check_late_work();
     checker.check_notices();
     checker.check_rate_limits();
@@ -418,6 +419,14 @@
         }
     }
 
+    /// Checks that servers learn the team of each request and never a key.
+    fn check_teams(&mut self) {
+        for misnamed in &self.record.misnamed {
+            let text = misnamed.text.clone();
+            self.report("teams", misnamed.at, Some(misnamed.call), text);
+        }
+    }
+
     /// Checks that servers that leave and failure domains that are out of service get no
     /// new work.
     fn check_late_work(&mut self) {
--- a/crates/soak/src/vm.rs
+++ b/crates/soak/src/vm.rs
@@ -119,7 +119,7 @@
             },
             "platform": { "address": store_link.address(), "interface": "registry" },
             "second_attempts": { "share": SECOND_ATTEMPT_SHARE, "slack": SECOND_ATTEMPT_SLACK },
-            "threads": 1, "notice": "800ms", "drain": "3500ms", "forget": "30s",
+            "teams": true, "threads": 1, "notice": "800ms", "drain": "3500ms", "forget": "30s",
             "logs": { "level": "info", "json": true }, "traces": { "share": 0.0 },
             "faults": { "cut": cut_file }
         });
--- a/crates/soak/tests/verify.rs
+++ b/crates/soak/tests/verify.rs
@@ -9,6 +9,7 @@
 use soak::record::DomainOut;
 use soak::record::Fault;
 use soak::record::FaultTarget;
+use soak::record::Misnamed;
 use soak::record::NoticeSent;
 use soak::record::Process;
 use soak::record::Record;
@@ -553,3 +554,15 @@
     add_partition(&mut broken, 79);
     assert_finds(&broken, "VMs without a path");
 }
+
+#[test]
+fn verify_request_with_another_team_or_a_key_is_reported() {
+    let mut record = record();
+    assert!(verify(&record).iter().all(|found| found.rule != "teams"));
+    record.misnamed.push(Misnamed {
+        call: 0,
+        at: ms(1000),
+        text: "key: true".into(),
+    });
+    assert!(verify(&record).iter().any(|found| found.rule == "teams"));
+}
