Box what a time limit runs, and keep it once

Cause: `net::timeout` was an async function. Such a function keeps its argument beside the copy that it polls, so each limit within another doubled the size of the future.

Change: `timeout` returns a named future that boxes what it limits and drops it as soon as the time is up, as before. The time begins with the first poll, as before.

--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod lookahead;
 pub mod server;
 pub mod stop;
+mod timeout;
 pub mod tls;
 
 pub use body::Body;
@@ -23,23 +24,12 @@
 pub use listen::Listener;
 pub use listen::Listeners;
 pub use stop::Stop;
+pub use timeout::timeout;
+pub use timeout::Timeout;
 
 /// A boxed future that can be sent between threads.
 pub type BoxFuture<'a, T> = std::pin::Pin<Box<dyn std::future::Future<Output = T> + Send + 'a>>;
 
-/// Runs `future` for at most `limit`. Returns `None` if `limit` passes first; `future`
-/// is dropped then.
-pub async fn timeout<T>(
-    limit: std::time::Duration,
-    future: impl std::future::Future<Output = T>,
-) -> Option<T> {
-    futures_lite::future::or(async { Some(future.await) }, async {
-        smol::Timer::after(limit).await;
-        None
-    })
-    .await
-}
-
 /// Runs all of `futures` concurrently and returns their results in the same order.
 pub async fn join_all<T, F: std::future::Future<Output = T>>(futures: Vec<F>) -> Vec<T> {
     let mut futures: Vec<_> = futures.into_iter().map(Box::pin).collect();
