--- a/crates/route/src/ledger/placement.rs
+++ b/crates/route/src/ledger/placement.rs
@@ -45,10 +45,9 @@
     }
 
     fn up_servers(&self) -> impl Iterator<Item = &Server> {
-        self.servers.iter().filter(|server| {
-            let open = self.spec.server(server.id).is_some_and(|s| s.open);
-            open && server.limit.warmth(&self.spec) != Warmth::Down
-        })
+        self.servers
+            .iter()
+            .filter(|server| server.open && server.limit.warmth(&self.spec) != Warmth::Down)
     }
 
     /// Returns the index of the best server for `waiter`, or none if no server
--- a/crates/route/src/ledger/ranks.rs
+++ b/crates/route/src/ledger/ranks.rs
@@ -121,7 +121,7 @@
         let Some(ranking) = waiter.request.ranking else {
             return false;
         };
-        if waiter.standing.kind_short {
+        if waiter.standing.kind_short || self.demand.above(ranking.rank, now).calls <= 0.0 {
             return false;
         }
         let slots = self.capacity();
