--- a/crates/node/tests/quotas.rs
+++ b/crates/node/tests/quotas.rs
@@ -14,6 +14,7 @@
 use conf::team::Quota;
 use conf::Layout;
 use conf::Registry;
+use conf::RolloutState;
 use conf::Service;
 use conf::Settings;
 use conf::Team;
@@ -82,6 +83,17 @@
         })
     }
 
+    fn write_rollout<'a>(
+        &'a self,
+        _name: &'a str,
+        _revision: Revision,
+        _state: RolloutState,
+        _target: &'a str,
+        _limit: Duration,
+    ) -> BoxFuture<'a, plat::Result<Option<RegistryEntry>>> {
+        Box::pin(async { Ok(None) })
+    }
+
     fn era(&self) -> Era {
         1
     }
--- a/crates/route/src/ledger/placement.rs
+++ b/crates/route/src/ledger/placement.rs
@@ -50,9 +50,9 @@
     }
 
     fn up_servers(&self, now: Time) -> impl Iterator<Item = &Server> {
+        let group = self.usable_group(now);
         self.servers.iter().filter(move |server| {
-            let spec = self.spec.server(server.id);
-            let usable = spec.is_some_and(|s| self.may_use(s, now));
+            let usable = server.open && server.version == group;
             usable && server.limit.warmth(&self.spec) != Warmth::Down
         })
     }
--- a/crates/route/src/ledger/rollout.rs
+++ b/crates/route/src/ledger/rollout.rs
@@ -48,8 +48,16 @@
 
     /// Returns whether attempts of any kind may go to `server`.
     pub(super) fn may_use(&self, server: &ServerSpec, now: Time) -> bool {
-        let switched = self.exposure().is_some_and(|e| e.is_switched(now));
-        server.open && (server.version == VersionGroup::Target) == switched
+        server.open && server.version == self.usable_group(now)
+    }
+
+    /// Returns the versions that attempts of any kind may go to.
+    pub(super) fn usable_group(&self, now: Time) -> VersionGroup {
+        if self.exposure().is_some_and(|e| e.is_switched(now)) {
+            VersionGroup::Target
+        } else {
+            VersionGroup::Old
+        }
     }
 
     /// Returns whether an attempt of `kind` may go to `server`.
--- a/crates/route/src/ledger/servers.rs
+++ b/crates/route/src/ledger/servers.rs
@@ -26,6 +26,7 @@
 use crate::msg::Warmth;
 use crate::permits::Permit;
 use crate::rate_limit::RateLimit;
+use crate::rollout::VersionGroup;
 use crate::spec::Announcement;
 use crate::spec::ServerSpec;
 use crate::spec::ShardSpec;
@@ -75,6 +76,8 @@
     pub(crate) reserved: u32,
     /// Whether the last specification allowed new calls at the server.
     pub(super) open: bool,
+    /// The versions of the service to which the server belongs.
+    pub(super) version: VersionGroup,
     /// The VMs that may connect to the server, sorted.
     pub(super) allowed_vms: Vec<VmId>,
     pub(super) last_grant: Time,
@@ -390,6 +393,7 @@
                 server.limit.reset_to_cold(&spec);
             }
             server.open = server_spec.open;
+            server.version = server_spec.version;
             if server_spec.announced != server.announced {
                 match server_spec.announced {
                     Announcement::Cold(_) => server.limit.reset_to_cold(&spec),
@@ -514,6 +518,7 @@
             busy: 0,
             reserved: 0,
             open: server_spec.open,
+            version: server_spec.version,
             allowed_vms: Vec::new(),
             last_grant: Time::ZERO,
             source: Source::None,
