Put the homes of quotas into two failure domains

The homes of both lanes could be in one failure domain and be lost with it.

All tests of route/quotas and node/quotas pass.

--- a/crates/node/src/quotas.rs
+++ b/crates/node/src/quotas.rs
@@ -38,8 +38,8 @@
 use crate::shared::Shared;
 use crate::view::View;
 
-/// The keys by which the homes of the lanes are chosen.
-const HOME_KEYS: [u64; LANES] = [0x71_75_6f_74_61, 0x71_75_6f_74_62];
+/// The key by which the homes of the lanes are chosen.
+const HOME_KEY: u64 = 0x71_75_6f_74_61;
 /// The interval of the lines about refused calls.
 const REFUSALS_INTERVAL: Duration = Duration::from_secs(1);
 /// The most teams in lines about refused calls of one interval.
@@ -352,7 +352,7 @@
     let homes = if is_lost {
         [None; LANES]
     } else {
-        quota::choose_homes(HOME_KEYS, &view.eligible)
+        quota::choose_homes(HOME_KEY, &view.eligible, |vm| view.domain_of(vm))
     };
     HomeView {
         homes,
--- a/crates/node/src/view.rs
+++ b/crates/node/src/view.rs
@@ -114,6 +114,13 @@
         in_domain.unwrap_or(&self.eligible)
     }
 
+    /// Returns the failure domain of the VM `vm`, which may be a home; 0 for any other one.
+    pub fn domain_of(&self, vm: VmId) -> DomainId {
+        let has_vm = |(_, vms): &&(DomainId, Vec<VmId>)| vms.contains(&vm);
+        let found = self.by_domain.iter().find(has_vm);
+        found.map_or(0, |(domain, _)| *domain)
+    }
+
     /// Returns the address of `vm`, or none if `vm` is not known or is this VM.
     pub fn address(&self, vm: VmId) -> Option<SocketAddr> {
         let index = self.addresses.binary_search_by_key(&vm, |(vm, _)| *vm);
--- a/crates/route/src/quota/mod.rs
+++ b/crates/route/src/quota/mod.rs
@@ -16,7 +16,8 @@
 
 use std::time::Duration;
 
-use base::rendezvous;
+use base::hash;
+use base::DomainId;
 use base::TeamId;
 use base::VmId;
 
@@ -126,13 +127,15 @@
     duration.mul_f64(DRIFT_MARGIN)
 }
 
-/// Returns the home of each lane among the VMs `eligible`: another VM for each if possible,
-/// so that the loss of one moves one lane only.
-pub fn choose_homes(keys: [u64; LANES], eligible: &[VmId]) -> [Option<VmId>; LANES] {
-    let mut left = eligible.to_vec();
-    keys.map(|key| {
-        let home = rendezvous::first(key, &left).or_else(|| rendezvous::first(key, eligible));
-        left.retain(|vm| Some(*vm) != home);
-        home
-    })
+/// Returns the home of each lane among the VMs `eligible`: both ends of their order by the
+/// weights of their failure domains and their own. So the homes are in two domains if there
+/// are two, and the loss of a home or its domain does not move the other lane.
+pub fn choose_homes(
+    key: u64,
+    eligible: &[VmId],
+    domain: impl Fn(VmId) -> DomainId,
+) -> [Option<VmId>; LANES] {
+    let weight = |vm: &VmId| (hash::mix(key, domain(*vm)), hash::mix(key, *vm), *vm);
+    let vms = eligible.iter().copied();
+    [vms.clone().max_by_key(weight), vms.min_by_key(weight)]
 }
--- a/crates/route/tests/quota_sim/mod.rs
+++ b/crates/route/tests/quota_sim/mod.rs
@@ -192,6 +192,15 @@
         self.change_views();
     }
 
+    /// Cuts the homes by the view of `vm` off from the others.
+    pub(crate) fn cut_homes_off(&mut self, vm: usize) {
+        let homes = self.vms[vm].quotas.homes();
+        for (index, vm) in self.vms.iter_mut().enumerate() {
+            vm.side = usize::from(homes.contains(&Some(index as u64)));
+        }
+        self.change_views();
+    }
+
     /// Ends what disturbs messages.
     pub(crate) fn heal(&mut self) {
         self.vms.iter_mut().for_each(|vm| vm.side = 0);
@@ -296,7 +305,7 @@
             eligible.clone_from(&alive);
         }
         let view = HomeView {
-            homes: quota::choose_homes([7, 8], &eligible),
+            homes: quota::choose_homes(7, &eligible, |vm| vm % 4),
             alive: &alive,
             registered: self.vms.len() as u32,
         };
--- a/crates/route/tests/quotas.rs
+++ b/crates/route/tests/quotas.rs
@@ -8,6 +8,7 @@
 use base::Time;
 use quota_sim::Fleet;
 use quota_sim::Rules;
+use route::quota::choose_homes;
 use route::quota::Bucket;
 use route::quota::Delegator;
 use route::quota::FleetSize;
@@ -113,11 +114,10 @@
         fleet.run(Duration::from_secs(4));
         for _ in 0..8 {
             // The side of the home has fewer VMs, and they go on asking it.
-            let home = fleet.home_of(6);
-            fleet.split(home.clamp(1, 6));
-            fleet.run(Duration::from_millis(500 + 50 * seed));
+            fleet.cut_homes_off(6);
+            fleet.run(Duration::from_millis(2000 + 50 * seed));
             fleet.heal();
-            fleet.run(Duration::from_millis(1500));
+            fleet.run(Duration::from_millis(3000 - 50 * seed));
         }
         eprintln!("{} calls in a window", fleet.most_in_window(0));
         fleet.check_bound();
@@ -368,6 +368,31 @@
     assert_eq!(taken.map(|taken| taken.share), Some(0.05));
 }
 
+#[test]
+fn homes_are_in_two_domains_and_move_one_at_a_time() {
+    let domain = |vm: u64| vm % 4;
+    for count in 2..40 {
+        let vms: Vec<u64> = (0..count).collect();
+        let homes = choose_homes(7, &vms, domain);
+        let [Some(first), Some(second)] = homes else {
+            panic!("{homes:?}");
+        };
+        assert_ne!(domain(first), domain(second));
+        for lost in [first, second] {
+            let other = first + second - lost;
+            let without_vm: Vec<u64> = vms.iter().copied().filter(|vm| *vm != lost).collect();
+            assert!(choose_homes(7, &without_vm, domain).contains(&Some(other)));
+            let is_left = |vm: &u64| domain(*vm) != domain(lost);
+            let without_domain: Vec<u64> = vms.iter().copied().filter(is_left).collect();
+            assert!(choose_homes(7, &without_domain, domain).contains(&Some(other)));
+        }
+        let [first, second] = choose_homes(7, &vms, |_| 1);
+        assert!(first.is_some() && first != second);
+    }
+    assert_eq!(choose_homes(7, &[3], domain), [Some(3), Some(3)]);
+    assert_eq!(choose_homes(7, &[], domain), [None, None]);
+}
+
 #[test]
 fn fleet_size_grows_at_once_and_shrinks_late() {
     let mut size = FleetSize::new();
