--- a/crates/node/src/rollout_table.rs
+++ b/crates/node/src/rollout_table.rs
@@ -117,7 +117,15 @@
 }
 
 impl RolloutTable {
-    /// Returns whether there is nothing to do.
+    /// Returns whether all orders have ended and the registry says so.
+    pub(crate) fn is_settled(&self) -> bool {
+        self.tracked.iter().all(|tracked| {
+            let end = self.end_of(tracked.order());
+            end.is_some() && end == tracked.entry.rollout.state
+        })
+    }
+
+    /// Returns whether there is no order.
     pub(crate) fn is_empty(&self) -> bool {
         self.tracked.is_empty()
     }
--- a/crates/node/src/rollouts.rs
+++ b/crates/node/src/rollouts.rs
@@ -37,7 +37,7 @@
 use crate::sync;
 use crate::view::View;
 
-/// The time between two checks while there are roll-outs.
+/// The time between two checks while there are roll-outs under way.
 const TICK: Duration = Duration::from_millis(100);
 /// The time between two checks while there are none.
 const IDLE_TICK: Duration = Duration::from_millis(500);
@@ -140,7 +140,7 @@
         }
     }
 
-    /// Takes over the orders in the catalog; returns whether there are any.
+    /// Takes over the orders in the catalog; returns whether there is anything to do.
     fn sync_rollouts(&self) -> bool {
         let catalog = lock(&self.catalog);
         let entries = catalog.rollouts().iter().filter_map(|entry| {
@@ -169,7 +169,7 @@
         if ended {
             self.refresh_rollouts();
         }
-        true
+        !lock(&self.rollouts).is_settled()
     }
 
     /// Applies an end of a roll-out to all shards.
@@ -375,7 +375,7 @@
         loop {
             let due = lock(&self.rollouts).take_write(self.clock.now());
             let Some(write) = due else {
-                let idle = lock(&self.rollouts).is_empty();
+                let idle = lock(&self.rollouts).is_settled();
                 smol::Timer::after(if idle { IDLE_TICK } else { TICK }).await;
                 continue;
             };
