--- a/crates/conf/src/state.rs
+++ b/crates/conf/src/state.rs
@@ -12,6 +12,7 @@
 use crate::layout::CallerLimits;
 use crate::layout::Layout;
 use crate::layout::Mapping;
+use crate::rollout::Rollout;
 use crate::server::Mode;
 use crate::server::Server;
 use crate::service::CallRule;
@@ -45,6 +46,10 @@
     team_table: TeamTable,
     /// Whether the deployment has teams, so that a layout without any is incomplete.
     needs_teams: bool,
+    /// Whether the layout says that calls are weighed by more than their class.
+    weighs_calls: bool,
+    /// The roll-outs, sorted by service.
+    rollouts: Vec<Rollout>,
 }
 
 /// The service that a call belongs to, and how the call is treated.
@@ -59,6 +64,8 @@
     /// The team that makes the call; `None` if it needs no key, and before
     /// [`State::authenticate`].
     pub team: Option<&'a Team>,
+    /// Whether the call is weighed by more than its class when there is too little room.
+    pub weighed: bool,
 }
 
 /// The index of the server `id` in the server list of its service.
@@ -97,9 +104,33 @@
             layout: None,
             team_table: TeamTable::default(),
             needs_teams: false,
+            weighs_calls: false,
+            rollouts: Vec::new(),
         }
     }
 
+    /// Adds the roll-outs that are in the registry. If there are several for one service, the
+    /// first one counts.
+    pub fn with_rollouts(mut self, mut rollouts: Vec<Rollout>) -> Self {
+        rollouts.sort_by(|a, b| a.service.cmp(&b.service));
+        rollouts.dedup_by(|later, first| later.service == first.service);
+        self.rollouts = rollouts;
+        self
+    }
+
+    /// Returns the roll-outs, sorted by service.
+    pub fn rollouts(&self) -> &[Rollout] {
+        &self.rollouts
+    }
+
+    /// Returns the roll-out of the service named `service`.
+    pub fn rollout(&self, service: &str) -> Option<&Rollout> {
+        let found = self
+            .rollouts
+            .binary_search_by(|r| r.service.as_str().cmp(service));
+        found.ok().map(|index| &self.rollouts[index])
+    }
+
     /// Creates the state of a `layout`. All failure domains of the servers in `services`
     /// are taken to be in `region`.
     pub fn from_layout(
@@ -138,6 +169,7 @@
             rules,
             layout: Some(layout.clone()),
             team_table: TeamTable::new(layout.teams.as_deref().unwrap_or_default()),
+            weighs_calls: layout.weighs_calls(),
             ..Self::new(&head, services, domain_orders)
         }
     }
@@ -178,6 +210,7 @@
                 mapping: None,
                 rule: service.rule(method, path),
                 team: None,
+                weighed: false,
             });
         };
         let mapping = &layout.mappings[index];
@@ -187,6 +220,7 @@
             mapping: Some(mapping),
             rule: mapping.rule(),
             team: None,
+            weighed: self.weighs_calls,
         })
     }
 
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -39,8 +39,9 @@
   --grace SECONDS   time after SIGTERM at which the process is killed; overrides
                     grace in the settings
   --bounds LIST     bounds of the deployment, which override the settings:
-                    teams=REVOKE,quotas=WINDOW:EXCESS:SLACK; a bound without
-                    figures counts as not stated
+                    teams=REVOKE,quotas=WINDOW:EXCESS:SLACK,
+                    rollouts=SHARE:SLACK:ROLLBACK; a bound without figures
+                    counts as not stated
   --check           check the settings and exit
   --help            show this text
   --version         show the version
--- a/crates/node/src/gauges.rs
+++ b/crates/node/src/gauges.rs
@@ -5,6 +5,7 @@
 
 use entry::Ports;
 use opentelemetry::metrics::Meter;
+use route::ledger::RANK_COUNTS;
 use route::quota::Counts;
 
 use crate::shared::Shared;
@@ -169,6 +170,25 @@
         "Calls that wait at this VM's homes",
         |s| s.home_counts().iter().map(|home| home.waiting as u64).sum(),
     );
+    for (rank, name) in REFUSED_BY_RANK.into_iter().enumerate() {
+        gauge(
+            &meter,
+            &weak,
+            name,
+            "Calls of this rank that this VM's homes refused; the last one has all from 3 on",
+            move |s| {
+                let homes = s.home_counts();
+                homes.iter().map(|h| h.counts.refused_by_rank[rank]).sum()
+            },
+        );
+    }
+    gauge(
+        &meter,
+        &weak,
+        "evicted",
+        "Calls that this VM's homes refused after they had been queued, as dearer ones came",
+        |s| s.home_counts().iter().map(|h| h.counts.evicted).sum(),
+    );
     gauge(
         &meter,
         &weak,
@@ -189,6 +209,7 @@
         |s| u64::from(s.registry_age()),
     );
     register_quotas(&meter, &weak);
+    register_rollouts(&meter, &weak);
     gauge(
         &meter,
         &weak,
@@ -230,11 +251,58 @@
         meter,
         weak,
         "quota_share_permille",
-        "Share of the quotas that this VM holds as their home",
+        "Share of the quotas that this VM holds as a home",
         |s| (s.quota_counts().share * 1e3) as u64,
     );
 }
 
+/// The names of the gauges of refused calls, by rank.
+const REFUSED_BY_RANK: [&str; RANK_COUNTS] = [
+    "refused_rank_0",
+    "refused_rank_1",
+    "refused_rank_2",
+    "refused_rank_3",
+];
+
+/// Registers the gauges of roll-outs, which count what this VM's homes have counted.
+fn register_rollouts(meter: &Meter, weak: &Weak<Shared>) {
+    gauge(
+        meter,
+        weak,
+        "rollouts_running",
+        "Roll-outs that are under way",
+        |s| s.running_rollouts() as u64,
+    );
+    gauge(
+        meter,
+        weak,
+        "rollout_firsts",
+        "First attempts of services under roll-out",
+        |s| s.rollout_counts().firsts,
+    );
+    gauge(
+        meter,
+        weak,
+        "rollout_exposed",
+        "Attempts that went to versions on trial",
+        |s| s.rollout_counts().exposed,
+    );
+    gauge(
+        meter,
+        weak,
+        "rollout_old_bad",
+        "Failed and slow responses of versions next to one on trial",
+        |s| s.rollout_counts().old_bad,
+    );
+    gauge(
+        meter,
+        weak,
+        "rollout_target_bad",
+        "Failed and slow responses of versions on trial",
+        |s| s.rollout_counts().target_bad,
+    );
+}
+
 fn gauge(
     meter: &Meter,
     weak: &Weak<Shared>,
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -61,6 +61,7 @@
 use crate::reach::Reach;
 use crate::readers::TopicReads;
 use crate::restores::Restores;
+use crate::rollout_table::RolloutTable;
 use crate::shard::Effects;
 use crate::shard::ShardState;
 use crate::shard_table::ShardTable;
@@ -162,6 +163,8 @@
     pub(crate) crashes: Mutex<CrashTable>,
     /// The quotas of the teams of the configuration in force.
     pub(crate) quotas: TeamQuotas,
+    /// What this VM knows of roll-outs beyond the registry.
+    pub(crate) rollouts: Mutex<RolloutTable>,
     /// Whether this VM has a path to servers.
     pub(crate) reach: Reach,
     /// Serializes changes of `state` and `table`.
@@ -282,6 +285,7 @@
             notices: Mutex::default(),
             crashes: Mutex::default(),
             quotas: TeamQuotas::default(),
+            rollouts: Mutex::default(),
             listeners: parts.listeners,
             reach: Reach::default(),
             refresh_lock: Mutex::new(()),
@@ -362,6 +366,7 @@
         write(&self.view, view.clone());
         self.send_crashes_to_joined(&old, &view);
         self.update_quota_view(&view);
+        self.send_rollouts_to_joined(&old, &view);
         let refresh_guard = lock(&self.refresh_lock);
         let pending = self.update_fleet();
         drop(refresh_guard);
@@ -455,7 +460,10 @@
         let table = self.table();
         let mut shards = Vec::new();
         let mut pending = Vec::new();
-        for spec in specs::of_state(&state, &self.settings.region, self.second_attempts()) {
+        let rollouts = self.rollout_rules();
+        self.close_ended_rollouts(&state, &rollouts);
+        let (region, limit) = (&self.settings.region, self.second_attempts());
+        for spec in specs::of_state(&state, region, limit, &rollouts) {
             let spec = Arc::new(spec);
             let shard = match table.get(spec.shard) {
                 Some(shard) => shard.clone(),
@@ -589,6 +597,7 @@
             Msg::Crash(msg) => self.receive_crash(msg),
             Msg::Relay(msg) => self.receive_relay(from, msg),
             Msg::Quota(msg) => self.receive_quota(from, msg),
+            Msg::Rollout(msg) => self.receive_rollout(from, msg),
         }
     }
 
--- a/crates/route/src/ledger/decision.rs
+++ b/crates/route/src/ledger/decision.rs
@@ -2,11 +2,13 @@
 
 use std::time::Duration;
 
+use base::OrderId;
 use base::ServerId;
 use base::VmId;
 
 use crate::msg::AttemptId;
 use crate::msg::AttemptKind;
+use crate::msg::Ranking;
 use crate::msg::RefusalReason;
 
 /// A decision of the home together with the values that it was based on.
@@ -34,6 +36,8 @@
         age: Duration,
         /// Requests in the queue at the time of the grant.
         waiting: usize,
+        /// What the call was weighed by.
+        ranking: Ranking,
     },
     /// A server began or ceased to limit the rate of its calls.
     RateLimited {
@@ -42,6 +46,22 @@
         /// The calls that it takes in a second; none if it names no limit any more.
         per_second: Option<f64>,
     },
+    /// The home found by its own counts that the version on trial is bad, and gives it
+    /// nothing more.
+    VersionClosed {
+        /// The order of the roll-out.
+        order: OrderId,
+        /// Responses of the version.
+        responses: u32,
+        /// Those that failed.
+        failed: u32,
+        /// Those that were slow.
+        slow: u32,
+        /// Responses of the old version over the same time.
+        old_responses: u32,
+        /// Those that failed or were slow.
+        old_bad: u32,
+    },
     /// The home refused a request.
     Refused {
         /// The VM that requested the permit.
@@ -54,5 +74,9 @@
         after: Duration,
         /// Requests in the queue at the time of the refusal.
         waiting: usize,
+        /// What the call was weighed by.
+        ranking: Ranking,
+        /// Whether the request had been queued and gave way to dearer ones.
+        evicted: bool,
     },
 }
--- a/crates/route/src/ledger/servers.rs
+++ b/crates/route/src/ledger/servers.rs
@@ -26,6 +26,7 @@
 use crate::msg::Warmth;
 use crate::permits::Permit;
 use crate::rate_limit::RateLimit;
+use crate::rollout::VersionGroup;
 use crate::spec::Announcement;
 use crate::spec::ServerSpec;
 use crate::spec::ShardSpec;
@@ -75,6 +76,8 @@
     pub(crate) reserved: u32,
     /// Whether the last specification allowed new calls at the server.
     pub(super) open: bool,
+    /// The versions of the service to which the server belongs.
+    pub(super) version: VersionGroup,
     /// The VMs that may connect to the server, sorted.
     pub(super) allowed_vms: Vec<VmId>,
     pub(super) last_grant: Time,
@@ -177,6 +180,7 @@
             self.mean_time += (took - self.mean_time) * MEAN_TIME_WEIGHT;
             let slots = self.spec.server(release.server).map_or(1, |s| s.slots);
             self.record_contention(took, permit.concurrent, slots);
+            self.record_work(permit, took, slots);
         }
         self.record_load(release.server, release.load, now);
         self.lift_rate_limit(permit, release);
@@ -389,6 +393,7 @@
                 server.limit.reset_to_cold(&spec);
             }
             server.open = server_spec.open;
+            server.version = server_spec.version;
             if server_spec.announced != server.announced {
                 match server_spec.announced {
                     Announcement::Cold(_) => server.limit.reset_to_cold(&spec),
@@ -419,13 +424,18 @@
 impl Server {
     /// Returns whether the server may sustain fewer calls than it has slots.
     pub(super) fn is_cold(&self, spec: &ShardSpec, now: Time) -> bool {
-        let announced_cold = matches!(self.announced, Announcement::Cold(_))
-            && self.superseded_start != Some(self.announced);
-        announced_cold
+        self.is_announced_cold()
             || self.limit.warmth(spec) < Warmth::Lowered
             || self.limit.may_be_cold(spec, now)
     }
 
+    /// Returns whether the server announced that it is cold, and has not been found to be
+    /// warm since.
+    pub(super) fn is_announced_cold(&self) -> bool {
+        matches!(self.announced, Announcement::Cold(_))
+            && self.superseded_start != Some(self.announced)
+    }
+
     /// Applies a health check that reports the server as warm, which is newer
     /// than what the server announced.
     fn accept_warm(&mut self) {
@@ -508,6 +518,7 @@
             busy: 0,
             reserved: 0,
             open: server_spec.open,
+            version: server_spec.version,
             allowed_vms: Vec::new(),
             last_grant: Time::ZERO,
             source: Source::None,
--- a/crates/wire/src/msg.rs
+++ b/crates/wire/src/msg.rs
@@ -7,6 +7,7 @@
 use route::keys::ClaimReply;
 use route::keys::KeyClaim;
 use route::quota::QuotaMsg;
+use route::rollout::RolloutMsg;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -63,6 +64,8 @@
     Relay(RelayMsg),
     /// Quotas of teams.
     Quota(QuotaMsg),
+    /// Roll-outs of versions.
+    Rollout(RolloutMsg),
 }
 
 impl Msg {
@@ -71,6 +74,10 @@
     /// Such a build drops the whole datagram that the message is in, so the message must not
     /// share one with messages that it can read. See `docs/design/wire.md`.
     pub fn is_recent(&self) -> bool {
-        matches!(self, Self::Quota(_))
+        match self {
+            Self::Route(msg) => matches!(msg.body, route::msg::Body::AcquireRanked { .. }),
+            Self::Quota(_) | Self::Rollout(_) => true,
+            _ => false,
+        }
     }
 }
--- a/crates/wire/tests/datagrams.rs
+++ b/crates/wire/tests/datagrams.rs
@@ -6,6 +6,7 @@
 use route::msg::AttemptKind;
 use route::msg::Body;
 use route::msg::PermitRequest;
+use route::rollout::RolloutMsg;
 use wire::datagram;
 use wire::datagram::Datagram;
 use wire::datagram::Error;
@@ -35,6 +36,35 @@
     })
 }
 
+#[test]
+fn ranked_requests_are_read_and_travel_apart() {
+    let Msg::Route(route::Msg { shard, body }) = acquire(3) else {
+        unreachable!();
+    };
+    let Body::Acquire { epoch, call, ask } = body else {
+        unreachable!();
+    };
+    let ranking = Box::new(route::msg::Ranking {
+        rank: 4,
+        team: 5,
+        work: std::time::Duration::from_millis(6),
+        target: std::time::Duration::from_millis(7),
+    });
+    let body = Body::AcquireRanked {
+        epoch,
+        call,
+        ask,
+        ranking,
+    };
+    let msg = Msg::Route(route::Msg { shard, body });
+    assert!(msg.is_recent() && !acquire(3).is_recent());
+    let mut datagram = Datagram::new(7);
+    datagram.add(&msg);
+    let bytes = datagram.seal(&keys(1, 2));
+    let (_, opened) = datagram::open(&bytes, &keys(1, 2)).unwrap();
+    assert_eq!(opened, [msg]);
+}
+
 #[test]
 fn open_returns_added_messages() {
     cases::check::<Vec<u64>>(500, |calls| {
@@ -49,6 +79,34 @@
     });
 }
 
+#[test]
+fn quota_messages_are_recent_and_round_trip() {
+    let body = route::quota::QuotaBody::Delegate {
+        instance: 7,
+        stamp: std::time::Duration::from_millis(3),
+        share: 0.0125,
+        credit: 0.0,
+    };
+    let msg = Msg::Quota(route::quota::QuotaMsg { lane: 1, body });
+    assert!(msg.is_recent());
+    assert!(!acquire(1).is_recent());
+    let mut datagram = Datagram::new(7);
+    assert!(datagram.add(&msg));
+    let opened = datagram::open(&datagram.seal(&keys(1, 2)), &keys(1, 2));
+    assert_eq!(opened, Ok((7, vec![msg])));
+}
+
+#[test]
+fn rollouts_are_unknown_to_the_build_in_production() {
+    let entry = Msg::Rollout(RolloutMsg::Entry(vec![1, 2, 3]));
+    assert!(entry.is_recent());
+    assert!(!acquire(1).is_recent());
+    let mut datagram = Datagram::new(7);
+    datagram.add(&entry);
+    let bytes = datagram.seal(&keys(1, 2));
+    assert_eq!(datagram::open(&bytes, &keys(1, 2)), Ok((7, vec![entry])));
+}
+
 #[test]
 fn open_tampered_or_foreign_datagram() {
     let mut datagram = Datagram::new(7);
