Close a shard to calls of a rank only, and let homes say that they read rankings

Cause (review): a shard that refused one notice was passed over by tolls too for up to 200 ms, which then left their failure domain although the home had room for them. And a home that needs over 15 ms for its reply looked like one of an earlier build, so calls lost their ranking just when there was too little room. Change: a shard counts as full for the rank that it refused and for less urgent ones; calls without a ranking are treated as before. A home tells a follower, three times at most, that it reads ranked requests.

--- a/crates/node/src/ports.rs
+++ b/crates/node/src/ports.rs
@@ -92,9 +92,10 @@
             return Some(only.clone());
         }
         let now = self.clock.now();
+        let rank = request.ranking.map(|ranking| ranking.rank);
         let candidates: Vec<ShardCapacity> = shards
             .iter()
-            .map(|(_, shard)| shard.candidate(now))
+            .map(|(_, shard)| shard.candidate(rank, now))
             .collect();
         let index = shards::choose(&candidates, request.domain, fastrand::f64())?;
         Some(shards[index].1.clone())
@@ -112,7 +113,8 @@
             Err(refused) if refused.reason.lacks_capacity() => refused,
             result => return result,
         };
-        shard.mark_full(refused.retry_after, self.clock.now());
+        let rank = request.ranking.map(|ranking| ranking.rank);
+        shard.mark_full(rank, refused.retry_after, self.clock.now());
         match self.choose_shard(service, &request) {
             Some(other) if other.id != shard.id => self.acquire_home(other, request).await,
             _ => Err(refused),
--- a/crates/node/src/shard.rs
+++ b/crates/node/src/shard.rs
@@ -1,6 +1,7 @@
 //! The state of one shard on this VM: its follower, its coordinator, and the calls
 //! that wait for a permit.
 
+use std::sync::atomic::AtomicU32;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::sync::Arc;
@@ -10,6 +11,7 @@
 use std::time::Duration;
 
 use base::OrderId;
+use base::Rank;
 use base::ServerId;
 use base::ServiceId;
 use base::ShardId;
@@ -81,6 +83,8 @@
     local: Option<Mutex<LocalPolicy>>,
     /// The time until which the shard counts as full, in milliseconds of the clock.
     full_until_ms: AtomicU64,
+    /// The most urgent rank of the calls for which the shard counts as full.
+    full_rank: AtomicU32,
 }
 
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
@@ -114,25 +118,38 @@
             local: local.map(Mutex::new),
             spec: Mutex::new(spec),
             full_until_ms: AtomicU64::new(0),
+            full_rank: AtomicU32::new(0),
         }
     }
 
-    /// Records that the shard refused a call and is expected to have room again after
-    /// the delay `after`. The shard counts as full for that long, but at most for
-    /// [`FULL_BACKOFF_MAX`].
-    pub fn mark_full(&self, after: Duration, now: Time) {
+    /// Records that the shard refused a call of `rank` and is expected to have room again
+    /// after the delay `after`. The shard counts as full for that long, but at most for
+    /// [`FULL_BACKOFF_MAX`], for calls of that rank and of less urgent ones: it may have
+    /// room for others. Without a rank it counts as full for all calls.
+    pub fn mark_full(&self, rank: Option<Rank>, after: Duration, now: Time) {
+        let mut rank = rank.unwrap_or(0);
+        if self.is_full(now) {
+            rank = rank.min(self.full_rank.load(Ordering::Relaxed));
+        }
         let until = now + after.min(FULL_BACKOFF_MAX);
+        self.full_rank.store(rank, Ordering::Relaxed);
         self.full_until_ms
             .store(until.as_millis() as u64, Ordering::Relaxed);
     }
 
-    /// Returns the properties by which [`route::shards::choose`] selects a shard.
-    pub fn candidate(&self, now: Time) -> ShardCapacity {
+    fn is_full(&self, now: Time) -> bool {
+        (now.as_millis() as u64) < self.full_until_ms.load(Ordering::Relaxed)
+    }
+
+    /// Returns the properties by which [`route::shards::choose`] selects a shard for a call
+    /// of `rank`, or of a class alone.
+    pub fn candidate(&self, rank: Option<Rank>, now: Time) -> ShardCapacity {
         let spec = self.spec();
+        let rank = rank.unwrap_or(Rank::MAX);
         ShardCapacity {
             domain: spec.domain,
             slots: spec.open_slots(),
-            full: (now.as_millis() as u64) < self.full_until_ms.load(Ordering::Relaxed),
+            full: self.is_full(now) && rank >= self.full_rank.load(Ordering::Relaxed),
         }
     }
 
--- a/crates/route/src/follower/mod.rs
+++ b/crates/route/src/follower/mod.rs
@@ -387,6 +387,11 @@
                     self.receive_refusal(call, reason, after);
                 }
             }
+            Body::ReadsRanked { epoch } => {
+                if self.is_current(epoch, now) {
+                    self.ranked_form.record_word(epoch);
+                }
+            }
             Body::Snapshot { epoch, lines } => {
                 if self.is_current(epoch, now) {
                     self.set_summaries(epoch, lines, now);
--- a/crates/route/src/follower/ranked.rs
+++ b/crates/route/src/follower/ranked.rs
@@ -2,8 +2,8 @@
 //!
 //! A home of a build from before the ranking drops such a request. The plain form, which
 //! every build reads, is then served by class alone. The follower sends the ranked form
-//! first and the plain one on its resend, until a reply shows that this home reads the
-//! ranked form. A home that seems not to read it gets the plain form first, so that calls
+//! first and the plain one on its resend, until the home says that it reads the ranked form
+//! or a reply shows it. A home that seems not to read it gets the plain form first, so that calls
 //! do not wait for the resend, but is tried again now and then, as replies may be lost.
 //! See `docs/design/overload.md`.
 
@@ -44,6 +44,12 @@
         }
     }
 
+    /// Records that the home of `epoch` says that it reads ranked requests.
+    pub fn record_word(&mut self, epoch: Epoch) {
+        self.follow(epoch);
+        self.shown = true;
+    }
+
     /// Forgets what is known of another home: it may run another build.
     fn follow(&mut self, epoch: Epoch) {
         if epoch != self.epoch {
--- a/crates/route/src/ledger/mod.rs
+++ b/crates/route/src/ledger/mod.rs
@@ -85,6 +85,9 @@
 const BUDGET_RETRY_AFTER: Duration = Duration::from_millis(200);
 /// The shortest time after which a caller is asked to repeat a refused call.
 const RETRY_AFTER_MIN: Duration = Duration::from_millis(50);
+/// How often a home tells a follower that it reads ranked requests, since messages may be
+/// lost.
+const READS_RANKED_TOLD: u32 = 3;
 /// The number of requests at the head of the queue that are checked for one
 /// that may be granted, since the first one may not suit the server that is
 /// free.
@@ -126,6 +129,8 @@
     last_snapshot: Time,
     /// The last report; older ones that arrive later are ignored.
     last_report: Option<ReportStamp>,
+    /// How often the follower was told that this home reads ranked requests.
+    told_ranked: u32,
 }
 
 /// Identifies a report of a follower among its reports.
@@ -428,6 +433,7 @@
                 ranking,
             } => {
                 if self.is_current(from, epoch) {
+                    self.tell_reads_ranked(from, now);
                     request.ranking = Some(*ranking);
                     self.acquire(from, call, request, now);
                 }
@@ -457,7 +463,8 @@
             | Body::Grant { .. }
             | Body::Queued { .. }
             | Body::Refuse { .. }
-            | Body::Snapshot { .. } => {}
+            | Body::Snapshot { .. }
+            | Body::ReadsRanked { .. } => {}
         }
     }
 
@@ -559,6 +566,7 @@
                     last_request: now,
                     last_snapshot: Time::ZERO,
                     last_report: None,
+                    told_ranked: 0,
                 };
                 self.followers.insert(index, follower);
                 index
@@ -567,6 +575,17 @@
         &mut self.followers[index]
     }
 
+    /// Tells the follower `to` that this home reads ranked requests: from the time of a
+    /// reply alone it could not tell a slow home from one that reads the plain form only.
+    fn tell_reads_ranked(&mut self, to: VmId, now: Time) {
+        let follower = self.follower_state(to, now);
+        if follower.told_ranked < READS_RANKED_TOLD {
+            follower.told_ranked += 1;
+            let epoch = self.epoch;
+            self.send(to, Body::ReadsRanked { epoch });
+        }
+    }
+
     fn send_grant(&mut self, to: VmId, call: AttemptId, server: ServerId) {
         let epoch = self.epoch;
         let body = Body::Grant {
--- a/crates/route/src/msg.rs
+++ b/crates/route/src/msg.rs
@@ -385,6 +385,11 @@
         /// What the call is weighed by.
         ranking: Box<Ranking>,
     },
+    /// A home says that it reads ranked requests. Only followers that sent one are told.
+    ReadsRanked {
+        /// The epoch of the sending home.
+        epoch: Epoch,
+    },
 }
 
 impl Body {
--- a/crates/route/tests/ranked.rs
+++ b/crates/route/tests/ranked.rs
@@ -238,3 +238,15 @@
     assert_eq!(idle, 0.0, "no more calls come");
     assert!(demand.left(2, 8.0, now) < demand.left(0, 8.0, now));
 }
+
+#[test]
+fn request_is_ranked_at_a_slow_home_that_says_it_reads_rankings() {
+    let (mut follower, epoch) = follower();
+    let slow = ms(20);
+    assert_eq!(call(&mut follower, epoch, NOW, slow), [true, false]);
+    follower.receive(HOME, Body::ReadsRanked { epoch }, NOW + slow);
+    for n in 1..8 {
+        let now = NOW + n * ms(50);
+        assert_eq!(call(&mut follower, epoch, now, slow), [true, true]);
+    }
+}
--- a/crates/wire/src/msg.rs
+++ b/crates/wire/src/msg.rs
@@ -75,7 +75,10 @@
     /// share one with messages that it can read. See `docs/design/wire.md`.
     pub fn is_recent(&self) -> bool {
         match self {
-            Self::Route(msg) => matches!(msg.body, route::msg::Body::AcquireRanked { .. }),
+            Self::Route(msg) => matches!(
+                msg.body,
+                route::msg::Body::AcquireRanked { .. } | route::msg::Body::ReadsRanked { .. }
+            ),
             Self::Quota(_) | Self::Rollout(_) => true,
             _ => false,
         }
