Audit a layout before it is sent

Cause: the registry takes any layout. Routes, teams and limits that cannot be used, never act or contradict each other show up only when calls are refused.

Change: `conf::audit` takes a layout and the one in force, and returns findings sorted by gravity, each with its entry and the remedy. It is pure code: entries, limits, and the differences field by field. Keys are only counted.

--- a/crates/conf/src/lib.rs
+++ b/crates/conf/src/lib.rs
@@ -7,6 +7,7 @@
 //! `docs/design/configuration.md`.
 
 pub mod accept;
+pub mod audit;
 pub mod bounds;
 pub mod catalog;
 pub mod document;
