Add the command `layout`, which audits a configuration file

Cause: operators want errors, entries that never match, contradicting limits and the differences to the version in force before they send a configuration.

It is a command of its own, since `check` tells kinds of files apart by their fields, whose names only the adapter knows.

--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -19,6 +19,8 @@
 Usage: snipepaddle COMMAND [OPTIONS]
 
   check FILE...              checks settings, tickets and experiments
+  layout FILE                audits a configuration before it is sent
+                             (--in-force FILE: and compares the two)
   ticket apply FILE          applies a ticket
   ticket show NUMBER         shows a ticket
   ticket list                lists the most recently accepted tickets
@@ -91,6 +93,7 @@
 fn run(command: &str, args: Arguments) -> Result<(), Error> {
     match command {
         "check" => cmd::check::run(args),
+        "layout" => cmd::layout::run(args),
         "ticket" => cmd::ticket::run(args),
         "domain" => cmd::domain::run(args),
         "status" => cmd::status::run(args),
