Warn of prefixes that do not end in a slash

Cause: prefixes of the platform end in a slash, so the note on those that do would have come with each route, and one without is the likely mistake: it also matches paths that go on otherwise.

Change: the note is replaced by a warning of prefixes without a slash at the end; its test case is replaced likewise.

--- a/crates/conf/src/audit/entries.rs
+++ b/crates/conf/src/audit/entries.rs
@@ -84,10 +84,10 @@
         let problem = "the prefix has a character that no path has, so no call matches";
         findings.error(entry, problem, "write a path without query or blanks");
     }
-    if prefix.len() > 1 && prefix.ends_with('/') {
-        let path = prefix.trim_end_matches('/');
-        let problem = format!("does not match {path:?} itself, as the prefix ends in a slash");
-        findings.note(entry, problem, "leave the slash out if it should");
+    if !prefix.ends_with('/') {
+        let other = format!("{prefix}x");
+        let problem = format!("also matches paths that go on otherwise, such as {other:?}");
+        findings.warn(entry, problem, "end the prefix with \"/\"");
     }
 }
 
--- a/crates/conf/tests/audit.rs
+++ b/crates/conf/tests/audit.rs
@@ -92,7 +92,11 @@
     check(vec![mapping("/", &split)], Gravity::Warning, "weight 0");
     check(vec![mapping("a", &plans)], Gravity::Error, "leading slash");
     check(vec![mapping("/a?b", &plans)], Gravity::Error, "no path has");
-    check(vec![mapping("/a/", &plans)], Gravity::Note, "\"/a\" itself");
+    check(
+        vec![mapping("/a", &plans)],
+        Gravity::Warning,
+        "such as \"/ax\"",
+    );
     let twice = vec![mapping("/", &plans), mapping("/", &plans)];
     check(twice, Gravity::Error, "another route");
     check(Vec::new(), Gravity::Warning, "no route leads");
@@ -166,7 +170,7 @@
     let old = good();
     let mut new = good();
     expect(&new, Some(&old), Gravity::Error, "1 is not above 1");
-    new.mappings = vec![mapping("/new", &[("plans", 1)])];
+    new.mappings = vec![mapping("/new/", &[("plans", 1)])];
     expect(
         &new,
         Some(&old),
