Bound the retry delay of calls beyond a quota

Each refusal put the time that the next refused call is told off by 1 / rate, without an end: a second of 1,000 refusals at 1.6 calls a second told later callers, also those after the flood, to wait for more than ten minutes.

The time is now at most 3 s ahead, unless the next token itself is later. flood_puts_later_calls_off_by_seconds_only failed before.

--- a/crates/route/src/quota/bucket.rs
+++ b/crates/route/src/quota/bucket.rs
@@ -11,6 +11,9 @@
 
 /// The retry delay while nothing flows in: a home that holds no part yet gets some soon.
 const DRY_RETRY_AFTER: Duration = Duration::from_millis(500);
+/// How far ahead refused calls are spread. Most calls of a flood never return, so without an
+/// end each of them would put all later ones off.
+const PROMISE_MAX: Duration = Duration::from_secs(3);
 /// The share of the stock that may be granted ahead at once.
 const AHEAD_SHARE: f64 = 0.125;
 /// The share of the stock below which nothing is granted ahead.
@@ -121,7 +124,8 @@
         (self.stock * share - ahead).max(0.0)
     }
 
-    /// Returns when the next token will be there that no refused call was told of.
+    /// Returns when the next token will be there that no refused call was told of, or after
+    /// [`PROMISE_MAX`] if that is earlier and there will be any token by then.
     fn promise(&mut self, share: f64, now: Time) -> Duration {
         let rate = self.limit.rate * share;
         if rate <= 0.0 {
@@ -129,7 +133,8 @@
         }
         let step = |tokens: f64| Duration::from_secs_f64((tokens / rate).min(60.0));
         let next = now + step(1.0 - self.tokens);
-        self.promised = next.max(self.promised + step(1.0));
+        let later = (self.promised + step(1.0)).min(now + PROMISE_MAX);
+        self.promised = next.max(later);
         self.promised - now
     }
 }
--- a/crates/route/tests/quotas.rs
+++ b/crates/route/tests/quotas.rs
@@ -339,6 +339,28 @@
     }
 }
 
+#[test]
+fn flood_puts_later_calls_off_by_seconds_only() {
+    let limit = Limit::new(1, 1.6, 0.0).unwrap();
+    let inflow = |secs: f64| route::quota::Inflow {
+        share: 1.0,
+        flow: secs,
+        credit: 0.0,
+    };
+    let mut bucket = Bucket::new(limit, &Terms::default(), inflow(0.0));
+    let most = Duration::from_secs(3);
+    let mut refuse = |secs: f64| bucket.take(0, inflow(secs), Time::from_secs_f64(secs));
+    for call in 0..1000 {
+        if let Err(delay) = refuse(f64::from(call) / 1000.0) {
+            assert!(delay <= most, "{delay:?} for call {call}");
+        }
+    }
+    // The flood is over.
+    assert_eq!(refuse(4.0), Ok(0));
+    while refuse(4.0).is_ok() {}
+    assert!(refuse(4.0).unwrap_err() <= most);
+}
+
 #[test]
 fn delegator_serves_one_home_at_a_time() {
     let start = Time::from_secs(100);
