Pass over a quota lane without a home at once

Nothing was sent for an ask whose lane had no home in the VM's view, so the call waited for 100 ms and was refused, or asked the other lane after 40 ms only.

A lane without a home now counts as one that refuses: the other lane is asked at once, and if neither has a home the call is refused at once. lane_without_a_home_is_passed_over_at_once failed before.

--- a/crates/route/src/quota/vm.rs
+++ b/crates/route/src/quota/vm.rs
@@ -345,13 +345,15 @@
         }
     }
 
-    /// Sends an ask to the home of its lane.
+    /// Sends an ask to the home of its lane. A lane whose home is not known counts as one that
+    /// refuses, so the other one is asked at once.
     fn ask(&mut self, ask: AskId, now: Time) {
         let Some((lane, team, extra)) = self.desk.pending(ask) else {
             return;
         };
-        if let Some(home) = self.lanes[usize::from(lane)].home_vm {
-            self.send(home, lane, QuotaBody::Ask { ask, team, extra }, now);
+        match self.lanes[usize::from(lane)].home_vm {
+            Some(home) => self.send(home, lane, QuotaBody::Ask { ask, team, extra }, now),
+            None => self.finish_denied(lane, ask, NO_HOME_RETRY_AFTER, now),
         }
     }
 
--- a/crates/route/tests/quotas.rs
+++ b/crates/route/tests/quotas.rs
@@ -9,6 +9,7 @@
 use quota_sim::Fleet;
 use quota_sim::Rules;
 use route::quota::choose_homes;
+use route::quota::Answer;
 use route::quota::Bucket;
 use route::quota::Delegator;
 use route::quota::FleetSize;
@@ -216,6 +217,42 @@
     assert!(quotas.take_answers().is_empty());
 }
 
+#[test]
+fn lane_without_a_home_is_passed_over_at_once() {
+    let now = Time::from_secs(20);
+    for homes in [[None, Some(2)], [Some(2), None], [None, None]] {
+        for first in 0..2 {
+            let mut quotas = Quotas::new(3, 50, TERMS, Time::ZERO, first);
+            quotas.set_limits(vec![Limit::new(1, 10.0, 5.0).unwrap()], Time::ZERO);
+            let view = HomeView {
+                homes,
+                alive: &[2, 3],
+                registered: 3,
+            };
+            quotas.set_view(view, now);
+            assert_eq!(quotas.take(1, now), Taken::Wait(first));
+            let sent = quotas.take_messages();
+            let answers = quotas.take_answers();
+            if homes == [None, None] {
+                let refused = Answer::Refused(Duration::from_millis(500));
+                assert_eq!((sent.len(), answers), (0, vec![(first, refused)]));
+                continue;
+            }
+            let [(2, QuotaMsg { lane, .. })] = sent[..] else {
+                panic!("{homes:?}: {sent:?}");
+            };
+            assert!(homes[usize::from(lane)].is_some() && answers.is_empty());
+            // The refusal of the only home is final.
+            let retry_after = Duration::from_millis(300);
+            let ask = first;
+            let body = QuotaBody::Deny { ask, retry_after };
+            quotas.receive(2, QuotaMsg { lane, body }, now);
+            let refused = Answer::Refused(retry_after);
+            assert_eq!(quotas.take_answers(), vec![(first, refused)]);
+        }
+    }
+}
+
 #[test]
 fn busy_vms_hold_tokens_ahead() {
     let usual = usual_rates();
