Bound the quota window and what a broken home returns

A huge quotas.window, or a Return message with a huge time, overflowed when the margin for drift was added, and the process panicked.

The window is now at most 1h, and a returned part is free after HOLD at the latest, since no token is held for longer. Both tests failed before.

--- a/crates/conf/src/settings.rs
+++ b/crates/conf/src/settings.rs
@@ -45,6 +45,8 @@
 
 /// The shortest window of quotas: tokens are up to 0.2 s late.
 const QUOTA_WINDOW_MIN: Duration = Duration::from_secs(1);
+/// The longest window of quotas: a new home gets a credit once in a window.
+const QUOTA_WINDOW_MAX: Duration = Duration::from_secs(3600);
 
 /// Where callers connect, and the limits for them.
 #[serde_as]
@@ -578,6 +580,11 @@
             "quotas.window",
             "less than 1s, within which no quota can be kept; write at least 1s",
         );
+        errors.require(
+            quotas.window <= QUOTA_WINDOW_MAX,
+            "quotas.window",
+            "more than 1h; write at most 1h",
+        );
         errors.require(
             (0.0..=1.0).contains(&quotas.excess),
             "quotas.excess",
--- a/crates/conf/tests/settings.rs
+++ b/crates/conf/tests/settings.rs
@@ -206,7 +206,13 @@
     let quotas = Settings::parse(&text).unwrap().quotas.unwrap();
     assert_eq!(quotas.window.as_secs(), 5);
     assert_eq!(quotas.slack, 20);
-    let faults = faults(&with(r#"{ "window": "10ms", "excess": 2.0, "slack": 20 }"#));
-    assert!(faults.contains("quotas.window:"), "{faults}");
-    assert!(faults.contains("quotas.excess:"), "{faults}");
+    let wrong = faults(&with(r#"{ "window": "10ms", "excess": 2.0, "slack": 20 }"#));
+    assert!(wrong.contains("quotas.window:"), "{wrong}");
+    assert!(wrong.contains("quotas.excess:"), "{wrong}");
+    let wrong = faults(&with(
+        r#"{ "window": "3601s", "excess": 0.1, "slack": 20 }"#,
+    ));
+    assert!(wrong.contains("quotas.window: more than 1h"), "{wrong}");
+    let hour = with(r#"{ "window": "1h", "excess": 0.1, "slack": 20 }"#);
+    Settings::parse(&hour).unwrap().check().unwrap();
 }
--- a/crates/route/src/quota/delegator.rs
+++ b/crates/route/src/quota/delegator.rs
@@ -113,8 +113,10 @@
         }
     }
 
+    /// Ends the lease when its tokens are gone. No token is held for longer than [`HOLD`],
+    /// whatever a broken home says.
     fn end_within(&mut self, held: Duration, now: Time) {
-        self.until = self.until.min(now + with_margin(held));
+        self.until = self.until.min(now + with_margin(held.min(HOLD)));
         self.lessee = None;
     }
 }
--- a/crates/route/tests/quotas.rs
+++ b/crates/route/tests/quotas.rs
@@ -489,6 +489,21 @@
     assert_eq!(taken.map(|taken| taken.share), Some(0.05));
 }
 
+#[test]
+fn delegator_bounds_what_a_broken_home_returns() {
+    let start = Time::from_secs(100);
+    let mut delegator = Delegator::new(Time::ZERO, WINDOW);
+    let share = |delegator: &mut Delegator, vm, now| {
+        let delegated = delegator.collect((vm, 50), start, 10, WINDOW, now);
+        delegated.map(|delegated| delegated.share)
+    };
+    assert_eq!(share(&mut delegator, 1, start), Some(0.05));
+    delegator.take_back((1, 50), start, Duration::MAX, start);
+    assert_eq!(share(&mut delegator, 2, start), Some(0.0));
+    let later = start + Duration::from_millis(430);
+    assert_eq!(share(&mut delegator, 2, later), Some(0.05));
+}
+
 #[test]
 fn homes_are_in_two_domains_and_move_one_at_a_time() {
     let domain = |vm: u64| vm % 4;
