--- a/crates/route/tests/quotas.rs
+++ b/crates/route/tests/quotas.rs
@@ -9,6 +9,7 @@
 use quota_sim::Fleet;
 use quota_sim::Rules;
 use route::quota::choose_homes;
+use route::quota::Answer;
 use route::quota::Bucket;
 use route::quota::Delegator;
 use route::quota::FleetSize;
@@ -17,6 +18,7 @@
 use route::quota::QuotaBody;
 use route::quota::QuotaMsg;
 use route::quota::Quotas;
+use route::quota::Taken;
 use route::quota::Terms;
 use route::quota::LANES;
 use route::quota::LEASE;
@@ -157,6 +159,103 @@
     fleet.check_bound();
 }
 
+#[test]
+fn askers_that_stall_lose_no_tokens() {
+    let mut rng = fastrand::Rng::with_seed(9);
+    let mut fleet = Fleet::new(60, Rules::new(vec![Limit::new(0, 100.0, 60.0).unwrap()]), 9);
+    fleet.run(Duration::from_secs(5));
+    // A VM that stands still takes no calls, so some 90 of these come in a second.
+    fleet.demand = vec![132.0];
+    fleet.delay_max = Duration::from_millis(19);
+    let homes = fleet.homes_of(59);
+    let round = Duration::from_millis(200);
+    for index in 0..100 {
+        if index == 25 {
+            fleet.clear_counts();
+        }
+        for vm in (0..60).filter(|vm| !homes.contains(vm)) {
+            fleet.stall(vm, Duration::from_millis(rng.u64(50..90)));
+        }
+        fleet.run(round);
+    }
+    let (granted, refused) = fleet.totals();
+    let late = fleet.unanswered;
+    eprintln!("stalls: {granted} granted and {refused} refused in 15 s, {late} of them late");
+    // A call that is refused since its VM stood still for too long is no lost token.
+    assert!(late * 30 < granted, "{late} of {granted}");
+    let refused = refused - late;
+    assert!(refused * 200 < granted, "{refused} of {granted}");
+    fleet.check_bound();
+}
+
+#[test]
+fn grant_that_no_call_uses_is_given_back_once() {
+    let mut quotas = Quotas::new(3, 50, TERMS, Time::ZERO, 0);
+    quotas.set_limits(vec![Limit::new(1, 10.0, 5.0).unwrap()], Time::ZERO);
+    let view = HomeView {
+        homes: [Some(1), Some(2)],
+        alive: &[1, 2, 3],
+        registered: 3,
+    };
+    let at = |ms| Time::from_secs(20) + Duration::from_millis(ms);
+    quotas.set_view(view, at(0));
+    let grant = |quotas: &mut Quotas, lane: u8, ask, ms| {
+        let body = QuotaBody::Grant { ask, extra: 0 };
+        quotas.receive(u64::from(lane) + 1, QuotaMsg { lane, body }, at(ms));
+        quotas.take_messages().len()
+    };
+    // Both lanes grant, and each grant comes twice.
+    assert_eq!(quotas.take(1, at(0)), Taken::Wait(0));
+    assert_eq!(quotas.ask_other(0, at(70)), Some(1));
+    quotas.take_messages();
+    let sent = [0, 0, 1, 1, 0].map(|lane| grant(&mut quotas, lane, 0, 71));
+    assert_eq!(sent, [0, 0, 1, 0, 0]);
+    assert_eq!(quotas.take_answers().len(), 1);
+    // The call is gone when the grants come, and the last one is too late for the home.
+    assert_eq!(quotas.take(1, at(200)), Taken::Wait(1));
+    quotas.give_up(1);
+    quotas.take_messages();
+    let sent = [(1, 310), (1, 311), (0, 401)].map(|(lane, ms)| grant(&mut quotas, lane, 1, ms));
+    assert_eq!(sent, [1, 0, 0]);
+    assert!(quotas.take_answers().is_empty());
+}
+
+#[test]
+fn lane_without_a_home_is_passed_over_at_once() {
+    let now = Time::from_secs(20);
+    for homes in [[None, Some(2)], [Some(2), None], [None, None]] {
+        for first in 0..2 {
+            let mut quotas = Quotas::new(3, 50, TERMS, Time::ZERO, first);
+            quotas.set_limits(vec![Limit::new(1, 10.0, 5.0).unwrap()], Time::ZERO);
+            let view = HomeView {
+                homes,
+                alive: &[2, 3],
+                registered: 3,
+            };
+            quotas.set_view(view, now);
+            assert_eq!(quotas.take(1, now), Taken::Wait(first));
+            let sent = quotas.take_messages();
+            let answers = quotas.take_answers();
+            if homes == [None, None] {
+                let refused = Answer::Refused(Duration::from_millis(500));
+                assert_eq!((sent.len(), answers), (0, vec![(first, refused)]));
+                continue;
+            }
+            let [(2, QuotaMsg { lane, .. })] = sent[..] else {
+                panic!("{homes:?}: {sent:?}");
+            };
+            assert!(homes[usize::from(lane)].is_some() && answers.is_empty());
+            // The refusal of the only home is final.
+            let retry_after = Duration::from_millis(300);
+            let ask = first;
+            let body = QuotaBody::Deny { ask, retry_after };
+            quotas.receive(2, QuotaMsg { lane, body }, now);
+            let refused = Answer::Refused(retry_after);
+            assert_eq!(quotas.take_answers(), vec![(first, refused)]);
+        }
+    }
+}
+
 #[test]
 fn busy_vms_hold_tokens_ahead() {
     let usual = usual_rates();
@@ -342,6 +441,28 @@
     }
 }
 
+#[test]
+fn flood_puts_later_calls_off_by_seconds_only() {
+    let limit = Limit::new(1, 1.6, 0.0).unwrap();
+    let inflow = |secs: f64| route::quota::Inflow {
+        share: 1.0,
+        flow: secs,
+        credit: 0.0,
+    };
+    let mut bucket = Bucket::new(limit, &Terms::default(), inflow(0.0));
+    let most = Duration::from_secs(3);
+    let mut refuse = |secs: f64| bucket.take(0, inflow(secs), Time::from_secs_f64(secs));
+    for call in 0..1000 {
+        if let Err(delay) = refuse(f64::from(call) / 1000.0) {
+            assert!(delay <= most, "{delay:?} for call {call}");
+        }
+    }
+    // The flood is over.
+    assert_eq!(refuse(4.0), Ok(0));
+    while refuse(4.0).is_ok() {}
+    assert!(refuse(4.0).unwrap_err() <= most);
+}
+
 #[test]
 fn delegator_serves_one_home_at_a_time() {
     let start = Time::from_secs(100);
@@ -371,6 +492,21 @@
     assert_eq!(taken.map(|taken| taken.share), Some(0.05));
 }
 
+#[test]
+fn delegator_bounds_what_a_broken_home_returns() {
+    let start = Time::from_secs(100);
+    let mut delegator = Delegator::new(Time::ZERO, WINDOW);
+    let share = |delegator: &mut Delegator, vm, now| {
+        let delegated = delegator.collect((vm, 50), start, 10, WINDOW, now);
+        delegated.map(|delegated| delegated.share)
+    };
+    assert_eq!(share(&mut delegator, 1, start), Some(0.05));
+    delegator.take_back((1, 50), start, Duration::MAX, start);
+    assert_eq!(share(&mut delegator, 2, start), Some(0.0));
+    let later = start + Duration::from_millis(430);
+    assert_eq!(share(&mut delegator, 2, later), Some(0.05));
+}
+
 #[test]
 fn homes_are_in_two_domains_and_move_one_at_a_time() {
     let domain = |vm: u64| vm % 4;
