Let a new decider wait for reports before it decides

A decider that took over at or after 0.85 of the ordered time entered the surge on its first check and rolled back about 100 ms later, before any home had reported (homes report once a second): a good version was rolled back as not tried. The counts of one home could also switch too early, and a VM that was cut off decided the same way.

A new decider now waits two seconds for reports, takes no verdict without any report before 0.95 of the time, and decides nothing but a roll-back that the counts call for while it hears less than half of its region's VMs.

The three new tests fail without the wait, the later end and the check.

--- a/crates/node/src/rollout_table.rs
+++ b/crates/node/src/rollout_table.rs
@@ -301,11 +301,13 @@
     }
 
     /// Decides about `order` if this VM is to do so: it is the first choice, or homes report
-    /// to it. Returns what follows, with the inputs.
+    /// to it. A VM that is `isolated` hears only few others. Returns what follows, with the
+    /// inputs.
     pub(crate) fn decide(
         &mut self,
         order: OrderId,
         is_first: bool,
+        isolated: bool,
         supply: Supply,
         now: Time,
     ) -> Option<(Outcome, Option<Findings>)> {
@@ -330,6 +332,7 @@
             return Some((Outcome::NoServers, None));
         }
         let decider = tracked.decider(now);
+        decider.set_isolated(isolated);
         let step = decider.step(supply, now)?;
         let findings = Some(decider.findings(now));
         match step {
--- a/crates/node/src/rollouts.rs
+++ b/crates/node/src/rollouts.rs
@@ -227,7 +227,8 @@
         };
         let state = read(&self.state);
         let supply = specs::supply(&state, &rollout);
-        let decision = lock(&self.rollouts).decide(order, is_first, supply, now);
+        let decision =
+            lock(&self.rollouts).decide(order, is_first, view.is_isolated(), supply, now);
         let Some((outcome, findings)) = decision else {
             return;
         };
--- a/crates/node/src/view.rs
+++ b/crates/node/src/view.rs
@@ -58,6 +58,12 @@
 }
 
 impl View {
+    /// Returns whether fewer than half of the region's VMs are alive as far as this VM
+    /// hears: it may be the one that is cut off.
+    pub fn is_isolated(&self) -> bool {
+        self.alive.len() * 2 < self.vms.len()
+    }
+
     /// Takes a snapshot of `members`.
     pub fn new(members: &Membership) -> Self {
         let own = members.profile();
--- a/crates/route/src/rollout/decider.rs
+++ b/crates/route/src/rollout/decider.rs
@@ -18,6 +18,11 @@
 const SURGE_END: f64 = 0.7;
 /// The part of the ordered time after which there is a verdict in any case.
 const LAST_END: f64 = 0.85;
+/// The part of the ordered time after which there is a verdict even without any report.
+const SILENT_END: f64 = 0.95;
+/// The time for which a new decider waits for the reports of all homes. It is longer than
+/// the time between two reports of a home.
+const SETTLE: Duration = Duration::from_secs(2);
 /// The longest time between the switch and its completion, in which the old servers
 /// finish their calls.
 const SWITCH_TIME: Duration = Duration::from_secs(2);
@@ -80,6 +85,8 @@
 #[derive(Clone, Debug)]
 pub struct Decider {
     started: Time,
+    begun: Time,
+    isolated: bool,
     duration: Duration,
     phase: Phase,
     phase_since: Time,
@@ -98,6 +105,8 @@
     pub fn new(started: Time, duration: Duration, now: Time) -> Self {
         Self {
             started,
+            begun: now,
+            isolated: false,
             duration,
             phase: Phase::Trial,
             phase_since: now,
@@ -169,6 +178,17 @@
         self.enter(Phase::RolledBack, now);
     }
 
+    /// Sets whether this VM hears too few VMs to know the counts of most homes. It then
+    /// only rolls back a version that is bad beyond doubt.
+    pub fn set_isolated(&mut self, isolated: bool) {
+        self.isolated = isolated;
+    }
+
+    /// Returns whether the homes had time to report, and can.
+    fn is_informed(&self, now: Time) -> bool {
+        now >= self.begun + SETTLE && !self.isolated
+    }
+
     /// Returns the next step of the roll-out; none if it stays as it is.
     pub fn step(&mut self, supply: Supply, now: Time) -> Option<Step> {
         let next = self.next_phase(supply, now);
@@ -178,7 +198,7 @@
         }
         let wait = SWITCH_TIME.min(self.duration.mul_f64(SWITCH_PART));
         let due = self.phase == Phase::Switch && now >= self.phase_since + wait;
-        if due && !self.completes {
+        if due && self.is_informed(now) && !self.completes {
             self.completes = true;
             return Some(Step::Complete);
         }
@@ -191,11 +211,19 @@
         if closed || verdict::is_clear(&kinds) {
             return Some(Phase::RolledBack);
         }
+        if !self.is_informed(now) {
+            return None;
+        }
         let part = self.elapsed(now).as_secs_f64() / self.duration.as_secs_f64().max(0.001);
+        let last_end = if self.reports.is_empty() {
+            SILENT_END
+        } else {
+            LAST_END
+        };
         match self.phase {
             Phase::Trial if part < TRIAL_END => None,
             Phase::Trial => Some(Phase::Surge),
-            Phase::Surge if part >= LAST_END => Some(last_verdict(&kinds, supply)),
+            Phase::Surge if part >= last_end => Some(last_verdict(&kinds, supply)),
             Phase::Surge if part >= SURGE_END && is_settled(&kinds, supply) => Some(Phase::Switch),
             _ => None,
         }
--- a/crates/route/tests/rollouts.rs
+++ b/crates/route/tests/rollouts.rs
@@ -11,9 +11,11 @@
 use route::rollout::decider::Step;
 use route::rollout::Decider;
 use route::rollout::Exposure;
+use route::rollout::KindEvidence;
 use route::rollout::Phase;
 use route::rollout::Report;
 use route::rollout::Supply;
+use route::rollout::Tally;
 use route::rollout::Terms;
 use route::rollout::VersionGroup;
 
@@ -525,3 +527,68 @@
     }
     assert!(!home.is_closed());
 }
+
+/// Returns a report of a home at which the version did well.
+fn good_report(shard: u64, now: Time) -> Report {
+    let tally = |total| Tally {
+        total,
+        ..Tally::default()
+    };
+    Report {
+        firsts: 1000,
+        exposed: 30,
+        phase: Phase::Surge,
+        kinds: vec![KindEvidence {
+            kind: 1,
+            old: tally(900),
+            target: tally(30),
+        }],
+        ..Report::new(1, shard, now.saturating_sub(Time::ZERO))
+    }
+}
+
+#[test]
+fn late_successor_waits_for_reports() {
+    let begun = Time::ZERO + DURATION.mul_f64(0.86);
+    let mut decider = Decider::new(Time::ZERO, DURATION, begun);
+    for n in 0..10 {
+        let step = decider.step(SUPPLY, begun + STEP * n);
+        assert_eq!(step, None, "step {n} without reports");
+    }
+    let heard = begun + STEP * 10;
+    decider.record(1, good_report(1, heard), heard);
+    let steps: Vec<Step> = (10..60)
+        .filter_map(|n| decider.step(SUPPLY, begun + STEP * n))
+        .collect();
+    assert_eq!(steps, [Step::Enter(Phase::Switch), Step::Complete]);
+}
+
+#[test]
+fn late_successor_without_reports_rolls_back_last() {
+    let begun = Time::ZERO + DURATION.mul_f64(0.86);
+    let mut decider = Decider::new(Time::ZERO, DURATION, begun);
+    let last = Time::ZERO + DURATION.mul_f64(0.95);
+    let mut now = begun;
+    while now < last {
+        let step = decider.step(SUPPLY, now);
+        assert_ne!(step, Some(Step::Enter(Phase::RolledBack)), "at {now:?}");
+        now += STEP;
+    }
+    let step = decider.step(SUPPLY, now + STEP);
+    assert_eq!(step, Some(Step::Enter(Phase::RolledBack)));
+}
+
+#[test]
+fn isolated_decider_neither_completes_nor_rolls_back_untried() {
+    let begun = Time::ZERO + DURATION.mul_f64(0.5);
+    for reports in [0, 1] {
+        let mut decider = Decider::new(Time::ZERO, DURATION, begun);
+        decider.set_isolated(true);
+        for shard in 0..reports {
+            decider.record(1, good_report(shard, begun), begun);
+        }
+        for n in 0..400 {
+            assert_eq!(decider.step(SUPPLY, begun + STEP * n), None);
+        }
+    }
+}
