Let a later version serve after a completed roll-out

After a completion every server of another version was closed while one server of the ordered version was open. If operators later replaced that version one by one without an order, the new servers got nothing until the last old one was gone.

Others are now closed only while the version has at least half of their open slots, as a completion requires; the same test serves both.

--- a/crates/node/src/specs.rs
+++ b/crates/node/src/specs.rs
@@ -117,12 +117,7 @@
     supply
 }
 
-/// Applies the roll-out of `service`, if there is one: closes the servers that get nothing,
-/// or sets the terms of the trial.
-///
-/// After a completion, servers of another version are closed only while a server of the
-/// version is open: the operators may have moved on without a roll-out. If all servers are
-/// of the version on trial, they serve as if there was no roll-out.
+/// Applies the roll-out of `service`, if there is one; see [`restrict`].
 fn with_rollout(
     spec: ShardSpec,
     state: &State,
@@ -132,30 +127,54 @@
     let (Some(rollout), Some(terms)) = (state.rollout(&service.name), rules.terms) else {
         return spec;
     };
-    let mut spec = spec;
     let is_target = |id| {
         let server = state.server(spec.service, id);
         server.is_some_and(|server| server.version == rollout.target)
     };
     let targets: Vec<bool> = spec.servers.iter().map(|s| is_target(s.id)).collect();
-    let serves = |target: bool| {
-        let mut servers = spec.servers.iter().zip(&targets);
-        servers.any(|(server, is_target)| server.open && *is_target == target)
+    let order = rollout.order;
+    let terms = Terms { order, ..terms };
+    restrict(spec, &targets, rules.state(rollout), terms, rules.has_homes)
+}
+
+/// Closes the servers that get nothing in a roll-out in `state`, or sets the terms of the
+/// trial. `targets` says which servers are of the version, in the order of the servers.
+///
+/// After a completion, servers of another version are closed only while the version can
+/// take all calls: the operators may have moved on without a roll-out. If all servers are
+/// of the version on trial, they serve as if there was no roll-out.
+pub fn restrict(
+    mut spec: ShardSpec,
+    targets: &[bool],
+    state: RolloutState,
+    terms: Terms,
+    has_homes: bool,
+) -> ShardSpec {
+    let slots = |target: bool| {
+        let servers = spec.servers.iter().zip(targets);
+        let of_group = servers.filter(|(server, group)| server.open && **group == target);
+        of_group.map(|(server, _)| server.slots).sum()
+    };
+    let supply = Supply {
+        target: slots(true),
+        old: slots(false),
     };
-    let (has_target, has_old) = (serves(true), serves(false));
-    let state = rules.state(rollout);
-    for (server, is_target) in spec.servers.iter_mut().zip(targets) {
+    let has_old = spec
+        .servers
+        .iter()
+        .zip(targets)
+        .any(|(s, target)| s.open && !target);
+    for (server, &is_target) in spec.servers.iter_mut().zip(targets) {
         match state {
             RolloutState::RolledBack => server.open &= !is_target,
-            RolloutState::Completed if has_target => server.open &= is_target,
-            RolloutState::Running if has_old && !rules.has_homes => server.open &= !is_target,
+            RolloutState::Completed if supply.is_sufficient() => server.open &= is_target,
+            RolloutState::Running if has_old && !has_homes => server.open &= !is_target,
             RolloutState::Running if has_old && is_target => server.version = VersionGroup::Target,
             RolloutState::Completed | RolloutState::Running => {}
         }
     }
-    let order = rollout.order;
     let on_trial = state == RolloutState::Running && has_old;
-    spec.rollout = on_trial.then_some(Terms { order, ..terms });
+    spec.rollout = on_trial.then_some(terms);
     spec
 }
 
--- a/crates/route/src/rollout/decider.rs
+++ b/crates/route/src/rollout/decider.rs
@@ -46,6 +46,13 @@
     pub old: u32,
 }
 
+impl Supply {
+    /// Returns whether the servers of the version can take all calls.
+    pub fn is_sufficient(self) -> bool {
+        self.target > 0 && self.target >= self.old / 2
+    }
+}
+
 /// What follows from a decision.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Step {
@@ -261,11 +268,6 @@
     }
 }
 
-/// Returns whether the servers of the version can take over.
-fn is_supplied(supply: Supply) -> bool {
-    supply.target > 0 && supply.target >= supply.old / 2
-}
-
 /// Returns whether enough is known to put the version in force before the last moment.
 fn is_settled(kinds: &[KindEvidence], supply: Supply) -> bool {
     let all = verdict::sum(kinds);
@@ -286,7 +288,7 @@
     let alone = supply.old == 0 && supply.target > 0;
     let tried = all.target.total >= TOTAL_MIN;
     let good = verdict::highest_score(kinds) < verdict::DOUBT_SCORE;
-    if alone || (tried && good && is_supplied(supply)) {
+    if alone || (tried && good && supply.is_sufficient()) {
         Phase::Switch
     } else {
         Phase::RolledBack
