Keep completing when another VM was first for a while

A decider that was neither the first choice nor heard forgot that it wanted to write a completion, and wrote that the roll-out is running when it decided again; its decider takes the step to complete only once. The switch was then held for ever.

What is wanted now follows from the decider on each check. The table's items are public in the crate's module, so that a test can use them. The new test fails before.

--- a/crates/node/src/rollout_table.rs
+++ b/crates/node/src/rollout_table.rs
@@ -30,10 +30,13 @@
 const REPEAT_MAX: Duration = Duration::from_secs(4);
 
 /// An entry of the catalog.
-pub(crate) struct Entry {
-    pub(crate) name: String,
-    pub(crate) revision: Revision,
-    pub(crate) rollout: Rollout,
+pub struct Entry {
+    /// The name in the registry.
+    pub name: String,
+    /// The revision in the registry.
+    pub revision: Revision,
+    /// The order.
+    pub rollout: Rollout,
 }
 
 /// A delay that doubles with each use.
@@ -87,15 +90,19 @@
 
 /// A write of a status that is due.
 #[derive(Clone, Debug)]
-pub(crate) struct DueWrite {
-    pub(crate) name: String,
-    pub(crate) revision: Revision,
-    pub(crate) state: RolloutState,
-    pub(crate) target: String,
+pub struct DueWrite {
+    /// The name of the entry.
+    pub name: String,
+    /// The revision that the write replaces.
+    pub revision: Revision,
+    /// The state to write.
+    pub state: RolloutState,
+    /// The version of the order.
+    pub target: String,
 }
 
 /// What follows from a decision, with its inputs.
-pub(crate) enum Outcome {
+pub enum Outcome {
     /// The phase to tell the homes.
     Entered(Phase, Vec<VmId>),
     /// The status `completed` is to be written.
@@ -108,7 +115,7 @@
 
 /// What a VM knows of the roll-outs.
 #[derive(Default)]
-pub(crate) struct RolloutTable {
+pub struct RolloutTable {
     tracked: Vec<Tracked>,
     /// The orders that ended, sorted, whatever the registry says of them.
     ended: Vec<(OrderId, RolloutState)>,
@@ -118,7 +125,7 @@
 
 impl RolloutTable {
     /// Returns whether all orders have ended and the registry says so.
-    pub(crate) fn is_settled(&self) -> bool {
+    pub fn is_settled(&self) -> bool {
         self.tracked.iter().all(|tracked| {
             let end = self.end_of(tracked.order());
             end.is_some() && end == tracked.entry.rollout.state
@@ -126,27 +133,27 @@
     }
 
     /// Returns whether there is no order.
-    pub(crate) fn is_empty(&self) -> bool {
+    pub fn is_empty(&self) -> bool {
         self.tracked.is_empty()
     }
 
     /// Returns the orders that ended, sorted.
-    pub(crate) fn ended(&self) -> Vec<(OrderId, RolloutState)> {
+    pub fn ended(&self) -> Vec<(OrderId, RolloutState)> {
         self.ended.clone()
     }
 
     /// Returns the servers that may be sent nothing, sorted.
-    pub(crate) fn closed(&self) -> &[ServerId] {
+    pub fn closed(&self) -> &[ServerId] {
         &self.closed
     }
 
     /// Replaces the servers that may be sent nothing.
-    pub(crate) fn set_closed(&mut self, closed: Vec<ServerId>) {
+    pub fn set_closed(&mut self, closed: Vec<ServerId>) {
         self.closed = closed;
     }
 
     /// Returns the orders in the registry, each with the name of its service.
-    pub(crate) fn orders(&self) -> Vec<(OrderId, String)> {
+    pub fn orders(&self) -> Vec<(OrderId, String)> {
         let orders = self.tracked.iter().map(|tracked| {
             let rollout = &tracked.entry.rollout;
             (rollout.order, rollout.service.clone())
@@ -155,18 +162,18 @@
     }
 
     /// Returns the number of orders that have not ended.
-    pub(crate) fn running(&self) -> usize {
+    pub fn running(&self) -> usize {
         let orders = self.tracked.iter().map(|t| t.entry.rollout.order);
         orders.filter(|order| self.end_of(*order).is_none()).count()
     }
 
     /// Returns the order of the entry of `service`.
-    pub(crate) fn rollout(&self, order: OrderId) -> Option<&Rollout> {
+    pub fn rollout(&self, order: OrderId) -> Option<&Rollout> {
         self.find(order).map(|tracked| &tracked.entry.rollout)
     }
 
     /// Returns the state with which `order` ended; none if it has not.
-    pub(crate) fn end_of(&self, order: OrderId) -> Option<RolloutState> {
+    pub fn end_of(&self, order: OrderId) -> Option<RolloutState> {
         let index = self.ended.binary_search_by_key(&order, |e| e.0).ok()?;
         Some(self.ended[index].1)
     }
@@ -183,7 +190,7 @@
 
     /// Takes over the entries of the catalog. Returns the orders that were not known, and
     /// whether a state became final.
-    pub(crate) fn sync(&mut self, entries: Vec<Entry>, now: Time) -> (Vec<Rollout>, bool) {
+    pub fn sync(&mut self, entries: Vec<Entry>, now: Time) -> (Vec<Rollout>, bool) {
         let mut new = Vec::new();
         let mut ended = false;
         let orders: Vec<OrderId> = entries.iter().map(|entry| entry.rollout.order).collect();
@@ -206,7 +213,7 @@
 
     /// Records that `order` ended; returns whether that is news. The first end holds, except
     /// that a completion which is `written` replaces a roll-back that is not.
-    pub(crate) fn end(&mut self, order: OrderId, state: RolloutState, written: bool) -> bool {
+    pub fn end(&mut self, order: OrderId, state: RolloutState, written: bool) -> bool {
         match self.ended.binary_search_by_key(&order, |e| e.0) {
             Err(index) => {
                 self.ended.insert(index, (order, state));
@@ -237,13 +244,13 @@
     }
 
     /// Returns the time since `order` was given, as far as this VM knows.
-    pub(crate) fn elapsed(&self, order: OrderId, now: Time) -> Duration {
+    pub fn elapsed(&self, order: OrderId, now: Time) -> Duration {
         let seen = self.find(order).map(|tracked| tracked.first_seen);
         now.saturating_sub(seen.unwrap_or(now))
     }
 
     /// Records that `order` was given at least `elapsed` ago.
-    pub(crate) fn note_elapsed(&mut self, order: OrderId, elapsed: Duration, now: Time) {
+    pub fn note_elapsed(&mut self, order: OrderId, elapsed: Duration, now: Time) {
         if let Some(tracked) = self.find_mut(order) {
             tracked.first_seen = tracked.first_seen.min(now.saturating_sub(elapsed));
         }
@@ -251,7 +258,7 @@
 
     /// Returns whether the home of `shard` should report: it has not for `period`, or it has
     /// seen `bad` responses, which are more than before.
-    pub(crate) fn take_report_due(
+    pub fn take_report_due(
         &mut self,
         (order, shard): (OrderId, ShardId),
         bad: u32,
@@ -278,12 +285,7 @@
 
     /// Records the report of a home at `vm`. Returns the phase to reply with and the age of
     /// the order; none if the order is not known here.
-    pub(crate) fn record(
-        &mut self,
-        vm: VmId,
-        report: Report,
-        now: Time,
-    ) -> Option<(Phase, Duration)> {
+    pub fn record(&mut self, vm: VmId, report: Report, now: Time) -> Option<(Phase, Duration)> {
         let order = report.order;
         let end = self.end_of(order);
         let elapsed = self.elapsed(order, now).max(report.elapsed);
@@ -303,7 +305,7 @@
     /// Decides about `order` if this VM is to do so: it is the first choice, or homes report
     /// to it. A VM that is `isolated` hears only few others. Returns what follows, with the
     /// inputs.
-    pub(crate) fn decide(
+    pub fn decide(
         &mut self,
         order: OrderId,
         is_first: bool,
@@ -324,9 +326,12 @@
             let tells = end == RolloutState::RolledBack && !written && tracked.tellings.take(now);
             return tells.then_some((Outcome::TellRollback, None));
         }
-        if tracked.wanted != Some(RolloutState::Completed) {
-            tracked.wanted = Some(RolloutState::Running);
-        }
+        let completes = tracked.decider.as_ref().is_some_and(Decider::completes);
+        tracked.wanted = Some(if completes {
+            RolloutState::Completed
+        } else {
+            RolloutState::Running
+        });
         if supply.target == 0 && !tracked.warned {
             tracked.warned = true;
             return Some((Outcome::NoServers, None));
@@ -349,7 +354,7 @@
     }
 
     /// Returns a write that is due, and sets the time of the next attempt.
-    pub(crate) fn take_write(&mut self, now: Time) -> Option<DueWrite> {
+    pub fn take_write(&mut self, now: Time) -> Option<DueWrite> {
         for tracked in &mut self.tracked {
             let Entry {
                 name,
@@ -401,7 +406,7 @@
 }
 
 /// Returns the VM that should decide about the roll-out of `service`.
-pub(crate) fn first_choice(service: ServiceId, eligible: &[VmId]) -> Option<VmId> {
+pub fn first_choice(service: ServiceId, eligible: &[VmId]) -> Option<VmId> {
     const DECIDER_KEY: u64 = 0x726f_6c6c_6f75_7473;
     base::rendezvous::first(base::hash::mix(DECIDER_KEY, service), eligible)
 }
--- a/crates/node/tests/rollouts.rs
+++ b/crates/node/tests/rollouts.rs
@@ -1,9 +1,19 @@
-//! Tests which servers a roll-out closes.
+//! Tests which servers a roll-out closes, and which states deciders write.
 
 use std::time::Duration;
 
+use base::Time;
+use conf::Rollout;
 use conf::RolloutState;
+use node::rollout_table::Entry;
+use node::rollout_table::Outcome;
+use node::rollout_table::RolloutTable;
 use node::specs;
+use route::rollout::KindEvidence;
+use route::rollout::Phase;
+use route::rollout::Report;
+use route::rollout::Supply;
+use route::rollout::Tally;
 use route::rollout::Terms;
 use route::rollout::VersionGroup;
 use route::spec::Announcement;
@@ -47,3 +57,61 @@
 fn restrict_completed_lets_a_later_version_take_over() {
     assert_eq!(open_after_completion(1, 7), (1, 7));
 }
+
+const ORDER: u64 = 7;
+const SUPPLY: Supply = Supply {
+    target: 30,
+    old: 30,
+};
+
+/// Returns a table that knows one order.
+fn table() -> RolloutTable {
+    let mut table = RolloutTable::default();
+    let entry = Entry {
+        name: "shop".to_owned(),
+        revision: 1,
+        rollout: Rollout {
+            service: "shop".to_owned(),
+            target: "v2".to_owned(),
+            duration: Duration::from_secs(60),
+            order: ORDER,
+            state: Some(RolloutState::Running),
+        },
+    };
+    table.sync(vec![entry], Time::ZERO);
+    table
+}
+
+/// Returns the report of a home that switched.
+fn report() -> Report {
+    let tally = |total| Tally {
+        total,
+        ..Tally::default()
+    };
+    Report {
+        order: ORDER,
+        phase: Phase::Switch,
+        kinds: vec![KindEvidence {
+            kind: 1,
+            old: tally(900),
+            target: tally(30),
+        }],
+        ..Report::new(1, 1, Duration::from_secs(40))
+    }
+}
+
+#[test]
+fn decide_goes_on_completing_after_another_was_first() {
+    let mut table = table();
+    let at = Time::from_secs(10);
+    table.record(1, report(), at);
+    let at = at + Duration::from_secs(5);
+    let decision = table.decide(ORDER, true, false, SUPPLY, at);
+    assert!(matches!(decision, Some((Outcome::Completes, _))));
+    let at = at + Duration::from_secs(5);
+    assert!(table.decide(ORDER, false, false, SUPPLY, at).is_none());
+    assert!(table.take_write(at).is_none());
+    table.decide(ORDER, true, false, SUPPLY, at);
+    let write = table.take_write(at).expect("a write is due");
+    assert_eq!(write.state, RolloutState::Completed);
+}
--- a/crates/route/src/rollout/decider.rs
+++ b/crates/route/src/rollout/decider.rs
@@ -127,6 +127,11 @@
         self.phase
     }
 
+    /// Returns whether the roll-out is to be written as completed.
+    pub fn completes(&self) -> bool {
+        self.completes && self.phase == Phase::Switch
+    }
+
     /// Returns the time since the order.
     pub fn elapsed(&self, now: Time) -> Duration {
         now.saturating_sub(self.started)
