Note reports that arrive after a roll-back

A decider that homes report to, but that is not the first choice, took no note of reports once the order had ended. It stopped to tell and to write the roll-back after three seconds while the first choice was out of reach.

Reports now count as heard after the end too. The new test fails before.

--- a/crates/node/src/rollout_table.rs
+++ b/crates/node/src/rollout_table.rs
@@ -289,6 +289,8 @@
         let order = report.order;
         let end = self.end_of(order);
         let elapsed = self.elapsed(order, now).max(report.elapsed);
+        // Also after the end: who is heard goes on telling and writing it.
+        self.find_mut(order)?.heard_at = Some(now);
         match end {
             Some(RolloutState::RolledBack) => return Some((Phase::RolledBack, elapsed)),
             Some(_) => return None,
@@ -296,7 +298,6 @@
         }
         self.note_elapsed(order, elapsed, now);
         let tracked = self.find_mut(order)?;
-        tracked.heard_at = Some(now);
         let decider = tracked.decider(now);
         decider.record(vm, report, now);
         Some((decider.phase(), elapsed))
--- a/crates/node/tests/rollouts.rs
+++ b/crates/node/tests/rollouts.rs
@@ -115,3 +115,19 @@
     let write = table.take_write(at).expect("a write is due");
     assert_eq!(write.state, RolloutState::Completed);
 }
+
+#[test]
+fn decide_repeats_a_roll_back_while_homes_report() {
+    let mut table = table();
+    let mut at = Time::from_secs(10);
+    table.record(1, report(), at);
+    table.end(ORDER, RolloutState::RolledBack, false);
+    for _ in 0..10 {
+        at += Duration::from_secs(1);
+        table.record(1, report(), at);
+    }
+    let decision = table.decide(ORDER, false, false, SUPPLY, at);
+    assert!(matches!(decision, Some((Outcome::TellRollback, _))));
+    let write = table.take_write(at).expect("a write is due");
+    assert_eq!(write.state, RolloutState::RolledBack);
+}
