Keep reports of homes that found a version to be bad

Beyond 64 reports the one with the fewest calls gave way, even if it alone said that the version is bad. Such reports now give way last. The new test fails before.

--- a/crates/route/src/rollout/decider.rs
+++ b/crates/route/src/rollout/decider.rs
@@ -34,7 +34,8 @@
 const KIND_MIN: u32 = 8;
 /// The share of the old version's calls from which on a kind is usual.
 const KIND_SHARE: f64 = 0.05;
-/// The reports that are kept. Those of homes with the fewest calls give way.
+/// The reports that are kept. Those of homes with the fewest calls give way, and last those
+/// that found the version to be bad.
 const REPORTS_MAX: usize = 64;
 
 /// The slots of the servers that may get calls, by version.
@@ -178,8 +179,11 @@
             Err(index) => self.reports.insert(index, new),
         }
         if self.reports.len() > REPORTS_MAX {
-            let least = (0..self.reports.len()).min_by_key(|&i| self.reports[i].report.firsts);
-            if let Some(index) = least {
+            let weight = |index: &usize| {
+                let report = &self.reports[*index].report;
+                (report.closed, report.firsts)
+            };
+            if let Some(index) = (0..self.reports.len()).min_by_key(weight) {
                 self.reports.remove(index);
             }
         }
--- a/crates/route/tests/rollouts.rs
+++ b/crates/route/tests/rollouts.rs
@@ -592,3 +592,19 @@
         }
     }
 }
+
+#[test]
+fn closed_report_outlasts_those_of_many_homes() {
+    let mut decider = Decider::new(Time::ZERO, DURATION, Time::ZERO);
+    let closed = Report {
+        closed: true,
+        firsts: 1,
+        ..good_report(0, Time::ZERO)
+    };
+    decider.record(1, closed, Time::ZERO);
+    for shard in 1..200 {
+        decider.record(1, good_report(shard, Time::ZERO), Time::ZERO);
+    }
+    let step = decider.step(SUPPLY, Time::ZERO);
+    assert_eq!(step, Some(Step::Enter(Phase::RolledBack)));
+}
