Check in the soak that keys are taken away and move in time

Each configuration of the soak had a key that the next one took away, but nobody called with it. Now four callers do on kept connections, two of them with a key that each configuration gives to another team. The rule "keys in time" reports a request that ran with a key, or for a team, as no configuration says that was in force 2.5 s before, with the same extensions as for configurations. The bound for these moved to a function of its own and is unchanged. Requests with such keys don't count for the shares of served requests, since most are refused rightly.

--- a/crates/soak/src/caller.rs
+++ b/crates/soak/src/caller.rs
@@ -16,6 +16,7 @@
 use crate::http::Message;
 use crate::http::MessageReader;
 use crate::record::CallId;
+use crate::record::Key;
 use crate::record::Recorder;
 use crate::record::Request;
 use crate::record::RequestEnd;
@@ -38,6 +39,9 @@
 const ABANDON_DELAY: Duration = Duration::from_millis(60);
 /// The time between the response to a request that makes servers crash and its repeat.
 const POISON_PAUSE: Duration = Duration::from_millis(80);
+/// How long a caller keeps a key that configurations change.
+const KEY_TIME_MIN: Duration = Duration::from_secs(6);
+const KEY_TIME_MAX: Duration = Duration::from_secs(14);
 /// The maximum number of retries of a request by its caller.
 const RETRIES_MAX: u32 = 2;
 
@@ -88,6 +92,19 @@
     format!("key-of-{team}")
 }
 
+/// The key that each configuration gives to another team.
+pub const MOVING_KEY: &str = "key-that-moves";
+
+/// Returns the team that has [`MOVING_KEY`] in the configuration at index `number`.
+pub fn moving_team(number: usize) -> &'static str {
+    TEAMS[number % TEAMS.len()]
+}
+
+/// Returns the key of `team` that only the configuration at index `number` has.
+pub fn passing_key(team: &str, number: usize) -> String {
+    format!("{team}-{number}")
+}
+
 /// The VMs that get new connections, as the load balancer in front of the entry VMs
 /// would choose them by their readiness.
 #[derive(Clone, Default)]
@@ -154,9 +171,9 @@
             let Some(mut connection) = self.connect().await else {
                 return;
             };
-            let id = self.begin_request(connection.vm, route, None);
+            let id = self.begin_request(connection.vm, route, Key::Lasting, None);
             let end = if keep { "keep-alive" } else { "close" };
-            let text = request_text(id, route, &id.to_string(), end);
+            let text = request_text(id, route, Key::Lasting, &id.to_string(), end);
             if connection.stream.write_all(text.as_bytes()).await.is_err() {
                 self.recorder.end_request(id, RequestEnd::ConnectionClosed);
                 continue;
@@ -186,11 +203,11 @@
             return;
         };
         let ids: Vec<CallId> = (0..PIPELINE_DEPTH)
-            .map(|_| self.begin_request(connection.vm, route, None))
+            .map(|_| self.begin_request(connection.vm, route, Key::Lasting, None))
             .collect();
         let all: String = ids
             .iter()
-            .map(|id| request_text(*id, route, &id.to_string(), "keep-alive"))
+            .map(|id| request_text(*id, route, Key::Lasting, &id.to_string(), "keep-alive"))
             .collect();
         let wrote = connection.stream.write_all(all.as_bytes()).await.is_ok();
         let mut open = wrote;
@@ -217,8 +234,9 @@
             let Some(mut connection) = self.connect().await else {
                 continue;
             };
-            let id = self.begin_request(connection.vm, route, Some(index));
-            let text = request_text(id, route, &format!("{POISON_MARK}-{index}"), "close");
+            let id = self.begin_request(connection.vm, route, Key::Lasting, Some(index));
+            let name = format!("{POISON_MARK}-{index}");
+            let text = request_text(id, route, Key::Lasting, &name, "close");
             if connection.stream.write_all(text.as_bytes()).await.is_ok() {
                 self.recorder.mark_sent(id);
                 let (end, _) = read_response(&mut connection.reader).await;
@@ -227,13 +245,55 @@
         }
     }
 
-    fn begin_request(&self, vm: VmIndex, route: Route, poison: Option<usize>) -> CallId {
+    /// Sends requests until the task is dropped, each on the connection of the one before
+    /// if that is open. The key is [`Key::Moving`] if `moves`, or else one that only the
+    /// configuration has which is the newest when the caller begins to use the key.
+    pub async fn run_with_keys(mut self, moves: bool, pause: Duration) {
+        loop {
+            let newest = self.recorder.lock().tickets.len().saturating_sub(1);
+            let key = if moves {
+                Key::Moving
+            } else {
+                Key::Passing(newest)
+            };
+            let time = KEY_TIME_MIN + (KEY_TIME_MAX - KEY_TIME_MIN).mul_f64(self.rng.f64());
+            let end = self.recorder.now() + time;
+            while self.recorder.now() < end {
+                Timer::after(pause).await;
+                let route = ROUTES[self.rng.usize(..ROUTES.len())];
+                self.call_once(route, key).await;
+            }
+        }
+    }
+
+    /// Sends a request without retries and keeps the connection if the response allows it.
+    async fn call_once(&mut self, route: Route, key: Key) {
+        let Some(mut connection) = self.connect().await else {
+            return;
+        };
+        let id = self.begin_request(connection.vm, route, key, None);
+        let text = request_text(id, route, key, &id.to_string(), "keep-alive");
+        if connection.stream.write_all(text.as_bytes()).await.is_err() {
+            self.recorder.end_request(id, RequestEnd::ConnectionClosed);
+            return;
+        }
+        self.recorder.mark_sent(id);
+        let (end, response) = read_response(&mut connection.reader).await;
+        self.recorder.end_request(id, end);
+        let is_open = response.is_some_and(|response| !response.closes_connection());
+        if is_open && !connection.reader.has_buffered() {
+            self.connection = Some(connection);
+        }
+    }
+
+    fn begin_request(&self, vm: VmIndex, route: Route, key: Key, poison: Option<usize>) -> CallId {
         self.recorder.begin_request(Request {
             id: 0,
             at: self.recorder.now(),
             vm,
             route: route.name,
             idempotent: route.idempotent,
+            key,
             timeout: REQUEST_TIMEOUT,
             poison,
             end: None,
@@ -252,10 +312,15 @@
     }
 }
 
-fn request_text(id: CallId, route: Route, name: &str, connection: &str) -> String {
+fn request_text(id: CallId, route: Route, key: Key, name: &str, connection: &str) -> String {
     let method = if route.idempotent { "GET" } else { "POST" };
     let body = if route.idempotent { "" } else { "activate" };
-    let key = key_of(team_of(route.name).unwrap_or_default());
+    let team = team_of(route.name).unwrap_or_default();
+    let key = match key {
+        Key::Lasting => key_of(team),
+        Key::Passing(number) => passing_key(team, number),
+        Key::Moving => MOVING_KEY.into(),
+    };
     format!(
         "{method} /{}/{name} HTTP/1.1\r\nHost: {HOST}\r\n{}: {id}\r\n{}: {}\r\n\
          {}: {key}\r\n{}: forged\r\n\
--- a/crates/soak/src/record.rs
+++ b/crates/soak/src/record.rs
@@ -52,6 +52,18 @@
     pub hash: u64,
 }
 
+/// The key that a caller sends with a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Key {
+    /// The key of the route's team that all configurations have.
+    Lasting,
+    /// The key of the route's team that only the configuration at this index in
+    /// [`Record::tickets`] has.
+    Passing(usize),
+    /// The key that each configuration gives to another team.
+    Moving,
+}
+
 /// A request as its caller observed it.
 #[derive(Clone, Debug)]
 pub struct Request {
@@ -65,6 +77,8 @@
     pub route: &'static str,
     /// Whether the request may be executed more than once.
     pub idempotent: bool,
+    /// The key that the caller sent.
+    pub key: Key,
     /// The time limit that the caller sent with the request.
     pub timeout: Duration,
     /// Which request this one repeats that makes servers crash; `None` for others.
@@ -82,6 +96,8 @@
     pub at: Time,
     /// The server instance that received the request.
     pub instance: InstanceIndex,
+    /// The team that the request names, if it is one of the run.
+    pub team: Option<&'static str>,
     /// Whether the server started to execute the request.
     pub executed: bool,
 }
@@ -289,13 +305,19 @@
 
     /// Records that a request arrives at a server; returns the index in
     /// [`Record::arrivals`].
-    pub fn record_arrival(&self, call: CallId, instance: InstanceIndex) -> usize {
+    pub fn record_arrival(
+        &self,
+        call: CallId,
+        instance: InstanceIndex,
+        team: Option<&'static str>,
+    ) -> usize {
         let at = self.now();
         let mut record = self.lock();
         record.arrivals.push(Arrival {
             call,
             at,
             instance,
+            team,
             executed: false,
         });
         record.arrivals.len() - 1
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -25,9 +25,12 @@
 use stand::Service;
 
 use crate::caller::key_of;
+use crate::caller::moving_team;
+use crate::caller::passing_key;
 use crate::caller::Caller;
 use crate::caller::Rotation;
 use crate::caller::HOST;
+use crate::caller::MOVING_KEY;
 use crate::caller::MOVING_ROUTE;
 use crate::caller::ROUTES;
 use crate::caller::TEAMS;
@@ -76,6 +79,10 @@
 const RESTART_DELAY: Duration = Duration::from_millis(400);
 /// The mean pause of a caller between two requests.
 const CALLER_PAUSE_MEAN: Duration = Duration::from_millis(250);
+/// The number of callers whose keys change with configurations, and the pause of each
+/// between two requests.
+const KEY_CALLERS: usize = 4;
+const KEY_PAUSE: Duration = Duration::from_millis(150);
 /// The time from the crash of a server until its entry in the store expires.
 const ENTRY_EXPIRY_DELAY: Duration = Duration::from_millis(600);
 /// How long a draining server still serves calls before it stops.
@@ -205,6 +212,12 @@
         let caller = Caller::new(&harness.recorder, &harness.rotation, seed ^ caller as u64);
         background_tasks.push(smol::spawn(caller.run(CALLER_PAUSE_MEAN)));
     }
+    for caller in 0..KEY_CALLERS {
+        let seed = seed ^ (size.callers + caller) as u64;
+        let moves = caller % 2 == 0;
+        let caller = Caller::new(&harness.recorder, &harness.rotation, seed);
+        background_tasks.push(smol::spawn(caller.run_with_keys(moves, KEY_PAUSE)));
+    }
     let events = schedule::generate(seed, size);
     let begin = harness.recorder.now();
     let mut event_tasks = Vec::new();
@@ -330,10 +343,12 @@
         let routes: Vec<Route> = routes.collect();
         let ticket = 1 + TICKET_STEP * number as u64;
         let mut spec = stand::config_spec(ticket, HOST, &services, &routes);
-        // Another key comes and goes with each configuration.
-        let teams = TEAMS.map(
-            |name| json!({ "name": name, "api_keys": [key_of(name), format!("{name}-{number}")] }),
-        );
+        // Each configuration takes a key of every team away, and moves another one.
+        let teams = TEAMS.map(|name| {
+            let mut keys = vec![key_of(name), passing_key(name, number)];
+            keys.extend((name == moving_team(number)).then(|| MOVING_KEY.into()));
+            json!({ "name": name, "api_keys": keys })
+        });
         spec["tenants"] = json!(teams);
         let mut record = self.recorder.lock();
         self.store.put(stand::CONFIG_KIND, stand::CONFIG_NAME, spec);
--- a/crates/soak/src/server.rs
+++ b/crates/soak/src/server.rs
@@ -23,11 +23,13 @@
 use stand::Store;
 
 use crate::caller::team_of;
+use crate::caller::TEAMS;
 use crate::http::Message;
 use crate::http::MessageReader;
 use crate::link::Link;
 use crate::record::CallId;
 use crate::record::InstanceIndex;
+use crate::record::Key;
 use crate::record::Misnamed;
 use crate::record::Recorder;
 use crate::record::ServerInstance;
@@ -388,11 +390,16 @@
     }
 
     /// Records a request that names another team than that of its route, or has a key.
+    /// Whether the team of a key that moves is the right one is checked after the run.
     fn check_team(&self, call: CallId, request: &Message) {
         let route = request.path.split('/').nth(1).unwrap_or_default();
         let (expected, named) = (team_of(route), request.field(fields::TEAM));
         let has_key = request.field(fields::KEY).is_some();
-        if named != expected || has_key {
+        let record = self.recorder.lock();
+        let sent = record.requests.get(call as usize);
+        let moves = sent.is_some_and(|sent| sent.key == Key::Moving);
+        drop(record);
+        if (named != expected && !moves) || has_key {
             let text = format!("a server got team {named:?}, not {expected:?}; key: {has_key}");
             let at = self.recorder.now();
             let misnamed = Misnamed { call, at, text };
@@ -411,7 +418,9 @@
             .unwrap_or_default()
             .to_owned();
         let call = text.parse().unwrap_or_default();
-        let arrival = self.recorder.record_arrival(call, instance);
+        let named = request.field(fields::TEAM);
+        let team = TEAMS.into_iter().find(|team| named == Some(team));
+        let arrival = self.recorder.record_arrival(call, instance, team);
         self.check_team(call, request);
         let name = self.lock().name.clone();
         if request
--- a/crates/soak/src/verify.rs
+++ b/crates/soak/src/verify.rs
@@ -6,11 +6,13 @@
 
 use base::Time;
 
+use crate::caller::moving_team;
 use crate::record::Arrival;
 use crate::record::CallId;
 use crate::record::Fault;
 use crate::record::FaultTarget;
 use crate::record::InstanceIndex;
+use crate::record::Key;
 use crate::record::NoticeSent;
 use crate::record::Record;
 use crate::record::Request;
@@ -24,6 +26,9 @@
 
 /// The time limit for a new configuration to come into force on a VM.
 const IN_FORCE_MAX: Duration = Duration::from_secs(2);
+/// How much longer than [`IN_FORCE_MAX`] a key may count that a configuration took away or
+/// gave to another team.
+const KEY_EXTRA: Duration = Duration::from_millis(500);
 /// How much longer than [`IN_FORCE_MAX`] that may take until [`SETTLE_TIME`] after a store
 /// fault.
 const OUTAGE_EXTRA: Duration = Duration::from_secs(5);
@@ -148,6 +153,7 @@
     checker.check_executions();
     checker.check_configurations();
     checker.check_teams();
+    checker.check_keys();
     checker.check_late_work();
     checker.check_notices();
     checker.check_rate_limits();
@@ -390,19 +396,10 @@
                 }
                 (Some(_), None) => {}
             }
-            let mut bound =
-                IN_FORCE_MAX + self.stall_time(request.at.saturating_sub(IN_FORCE_MAX), arrival.at);
-            let settle = SETTLE_TIME + bound - IN_FORCE_MAX;
-            let settled = request.at.saturating_sub(settle);
-            if self.overlaps_fault(&FaultTarget::Store, settled, request.at) {
-                bound += OUTAGE_EXTRA;
-            }
-            let due = request.at.saturating_sub(bound);
-            let old = record
-                .tickets
-                .iter()
-                .rposition(|ticket| ticket.at <= due)
-                .unwrap_or(0);
+            let due = request
+                .at
+                .saturating_sub(self.force_bound(request, arrival));
+            let old = self.oldest_ticket(due);
             let from = record.tickets.get(old).map_or(due, |ticket| ticket.at);
             if allowed(old).is_none() && self.is_undisturbed(request.vm, from, arrival.at) {
                 let text = format!(
@@ -419,6 +416,55 @@
         }
     }
 
+    /// Returns the time limit for a configuration to come into force before `request`.
+    fn force_bound(&self, request: &Request, arrival: &Arrival) -> Duration {
+        let stalled = self.stall_time(request.at.saturating_sub(IN_FORCE_MAX), arrival.at);
+        let settled = request.at.saturating_sub(SETTLE_TIME + stalled);
+        let is_extended = self.overlaps_fault(&FaultTarget::Store, settled, request.at);
+        let extra = if is_extended {
+            OUTAGE_EXTRA
+        } else {
+            Duration::ZERO
+        };
+        IN_FORCE_MAX + stalled + extra
+    }
+
+    /// Returns the oldest configuration that may be in force if those before `due` are.
+    fn oldest_ticket(&self, due: Time) -> usize {
+        let mut tickets = self.record.tickets.iter();
+        tickets.rposition(|ticket| ticket.at <= due).unwrap_or(0)
+    }
+
+    /// Checks that a key which a configuration took away no longer counts, and that a key
+    /// which moved counts for the new team.
+    fn check_keys(&mut self) {
+        let tickets = &self.record.tickets;
+        for arrival in self.record.arrivals.iter().filter(|a| a.executed) {
+            let Some(request) = self.record.requests.get(arrival.call as usize) else {
+                continue;
+            };
+            let bound = self.force_bound(request, arrival) + KEY_EXTRA;
+            let due = request.at.saturating_sub(bound);
+            let old = self.oldest_ticket(due);
+            let mut known = (old..tickets.len()).filter(|n| tickets[*n].at <= arrival.at);
+            let counts = match request.key {
+                Key::Lasting => true,
+                Key::Passing(number) => known.any(|n| n == number),
+                Key::Moving => known.any(|n| Some(moving_team(n)) == arrival.team),
+            };
+            let from = tickets.get(old).map_or(due, |ticket| ticket.at);
+            if !counts && self.is_undisturbed(request.vm, from, arrival.at) {
+                let (call, team) = (arrival.call, arrival.team);
+                let text = format!(
+                    "request {call} ran with {:?} for {team:?}, as no configuration from {old} \
+                     on says",
+                    request.key
+                );
+                self.report("keys in time", arrival.at, Some(call), text);
+            }
+        }
+    }
+
     /// Checks that servers learn the team of each request and never a key.
     fn check_teams(&mut self) {
         for misnamed in &self.record.misnamed {
@@ -743,6 +789,7 @@
             let counts = request.at >= span.from + PARTITION_SETTLE
                 && *at <= span.to
                 && request.poison.is_none()
+                && request.key == Key::Lasting
                 && *end != RequestEnd::Abandoned
                 && self.is_undisturbed(request.vm, request.at, *at);
             if counts {
@@ -886,7 +933,7 @@
         let from = self.record.faults_ended + RECOVERY_TIME;
         let to = self.record.last_stop.unwrap_or(Time::MAX);
         let late = self.record.requests.iter();
-        let late = late.filter(|request| request.poison.is_none());
+        let late = late.filter(|request| request.poison.is_none() && request.key == Key::Lasting);
         let late = late.filter(|request| (from..to).contains(&request.at));
         let ended: Vec<_> = late.filter_map(|r| r.end.as_ref()).collect();
         let counted = ended
--- a/crates/soak/tests/verify.rs
+++ b/crates/soak/tests/verify.rs
@@ -4,11 +4,13 @@
 use std::time::Duration;
 
 use base::Time;
+use soak::caller::moving_team;
 use soak::record::Arrival;
 use soak::record::CallId;
 use soak::record::DomainOut;
 use soak::record::Fault;
 use soak::record::FaultTarget;
+use soak::record::Key;
 use soak::record::Misnamed;
 use soak::record::NoticeSent;
 use soak::record::Process;
@@ -103,6 +105,7 @@
         vm: 0,
         route,
         idempotent: route != "write",
+        key: Key::Lasting,
         timeout: ms(1500),
         poison: None,
         end: Some((ms(at + 50), end)),
@@ -116,6 +119,7 @@
         call,
         at: ms(at),
         instance,
+        team: None,
         executed: true,
     });
 }
@@ -566,3 +570,50 @@
     });
     assert!(verify(&record).iter().any(|found| found.rule == "teams"));
 }
+
+/// Adds a fault of `target` from 9.5 s to 10.5 s.
+fn add_fault(record: &mut Record, target: FaultTarget) {
+    let span = Span {
+        from: ms(9_500),
+        to: ms(10_500),
+    };
+    let name = "fault";
+    record.faults.push(Fault { span, target, name });
+}
+
+/// Returns a record with a second configuration at 10 s and a request with `key` at `at`, in
+/// milliseconds, that runs for `team`.
+fn record_with_key(key: Key, at: u64, team: Option<&'static str>) -> Record {
+    let mut record = record();
+    record.tickets.push(Ticket {
+        at: ms(10_000),
+        moving: "orders",
+    });
+    let id = add_served_request(&mut record, at, "read", 0);
+    record.requests[id as usize].key = key;
+    record.arrivals[0].team = team;
+    record
+}
+
+#[test]
+fn verify_key_that_was_taken_away_is_reported() {
+    let passing = |number, at| record_with_key(Key::Passing(number), at, None);
+    assert_sound(&passing(0, 12_400));
+    assert_sound(&passing(1, 12_600));
+    assert_finds(&passing(0, 12_600), "keys in time");
+    let mut outage = passing(0, 12_600);
+    add_fault(&mut outage, FaultTarget::Store);
+    assert_sound(&outage);
+    let mut paused = passing(0, 12_600);
+    add_fault(&mut paused, FaultTarget::Vm(0));
+    assert_sound(&paused);
+}
+
+#[test]
+fn verify_key_that_moved_counts_for_the_new_team() {
+    let moving = |at, number| record_with_key(Key::Moving, at, Some(moving_team(number)));
+    assert_sound(&moving(12_400, 0));
+    assert_sound(&moving(12_600, 1));
+    assert_finds(&moving(12_600, 0), "keys in time");
+    assert_finds(&record_with_key(Key::Moving, 12_600, None), "keys in time");
+}
