Check in the soak that teams keep to their quotas

Two more teams of the soak's configuration have quotas, and the VMs have the settings for them. Six callers of one team send far more than its 6 calls a second at all VMs; two of the other send a quarter of their quota. The rule "quotas" counts the calls that ran in each window of 5 s over all VMs, whatever the faults; "served within the quota" reports that over a quarter and 10 of the other team's requests were refused for the quota at VMs without a fault.

--- a/crates/soak/src/caller.rs
+++ b/crates/soak/src/caller.rs
@@ -42,6 +42,12 @@
 /// How long a caller keeps a key that configurations change.
 const KEY_TIME_MIN: Duration = Duration::from_secs(6);
 const KEY_TIME_MAX: Duration = Duration::from_secs(14);
+/// The share of requests of a team with a quota before which its callers close their
+/// connection, so that they reach all VMs.
+const RECONNECT_SHARE: f64 = 0.1;
+/// The field that names the reason of a refusal, and the reason of one for a quota.
+const REASON: &str = "snipepaddle-reason";
+const QUOTA_REASON: &str = "quota";
 /// The maximum number of retries of a request by its caller.
 const RETRIES_MAX: u32 = 2;
 
@@ -78,6 +84,34 @@
 ];
 /// The teams that make the requests.
 pub const TEAMS: [&str; 2] = ["reds", "blues"];
+/// A team with a quota, which makes requests on all routes.
+#[derive(Clone, Copy, Debug)]
+pub struct Limited {
+    /// The name of the team.
+    pub name: &'static str,
+    /// The calls a second that the team may make.
+    pub rate: f64,
+    /// The number of calls that it may make on top.
+    pub burst: f64,
+}
+
+/// The teams with quotas. The first one sends far more requests, the second one fewer.
+pub const LIMITED: [Limited; 2] = [
+    Limited {
+        name: "greens",
+        rate: 6.0,
+        burst: 6.0,
+    },
+    Limited {
+        name: "golds",
+        rate: 20.0,
+        burst: 20.0,
+    },
+];
+/// The index in [`LIMITED`] of the team that sends more than its quota.
+pub const GREEDY: usize = 0;
+/// The index in [`LIMITED`] of the team that stays within its quota.
+pub const MODEST: usize = 1;
 /// The host of all routes.
 pub const HOST: &str = "soak.example";
 
@@ -246,21 +280,23 @@
     }
 
     /// Sends requests until the task is dropped, each on the connection of the one before
-    /// if that is open. The key is [`Key::Moving`] if `moves`, or else one that only the
-    /// configuration has which is the newest when the caller begins to use the key.
-    pub async fn run_with_keys(mut self, moves: bool, pause: Duration) {
+    /// if that is open. For a key of one configuration, `key` only says so: the caller uses
+    /// the one of the newest configuration for a while and then again of the newest.
+    pub async fn run_with_keys(mut self, key: Key, pause: Duration) {
         loop {
             let newest = self.recorder.lock().tickets.len().saturating_sub(1);
-            let key = if moves {
-                Key::Moving
-            } else {
-                Key::Passing(newest)
+            let key = match key {
+                Key::Passing(_) => Key::Passing(newest),
+                other => other,
             };
             let time = KEY_TIME_MIN + (KEY_TIME_MAX - KEY_TIME_MIN).mul_f64(self.rng.f64());
             let end = self.recorder.now() + time;
             while self.recorder.now() < end {
                 Timer::after(pause).await;
                 let route = ROUTES[self.rng.usize(..ROUTES.len())];
+                if matches!(key, Key::Limited(_)) && self.rng.f64() < RECONNECT_SHARE {
+                    self.connection = None;
+                }
                 self.call_once(route, key).await;
             }
         }
@@ -320,6 +356,7 @@
         Key::Lasting => key_of(team),
         Key::Passing(number) => passing_key(team, number),
         Key::Moving => MOVING_KEY.into(),
+        Key::Limited(index) => key_of(LIMITED[index].name),
     };
     format!(
         "{method} /{}/{name} HTTP/1.1\r\nHost: {HOST}\r\n{}: {id}\r\n{}: {}\r\n\
@@ -363,6 +400,7 @@
         signature,
         echoed_id,
         intact,
+        over_quota: response.field(REASON) == Some(QUOTA_REASON),
     }
 }
 
--- a/crates/soak/src/record.rs
+++ b/crates/soak/src/record.rs
@@ -32,6 +32,8 @@
         /// Whether the body is complete and matches the hash of the signature, if
         /// there is one.
         intact: bool,
+        /// Whether the request was refused for the quota of its team.
+        over_quota: bool,
     },
     /// The connection closed, or sent invalid bytes, before a complete response.
     ConnectionClosed,
@@ -62,6 +64,8 @@
     Passing(usize),
     /// The key that each configuration gives to another team.
     Moving,
+    /// The key of the team at this index in [`LIMITED`](crate::caller::LIMITED).
+    Limited(usize),
 }
 
 /// A request as its caller observed it.
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -29,7 +29,10 @@
 use crate::caller::passing_key;
 use crate::caller::Caller;
 use crate::caller::Rotation;
+use crate::caller::GREEDY;
 use crate::caller::HOST;
+use crate::caller::LIMITED;
+use crate::caller::MODEST;
 use crate::caller::MOVING_KEY;
 use crate::caller::MOVING_ROUTE;
 use crate::caller::ROUTES;
@@ -40,6 +43,7 @@
 use crate::record::DomainOut;
 use crate::record::Fault;
 use crate::record::FaultTarget;
+use crate::record::Key;
 use crate::record::Record;
 use crate::record::Recorder;
 use crate::record::Span;
@@ -79,10 +83,15 @@
 const RESTART_DELAY: Duration = Duration::from_millis(400);
 /// The mean pause of a caller between two requests.
 const CALLER_PAUSE_MEAN: Duration = Duration::from_millis(250);
-/// The number of callers whose keys change with configurations, and the pause of each
-/// between two requests.
-const KEY_CALLERS: usize = 4;
+/// The pause between two requests of a caller whose keys change with configurations.
 const KEY_PAUSE: Duration = Duration::from_millis(150);
+/// The callers with other keys than the lasting ones: the number, the key and the pause.
+const KEY_CALLERS: [(usize, Key, Duration); 4] = [
+    (2, Key::Passing(0), KEY_PAUSE),
+    (2, Key::Moving, KEY_PAUSE),
+    (6, Key::Limited(GREEDY), Duration::from_millis(60)),
+    (2, Key::Limited(MODEST), Duration::from_millis(400)),
+];
 /// The time from the crash of a server until its entry in the store expires.
 const ENTRY_EXPIRY_DELAY: Duration = Duration::from_millis(600);
 /// How long a draining server still serves calls before it stops.
@@ -212,11 +221,12 @@
         let caller = Caller::new(&harness.recorder, &harness.rotation, seed ^ caller as u64);
         background_tasks.push(smol::spawn(caller.run(CALLER_PAUSE_MEAN)));
     }
-    for caller in 0..KEY_CALLERS {
-        let seed = seed ^ (size.callers + caller) as u64;
-        let moves = caller % 2 == 0;
+    let with_keys = KEY_CALLERS.iter();
+    let with_keys = with_keys.flat_map(|(count, key, pause)| vec![(*key, *pause); *count]);
+    for (index, (key, pause)) in with_keys.enumerate() {
+        let seed = seed ^ (size.callers + index) as u64;
         let caller = Caller::new(&harness.recorder, &harness.rotation, seed);
-        background_tasks.push(smol::spawn(caller.run_with_keys(moves, KEY_PAUSE)));
+        background_tasks.push(smol::spawn(caller.run_with_keys(key, pause)));
     }
     let events = schedule::generate(seed, size);
     let begin = harness.recorder.now();
@@ -344,12 +354,19 @@
         let ticket = 1 + TICKET_STEP * number as u64;
         let mut spec = stand::config_spec(ticket, HOST, &services, &routes);
         // Each configuration takes a key of every team away, and moves another one.
-        let teams = TEAMS.map(|name| {
+        let teams = TEAMS.iter().map(|name| {
             let mut keys = vec![key_of(name), passing_key(name, number)];
-            keys.extend((name == moving_team(number)).then(|| MOVING_KEY.into()));
+            keys.extend((*name == moving_team(number)).then(|| MOVING_KEY.into()));
             json!({ "name": name, "api_keys": keys })
         });
-        spec["tenants"] = json!(teams);
+        let limited = LIMITED.iter().map(|team| {
+            let keys = [key_of(team.name)];
+            json!({
+                "name": team.name, "api_keys": keys,
+                "rate_per_s": team.rate, "burst": team.burst
+            })
+        });
+        spec["tenants"] = teams.chain(limited).collect();
         let mut record = self.recorder.lock();
         self.store.put(stand::CONFIG_KIND, stand::CONFIG_NAME, spec);
         let at = self.recorder.now();
--- a/crates/soak/src/server.rs
+++ b/crates/soak/src/server.rs
@@ -23,6 +23,7 @@
 use stand::Store;
 
 use crate::caller::team_of;
+use crate::caller::LIMITED;
 use crate::caller::TEAMS;
 use crate::http::Message;
 use crate::http::MessageReader;
@@ -393,13 +394,17 @@
     /// Whether the team of a key that moves is the right one is checked after the run.
     fn check_team(&self, call: CallId, request: &Message) {
         let route = request.path.split('/').nth(1).unwrap_or_default();
-        let (expected, named) = (team_of(route), request.field(fields::TEAM));
+        let named = request.field(fields::TEAM);
         let has_key = request.field(fields::KEY).is_some();
         let record = self.recorder.lock();
         let sent = record.requests.get(call as usize);
-        let moves = sent.is_some_and(|sent| sent.key == Key::Moving);
+        let expected = match sent.map(|sent| sent.key) {
+            Some(Key::Moving) => named,
+            Some(Key::Limited(index)) => Some(LIMITED[index].name),
+            _ => team_of(route),
+        };
         drop(record);
-        if (named != expected && !moves) || has_key {
+        if named != expected || has_key {
             let text = format!("a server got team {named:?}, not {expected:?}; key: {has_key}");
             let at = self.recorder.now();
             let misnamed = Misnamed { call, at, text };
--- a/crates/soak/src/verify.rs
+++ b/crates/soak/src/verify.rs
@@ -7,6 +7,8 @@
 use base::Time;
 
 use crate::caller::moving_team;
+use crate::caller::LIMITED;
+use crate::caller::MODEST;
 use crate::record::Arrival;
 use crate::record::CallId;
 use crate::record::Fault;
@@ -21,11 +23,18 @@
 use crate::record::Span;
 use crate::record::VmIndex;
 use crate::schedule::SERVICES;
+use crate::vm::QUOTA_EXCESS;
+use crate::vm::QUOTA_SLACK;
+use crate::vm::QUOTA_WINDOW;
 use crate::vm::SECOND_ATTEMPT_SHARE;
 use crate::vm::SECOND_ATTEMPT_SLACK;
 
 /// The time limit for a new configuration to come into force on a VM.
 const IN_FORCE_MAX: Duration = Duration::from_secs(2);
+/// The share of the requests within a quota that may be refused for it.
+const QUOTA_REFUSED_SHARE: f64 = 0.25;
+/// The number of such requests in a run beyond that share.
+const QUOTA_REFUSED_SLACK: f64 = 10.0;
 /// How much longer than [`IN_FORCE_MAX`] a key may count that a configuration took away or
 /// gave to another team.
 const KEY_EXTRA: Duration = Duration::from_millis(500);
@@ -154,6 +163,8 @@
     checker.check_configurations();
     checker.check_teams();
     checker.check_keys();
+    checker.check_quotas();
+    checker.check_refused_within_quota();
     checker.check_late_work();
     checker.check_notices();
     checker.check_rate_limits();
@@ -276,6 +287,7 @@
                     signature,
                     echoed_id,
                     intact,
+                    ..
                 },
             )) = &request.end
             else {
@@ -448,7 +460,7 @@
             let old = self.oldest_ticket(due);
             let mut known = (old..tickets.len()).filter(|n| tickets[*n].at <= arrival.at);
             let counts = match request.key {
-                Key::Lasting => true,
+                Key::Lasting | Key::Limited(_) => true,
                 Key::Passing(number) => known.any(|n| n == number),
                 Key::Moving => known.any(|n| Some(moving_team(n)) == arrival.team),
             };
@@ -473,6 +485,63 @@
         }
     }
 
+    /// Checks that no more calls of a team run in any window than its quota allows, whatever
+    /// faults there are. A call counts once, when its first attempt that runs arrives.
+    fn check_quotas(&mut self) {
+        for (index, team) in LIMITED.iter().enumerate() {
+            let of_team = self.record.requests.iter();
+            let of_team = of_team.filter(|request| request.key == Key::Limited(index));
+            let ran = of_team.filter_map(|request| {
+                let mut arrivals = self.arrivals(request.id).iter();
+                arrivals.find(|a| a.executed).map(|a| (a.at, request.id))
+            });
+            let mut ran: Vec<(Time, CallId)> = ran.collect();
+            ran.sort_unstable();
+            let mut first = 0;
+            let exceeded = ran.iter().enumerate().find_map(|(last, (at, call))| {
+                while ran[first].0 + QUOTA_WINDOW <= *at {
+                    first += 1;
+                }
+                let window = QUOTA_WINDOW + self.stall_time(ran[first].0, *at);
+                let quota = team.rate * window.as_secs_f64() + team.burst;
+                let bound = quota * (1.0 + QUOTA_EXCESS) + QUOTA_SLACK;
+                let count = last + 1 - first;
+                (count as f64 > bound).then_some((*at, *call, count, bound))
+            });
+            if let Some((at, call, count, bound)) = exceeded {
+                let text = format!(
+                    "{count} calls of {} ran in {QUOTA_WINDOW:?}, over {bound:.1}",
+                    team.name
+                );
+                self.report("quotas", at, Some(call), text);
+            }
+        }
+    }
+
+    /// Checks that a team which stays within its quota is hardly refused for it.
+    fn check_refused_within_quota(&mut self) {
+        let (mut refused, mut total) = (Vec::new(), 0);
+        for request in &self.record.requests {
+            let Some((at, RequestEnd::Response { over_quota, .. })) = &request.end else {
+                continue;
+            };
+            let is_modest = request.key == Key::Limited(MODEST);
+            if is_modest && self.is_undisturbed(request.vm, request.at, *at) {
+                total += 1;
+                refused.extend(over_quota.then_some((*at, request.id)));
+            }
+        }
+        let bound = QUOTA_REFUSED_SHARE * f64::from(total) + QUOTA_REFUSED_SLACK;
+        if refused.len() as f64 > bound {
+            let (at, call) = refused[0];
+            let text = format!(
+                "{} of {total} requests of a team within its quota were refused for it",
+                refused.len()
+            );
+            self.report("served within the quota", at, Some(call), text);
+        }
+    }
+
     /// Checks that servers that leave and failure domains that are out of service get no
     /// new work.
     fn check_late_work(&mut self) {
--- a/crates/soak/src/vm.rs
+++ b/crates/soak/src/vm.rs
@@ -45,6 +45,13 @@
 /// [`SECOND_ATTEMPT_SHARE`].
 pub const SECOND_ATTEMPT_SLACK: usize = 20;
 
+/// The time over which the calls of a team with a quota are counted.
+pub const QUOTA_WINDOW: Duration = Duration::from_secs(5);
+/// The calls by which teams may exceed their quota, as a share of it.
+pub const QUOTA_EXCESS: f64 = 0.1;
+/// The number of calls in [`QUOTA_WINDOW`] beyond that.
+pub const QUOTA_SLACK: f64 = 20.0;
+
 /// Returns the loopback address of VM `at` in the network `127.subnet`.
 fn vm_ip(subnet: u8, at: VmIndex) -> Ipv4Addr {
     Ipv4Addr::new(127, subnet, (at / 250) as u8, 1 + (at % 250) as u8)
@@ -119,6 +126,10 @@
             },
             "platform": { "address": store_link.address(), "interface": "registry" },
             "second_attempts": { "share": SECOND_ATTEMPT_SHARE, "slack": SECOND_ATTEMPT_SLACK },
+            "quotas": {
+                "window": format!("{}s", QUOTA_WINDOW.as_secs()),
+                "excess": QUOTA_EXCESS, "slack": QUOTA_SLACK as u32
+            },
             "teams": true, "threads": 1, "notice": "800ms", "drain": "3500ms", "forget": "30s",
             "logs": { "level": "info", "json": true }, "traces": { "share": 0.0 },
             "faults": { "cut": cut_file }
--- a/crates/soak/tests/verify.rs
+++ b/crates/soak/tests/verify.rs
@@ -5,6 +5,8 @@
 
 use base::Time;
 use soak::caller::moving_team;
+use soak::caller::GREEDY;
+use soak::caller::MODEST;
 use soak::record::Arrival;
 use soak::record::CallId;
 use soak::record::DomainOut;
@@ -40,6 +42,7 @@
         signature: Some(SIGNATURE),
         echoed_id: None,
         intact: true,
+        over_quota: false,
     }
 }
 
@@ -49,6 +52,7 @@
         signature: None,
         echoed_id: None,
         intact: true,
+        over_quota: false,
     }
 }
 
@@ -208,6 +212,7 @@
             signature,
             echoed_id,
             intact,
+            over_quota: false,
         };
         let call = add_request(&mut record, 10_000, "read", end);
         add_execution(&mut record, call, 10_001, 0);
@@ -223,6 +228,7 @@
         signature: Some(SIGNATURE),
         echoed_id: None,
         intact: true,
+        over_quota: false,
     };
     add_request(&mut record, 10_000, "read", end);
     assert_finds(&record, "whole answer");
@@ -506,6 +512,7 @@
             signature: None,
             echoed_id: None,
             intact: true,
+            over_quota: false,
         };
         record.requests[call as usize].end = Some((ms(at + 40), end));
         record.requests[call as usize].poison = Some(0);
@@ -617,3 +624,75 @@
     assert_finds(&moving(12_600, 0), "keys in time");
     assert_finds(&record_with_key(Key::Moving, 12_600, None), "keys in time");
 }
+
+/// Adds `count` calls of a team with a quota, which run `step` ms apart from 10 s on.
+fn add_limited(record: &mut Record, team: usize, count: u64, step: u64) {
+    for n in 0..count {
+        let id = add_served_request(record, 10_000 + n * step, "read", 0);
+        record.requests[id as usize].key = Key::Limited(team);
+    }
+}
+
+#[test]
+fn verify_team_that_exceeds_its_quota_is_reported() {
+    // 6 a second and a burst of 6 are 59.6 calls in 5 s with the tolerance.
+    let mut record = record();
+    add_limited(&mut record, GREEDY, 59, 1);
+    // A second attempt is no second call.
+    add_execution(&mut record, 0, 10_100, 1);
+    assert_sound(&record);
+    let mut stalled = record.clone();
+    add_limited(&mut record, GREEDY, 1, 1);
+    assert_finds(&record, "quotas");
+    record.faults.push(Fault {
+        span: record.processes[0].span,
+        target: FaultTarget::Vm(0),
+        name: "paused",
+    });
+    assert_finds(&record, "quotas");
+    add_limited(&mut stalled, GREEDY, 1, 1);
+    stalled.stalls.push(Span {
+        from: ms(10_000),
+        to: ms(10_500),
+    });
+    assert_sound(&stalled);
+}
+
+#[test]
+fn verify_calls_of_a_steady_team_count_by_window() {
+    let mut record = record();
+    add_limited(&mut record, GREEDY, 300, 90);
+    assert_sound(&record);
+    let mut faster = self::record();
+    add_limited(&mut faster, GREEDY, 300, 80);
+    assert_finds(&faster, "quotas");
+}
+
+#[test]
+fn verify_team_that_is_refused_within_its_quota_is_reported() {
+    let refuse = |record: &mut Record, count: usize| {
+        for request in record.requests.iter_mut().take(count) {
+            request.end = Some((
+                request.at + ms(1),
+                RequestEnd::Response {
+                    status: 429,
+                    signature: None,
+                    echoed_id: None,
+                    intact: true,
+                    over_quota: true,
+                },
+            ));
+        }
+        record.arrivals.retain(|a| a.call >= count as CallId);
+    };
+    let mut record = record();
+    add_limited(&mut record, MODEST, 100, 250);
+    refuse(&mut record, 35);
+    assert_sound(&record);
+    refuse(&mut record, 36);
+    assert_finds(&record, "served within the quota");
+    for request in &mut record.requests {
+        request.key = Key::Limited(GREEDY);
+    }
+    assert_sound(&record);
+}
