Check roll-outs of a bad and of a good version in the soak

Half of the runs roll a version out, among the faults, whose three servers fail half of their calls; a quarter roll a good version of another service out after the last fault. The VMs have the section for roll-outs, with twice the default share since the runs are short. The rule "roll-outs" reports an end in the store other than rolled_back for the bad and completed for the good version; "nothing for bad versions" reports a call at the bad version 5 s after its 50th bad response or after the operator saw the roll-back, from a VM without a fault.

--- a/crates/soak/src/record.rs
+++ b/crates/soak/src/record.rs
@@ -150,6 +150,8 @@
     pub name: String,
     /// The service to which the instance belongs.
     pub service: &'static str,
+    /// The version of its software.
+    pub version: &'static str,
     /// The failure domain in which the instance runs.
     pub domain: &'static str,
     /// The end of the time in which the instance is cold; zero if it started warm.
@@ -159,6 +161,22 @@
     pub leaving_since: Option<Time>,
 }
 
+/// An order to move a service to another version.
+#[derive(Clone, Debug)]
+pub struct RollOut {
+    /// The service.
+    pub service: &'static str,
+    /// The ordered version.
+    pub version: &'static str,
+    /// Whether the servers of this version fail calls.
+    pub is_bad: bool,
+    /// When the store acknowledged the order.
+    pub at: Time,
+    /// The final state in the store and when the operator saw it; `None` if the operator
+    /// no longer waited for it.
+    pub end: Option<(Time, String)>,
+}
+
 /// A configuration that was written to the store.
 #[derive(Clone, Copy, Debug)]
 pub struct Ticket {
@@ -248,6 +266,10 @@
     pub instances: Vec<ServerInstance>,
     /// Configurations in the order of their acknowledgement.
     pub tickets: Vec<Ticket>,
+    /// Orders to roll versions out, in the order in which the operator saw their end.
+    pub roll_outs: Vec<RollOut>,
+    /// Responses with which servers of a bad version failed calls: when, and the server.
+    pub bad_responses: Vec<(Time, InstanceIndex)>,
     /// Failure domains that were taken out of service.
     pub domain_outs: Vec<DomainOut>,
     /// Faults in the order in which they ended.
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -46,6 +46,7 @@
 use crate::record::Key;
 use crate::record::Record;
 use crate::record::Recorder;
+use crate::record::RollOut;
 use crate::record::Span;
 use crate::record::Ticket;
 use crate::record::VmIndex;
@@ -55,12 +56,14 @@
 use crate::schedule::Size;
 use crate::schedule::StoreFault;
 use crate::schedule::DOMAINS;
+use crate::schedule::ROLL_OUT_TIME;
 use crate::schedule::SERVICES;
 use crate::server::Behavior;
 use crate::server::Location;
 use crate::verify;
 use crate::verify::Finding;
 use crate::verify::COLD_PER_SECOND;
+use crate::verify::FINAL_STATES;
 use crate::verify::RECOVERY_TIME;
 use crate::verify::STOP_GRACE;
 use crate::vm::Fleet;
@@ -114,11 +117,25 @@
 /// lapsed.
 const ENTRY_RETURN_TIME: Duration = Duration::from_secs(2);
 /// The kinds of objects that their writers write again after the store was restored.
-const WRITTEN_AGAIN: [&str; 3] = [
+const WRITTEN_AGAIN: [&str; 4] = [
     stand::CONFIG_KIND,
     stand::SERVERS_KIND,
     stand::EVACUATIONS_KIND,
+    ROLL_OUTS_KIND,
 ];
+/// The kind of the objects that order roll-outs.
+const ROLL_OUTS_KIND: &str = "rollouts";
+/// The version that is rolled out, and the number of its servers.
+const NEW_VERSION: &str = "v2";
+const NEW_SERVERS: usize = 3;
+/// The indices in [`SERVICES`] of the services whose bad and good version is rolled out.
+const BAD_SERVICE: usize = 0;
+const GOOD_SERVICE: usize = 2;
+/// The time from the order of a roll-out until the servers of the version start.
+const NEW_SERVERS_DELAY: Duration = Duration::from_secs(1);
+/// How much longer than it was ordered to last the operator waits for the end of a roll-out:
+/// the store may be away, which the end is written to.
+const ROLL_OUT_EXTRA: Duration = Duration::from_secs(12);
 /// The delay of responses by a slow store.
 const STORE_DELAY: Duration = Duration::from_millis(700);
 /// The time between tickets that are written in quick succession.
@@ -155,6 +172,8 @@
     store: stand::Store,
     vms: Vec<Mutex<Vm>>,
     locations: Vec<Location>,
+    /// The locations of the servers of new versions: first the bad, then the good one.
+    new_locations: Vec<Location>,
     /// The indices of locations whose server has crashed under a request.
     crashed_locations: channel::Receiver<usize>,
     /// The number of requests so far that make servers crash.
@@ -241,7 +260,11 @@
         task.await;
     }
     harness.recorder.lock().faults_ended = harness.recorder.now();
-    Timer::after(RECOVERY_TIME + FINAL_CALM).await;
+    Timer::after(RECOVERY_TIME).await;
+    if schedule::has_good_roll_out(seed) {
+        harness.roll_out(false, ROLL_OUT_TIME).await;
+    }
+    Timer::after(FINAL_CALM).await;
     harness.stop_all().await;
     drop(background_tasks);
     let record = harness.recorder.lock().clone();
@@ -290,10 +313,15 @@
         }
         let (crashes, crashed_locations) = channel::unbounded();
         let mut locations = Vec::new();
-        for index in 0..size.locations() {
+        for index in 0..size.locations() + 2 * NEW_SERVERS {
             let address = SocketAddr::from((Ipv4Addr::new(127, subnet, 200, 1), 0));
             let domain = DOMAINS[index % DOMAINS.len()];
-            let service = SERVICES[index / size.servers];
+            let new = index.checked_sub(size.locations());
+            let service = match new {
+                None => SERVICES[index / size.servers],
+                Some(new) if new < NEW_SERVERS => SERVICES[BAD_SERVICE],
+                Some(_) => SERVICES[GOOD_SERVICE],
+            };
             let seed = seed ^ (index as u64) << 32;
             let location = Location::open(
                 index,
@@ -305,14 +333,20 @@
                 seed,
             )
             .await?;
-            location.write_entry(&store);
+            if new.is_some() {
+                location.set_version(NEW_VERSION);
+            } else {
+                location.write_entry(&store);
+            }
             locations.push(location);
         }
+        let new_locations = locations.split_off(size.locations());
         let harness = Self {
             recorder,
             store,
             vms,
             locations,
+            new_locations,
             crashed_locations,
             poison_count: AtomicUsize::new(0),
             rotation: Rotation::default(),
@@ -446,7 +480,7 @@
         loop {
             Timer::after(ANNOUNCEMENT_PERIOD).await;
             if self.store_outages.load(Ordering::SeqCst) == 0 {
-                for location in &self.locations {
+                for location in self.locations.iter().chain(&self.new_locations) {
                     location.repeat_announcement(&self.store);
                 }
             }
@@ -616,6 +650,7 @@
                 Timer::after(duration).await;
                 self.locations[index].set_rate_limit(None);
             }
+            Action::RollOutBad => self.roll_out(true, duration).await,
             Action::DomainOut(index) => {
                 self.take_domain_out(DOMAINS[index], duration + DOMAIN_OUT_EXTRA)
                     .await
@@ -643,7 +678,7 @@
 
     /// Removes the entry of a server that crashed at `from`, and starts the next one.
     async fn recover_crashed(&self, index: usize, change_service: bool, from: Duration) {
-        let location = &self.locations[index];
+        let location = self.location(index);
         Timer::after(ENTRY_EXPIRY_DELAY).await;
         location.remove_entry(&self.store);
         self.restart_server(index, change_service).await;
@@ -691,10 +726,67 @@
     async fn restart_server(&self, index: usize, change_service: bool) {
         Timer::after(ADDRESS_REUSE_DELAY).await;
         let offset = usize::from(change_service);
-        let service = SERVICES[(index / self.servers + offset) % SERVICES.len()];
-        self.locations[index].accept_again().await;
-        self.locations[index].start_instance(service, COLD_TIME);
-        self.locations[index].write_entry(&self.store);
+        let service = match index.checked_sub(self.locations.len()) {
+            None => SERVICES[(index / self.servers + offset) % SERVICES.len()],
+            Some(new) if new < NEW_SERVERS => SERVICES[BAD_SERVICE],
+            Some(_) => SERVICES[GOOD_SERVICE],
+        };
+        let location = self.location(index);
+        location.accept_again().await;
+        location.start_instance(service, COLD_TIME);
+        location.write_entry(&self.store);
+    }
+
+    fn location(&self, index: usize) -> &Location {
+        let mut all = self.locations.iter().chain(&self.new_locations);
+        all.nth(index)
+            .expect("crashes come from locations of this run")
+    }
+
+    /// Waits until the store serves the operators.
+    async fn wait_store(&self) {
+        while self.store_outages.load(Ordering::SeqCst) > 0 {
+            Timer::after(POLL_PERIOD).await;
+        }
+    }
+
+    /// Orders that a service moves to [`NEW_VERSION`] within `duration`, starts the servers
+    /// of the version and waits for the end.
+    async fn roll_out(&self, is_bad: bool, duration: Duration) {
+        let (index, first) = if is_bad {
+            (BAD_SERVICE, 0)
+        } else {
+            (GOOD_SERVICE, NEW_SERVERS)
+        };
+        let service = SERVICES[index];
+        let (version, seconds) = (NEW_VERSION, duration.as_secs_f64());
+        let spec = json!({ "service": service, "target_version": version, "duration_s": seconds });
+        self.wait_store().await;
+        self.store.put(ROLL_OUTS_KIND, service, spec);
+        let at = self.recorder.now();
+        Timer::after(NEW_SERVERS_DELAY).await;
+        self.wait_store().await;
+        for location in &self.new_locations[first..first + NEW_SERVERS] {
+            if is_bad {
+                location.set_behavior(Behavior::BadVersion);
+            }
+            location.write_entry(&self.store);
+        }
+        let mut end = None;
+        while end.is_none() && self.recorder.now() < at + duration + ROLL_OUT_EXTRA {
+            Timer::after(POLL_PERIOD).await;
+            let order = self.store.object(ROLL_OUTS_KIND, service);
+            let state = order.and_then(|order| Some(order["status"]["state"].as_str()?.to_owned()));
+            let state = state.filter(|state| FINAL_STATES.contains(&state.as_str()));
+            end = state.map(|state| (self.recorder.now(), state));
+        }
+        self.recorder.lock().roll_outs.push(RollOut {
+            service,
+            version,
+            is_bad,
+            at,
+            end,
+        });
     }
 
     /// Takes a failure domain out of service for `duration`.
--- a/crates/soak/src/schedule.rs
+++ b/crates/soak/src/schedule.rs
@@ -64,11 +64,20 @@
 const PARTITION_MIN: Duration = Duration::from_secs(5);
 /// The maximum duration of a partition.
 const PARTITION_MAX: Duration = Duration::from_secs(8);
+/// Keeps the draws of roll-outs apart from those of the other events.
+const ROLL_OUT_SEED: u64 = 0x726f_6c6c;
+/// The share of runs with a roll-out of a bad version among the faults, and of those with
+/// one of a good version after them.
+const BAD_ROLL_OUT_SHARE: f64 = 0.5;
+const GOOD_ROLL_OUT_SHARE: f64 = 0.25;
 /// The longest rest that a server asks for, in seconds.
 const REST_MAX_SECS: u64 = 3;
 /// The time between the starts of two events of a series.
 const SERIES_STEP: Duration = Duration::from_millis(400);
 
+/// The time in which a version is rolled out.
+pub const ROLL_OUT_TIME: Duration = Duration::from_secs(12);
+
 /// The size of a run.
 #[derive(Clone, Copy, Debug)]
 pub struct Size {
@@ -165,6 +174,8 @@
     WriteTickets(u8),
     /// A caller repeats a request on the given route that makes servers crash.
     RepeatPoison(usize),
+    /// Rolls a bad version out within the duration of the event.
+    RollOutBad,
     /// Cuts the connections to all servers of this many VMs, from the given one on.
     CutPaths(VmIndex, usize, Cut),
 }
@@ -203,6 +214,7 @@
     events.extend(generate_rate_limits(seed, size));
     events.extend(generate_poison(seed, size));
     events.extend(generate_partition(seed, size));
+    events.extend(generate_bad_roll_out(seed, size));
     events.sort_by_key(|event| event.at);
     events
 }
@@ -296,6 +308,24 @@
     (has_partition && size.vms > 1).then_some(event)
 }
 
+/// Generates the roll-out of a bad version, if the run has one.
+fn generate_bad_roll_out(seed: u64, size: &Size) -> Option<Event> {
+    let mut rng = fastrand::Rng::with_seed(seed ^ ROLL_OUT_SEED);
+    let has_roll_out = rng.f64() < BAD_ROLL_OUT_SHARE;
+    let event = Event {
+        at: WARM_UP_TIME + size.time.mul_f64(rng.f64() / 4.0),
+        duration: ROLL_OUT_TIME,
+        action: Action::RollOutBad,
+    };
+    has_roll_out.then_some(event)
+}
+
+/// Returns whether a good version is rolled out after the faults of the run.
+pub fn has_good_roll_out(seed: u64) -> bool {
+    let mut rng = fastrand::Rng::with_seed(!seed ^ ROLL_OUT_SEED);
+    rng.f64() < GOOD_ROLL_OUT_SHARE
+}
+
 fn draw_action(rng: &mut fastrand::Rng, size: &Size) -> Action {
     let vm = rng.usize(..size.vms);
     let location = rng.usize(..size.locations());
--- a/crates/soak/src/server.rs
+++ b/crates/soak/src/server.rs
@@ -51,6 +51,11 @@
 /// The share of calls on which a faulty server fails.
 const FAULT_SHARE: f64 = 0.3;
 
+/// The share of calls on which a server of a bad version fails.
+const BAD_VERSION_SHARE: f64 = 0.5;
+/// The version of servers at first.
+const VERSION: &str = "v1";
+
 /// How a server handles calls.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Behavior {
@@ -60,6 +65,8 @@
     Slow(f64),
     /// Responds to some calls with status 500 after executing them.
     IntermittentErrors,
+    /// Responds to half of the calls with status 500, as a bad version does.
+    BadVersion,
     /// Responds to some calls with wrong bytes after executing them.
     CorruptResponses,
     /// Executes calls, but closes the connection of some instead of responding.
@@ -72,6 +79,7 @@
 
 struct State {
     instance: InstanceIndex,
+    version: &'static str,
     entry: ServerEntry,
     name: String,
     behavior: Behavior,
@@ -111,6 +119,15 @@
     state: Arc<Mutex<State>>,
 }
 
+impl State {
+    /// Returns the server's entry in the store.
+    fn spec(&self) -> serde_json::Value {
+        let mut spec = self.entry.to_json();
+        spec["info"]["version"] = self.version.into();
+        spec
+    }
+}
+
 /// Counts a call as waiting or running in the state of its server until it is dropped.
 /// The counts of a later instance are left alone.
 struct AdmissionGuard<'a> {
@@ -168,6 +185,7 @@
             crashes,
             state: Arc::new(Mutex::new(State {
                 instance: 0,
+                version: VERSION,
                 entry,
                 name: String::new(),
                 behavior: Behavior::Normal,
@@ -209,6 +227,7 @@
     /// warm one if zero.
     pub fn start_instance(&self, service: &'static str, cold: Duration) {
         let until = self.recorder.now() + cold;
+        let version = self.lock().version;
         let mut record = self.recorder.lock();
         let life = record.instances.len();
         let name = format!("i-{life:04}");
@@ -216,6 +235,7 @@
             location: self.index,
             name: name.clone(),
             service,
+            version,
             domain: self.domain,
             cold_until: if cold.is_zero() { Time::ZERO } else { until },
             leaving_since: None,
@@ -244,7 +264,7 @@
         let mut state = self.lock();
         if state.up && state.announces {
             state.entry.announced += 1;
-            store.repeat(&state.name, &state.entry.to_json());
+            store.repeat(&state.name, &state.spec());
         }
     }
 
@@ -253,7 +273,7 @@
         let mut state = self.lock();
         state.lapsed = false;
         state.entry.announced += 1;
-        store.put(stand::SERVERS_KIND, &state.name, state.entry.to_json());
+        store.put(stand::SERVERS_KIND, &state.name, state.spec());
     }
 
     /// Deletes the entry of a server that is up, as after an outage of the store in which
@@ -331,6 +351,16 @@
         }
     }
 
+    /// Sets the version of the server that runs and of later ones, before the entry is
+    /// written.
+    pub fn set_version(&self, version: &'static str) {
+        let mut state = self.lock();
+        state.version = version;
+        let instance = state.instance;
+        drop(state);
+        self.recorder.lock().instances[instance].version = version;
+    }
+
     /// Sets how the server handles calls from now on.
     pub fn set_behavior(&self, behavior: Behavior) {
         self.lock().behavior = behavior;
@@ -473,7 +503,10 @@
             (
                 SERVICE_TIME_MEAN.mul_f64(draw),
                 state.behavior,
-                state.rng.f64() < FAULT_SHARE,
+                match state.behavior {
+                    Behavior::BadVersion => state.rng.f64() < BAD_VERSION_SHARE,
+                    _ => state.rng.f64() < FAULT_SHARE,
+                },
             )
         };
         self.recorder.mark_executed(arrival);
@@ -500,6 +533,11 @@
         }
         match behavior {
             Behavior::IntermittentErrors if faulty => Some(self.signed_response(500, &text)),
+            Behavior::BadVersion if faulty => {
+                let at = self.recorder.now();
+                self.recorder.lock().bad_responses.push((at, instance));
+                Some(self.signed_response(500, &text))
+            }
             Behavior::CorruptResponses if faulty => Some(self.corrupt_response(&text)),
             Behavior::LostResponses if faulty => None,
             _ => Some(self.signed_response(200, &text)),
--- a/crates/soak/src/verify.rs
+++ b/crates/soak/src/verify.rs
@@ -19,6 +19,7 @@
 use crate::record::Record;
 use crate::record::Request;
 use crate::record::RequestEnd;
+use crate::record::RollOut;
 use crate::record::ServerNotice;
 use crate::record::Span;
 use crate::record::VmIndex;
@@ -31,6 +32,13 @@
 
 /// The time limit for a new configuration to come into force on a VM.
 const IN_FORCE_MAX: Duration = Duration::from_secs(2);
+/// The final states of roll-outs: of a good and of a bad version.
+pub const FINAL_STATES: [&str; 2] = ["completed", "rolled_back"];
+/// The number of bad responses after which a version must be out of use within
+/// [`ROLLBACK_TIME`].
+const BAD_RESPONSES_MAX: usize = 50;
+/// The time in which a version must be out of use that is bad.
+const ROLLBACK_TIME: Duration = Duration::from_secs(5);
 /// The share of the requests within a quota that may be refused for it.
 const QUOTA_REFUSED_SHARE: f64 = 0.25;
 /// The number of such requests in a run beyond that share.
@@ -165,6 +173,7 @@
     checker.check_keys();
     checker.check_quotas();
     checker.check_refused_within_quota();
+    checker.check_roll_outs();
     checker.check_late_work();
     checker.check_notices();
     checker.check_rate_limits();
@@ -542,6 +551,50 @@
         }
     }
 
+    /// Checks that a good version is rolled out and a bad one rolled back, and that a bad
+    /// version gets nothing [`ROLLBACK_TIME`] after it gave too many bad responses or the
+    /// store had its roll-back.
+    fn check_roll_outs(&mut self) {
+        let record = self.record;
+        for roll_out in &record.roll_outs {
+            let RollOut {
+                service, version, ..
+            } = roll_out;
+            let expected = FINAL_STATES[usize::from(roll_out.is_bad)];
+            let state = roll_out.end.as_ref().map(|(_, state)| state.as_str());
+            if state != Some(expected) {
+                let text = format!("{service} {version} should be {expected} but is {state:?}");
+                self.report("roll-outs", roll_out.at, None, text);
+            }
+            let is_new = |index: InstanceIndex| {
+                let instance = &record.instances[index];
+                (instance.service, instance.version) == (service, version)
+            };
+            let mut bad = record.bad_responses.iter().filter(|(_, i)| is_new(*i));
+            let too_many = bad.nth(BAD_RESPONSES_MAX - 1).map(|(at, _)| *at);
+            let written = roll_out.end.as_ref().filter(|_| roll_out.is_bad);
+            let found = too_many.into_iter().chain(written.map(|(at, _)| *at)).min();
+            let Some(found) = found else {
+                continue;
+            };
+            let bound = found + ROLLBACK_TIME + self.stall_time(found, found + ROLLBACK_TIME);
+            let late = record.arrivals.iter().find(|arrival| {
+                let request = record.requests.get(arrival.call as usize);
+                is_new(arrival.instance)
+                    && request.is_some_and(|request| {
+                        request.at > bound && self.is_undisturbed(request.vm, found, arrival.at)
+                    })
+            });
+            if let Some(late) = late {
+                let text = format!(
+                    "{service} {version}, which is bad, gets request {}",
+                    late.call
+                );
+                self.report("nothing for bad versions", late.at, Some(late.call), text);
+            }
+        }
+    }
+
     /// Checks that servers that leave and failure domains that are out of service get no
     /// new work.
     fn check_late_work(&mut self) {
--- a/crates/soak/src/vm.rs
+++ b/crates/soak/src/vm.rs
@@ -52,6 +52,10 @@
 /// The number of calls in [`QUOTA_WINDOW`] beyond that.
 pub const QUOTA_SLACK: f64 = 20.0;
 
+/// The share of the calls that a version on trial may get. It is twice the default, since
+/// the runs are short.
+const ROLL_OUT_SHARE: f64 = 0.1;
+
 /// Returns the loopback address of VM `at` in the network `127.subnet`.
 fn vm_ip(subnet: u8, at: VmIndex) -> Ipv4Addr {
     Ipv4Addr::new(127, subnet, (at / 250) as u8, 1 + (at % 250) as u8)
@@ -130,7 +134,7 @@
                 "window": format!("{}s", QUOTA_WINDOW.as_secs()),
                 "excess": QUOTA_EXCESS, "slack": QUOTA_SLACK as u32
             },
-            "teams": true, "threads": 1, "notice": "800ms", "drain": "3500ms", "forget": "30s",
+            "rollouts": { "share": ROLL_OUT_SHARE }, "teams": true, "threads": 1, "notice": "800ms", "drain": "3500ms", "forget": "30s",
             "logs": { "level": "info", "json": true }, "traces": { "share": 0.0 },
             "faults": { "cut": cut_file }
         });
--- a/crates/soak/tests/verify.rs
+++ b/crates/soak/tests/verify.rs
@@ -19,6 +19,7 @@
 use soak::record::Record;
 use soak::record::Request;
 use soak::record::RequestEnd;
+use soak::record::RollOut;
 use soak::record::ServerInstance;
 use soak::record::ServerNotice;
 use soak::record::Signature;
@@ -66,6 +67,7 @@
         location,
         name: name.into(),
         service,
+        version: "v1",
         domain,
         cold_until: Time::ZERO,
         leaving_since: None,
@@ -696,3 +698,47 @@
     }
     assert_sound(&record);
 }
+
+/// Returns a record with a roll-out of `plans` that ends in `state` at 20 s, and a call at
+/// the version at `at`, in milliseconds.
+fn record_with_roll_out(is_bad: bool, state: &str, at: u64) -> Record {
+    let mut record = record();
+    record.instances[0].version = "v2";
+    record.roll_outs.push(RollOut {
+        service: "plans",
+        version: "v2",
+        is_bad,
+        at: ms(10_000),
+        end: Some((ms(20_000), state.into())),
+    });
+    add_served_request(&mut record, at, "read", 0);
+    record
+}
+
+#[test]
+fn verify_roll_out_with_the_wrong_end_is_reported() {
+    assert_sound(&record_with_roll_out(true, "rolled_back", 15_000));
+    assert_sound(&record_with_roll_out(false, "completed", 40_000));
+    for (is_bad, state) in [(true, "completed"), (false, "rolled_back")] {
+        let record = record_with_roll_out(is_bad, state, 15_000);
+        assert_finds(&record, "roll-outs");
+    }
+    let mut record = record_with_roll_out(true, "rolled_back", 15_000);
+    record.roll_outs[0].end = None;
+    assert_finds(&record, "roll-outs");
+}
+
+#[test]
+fn verify_bad_version_that_still_gets_calls_is_reported() {
+    assert_sound(&record_with_roll_out(true, "rolled_back", 24_900));
+    let late = record_with_roll_out(true, "rolled_back", 25_100);
+    assert_finds(&late, "nothing for bad versions");
+    let mut early = record_with_roll_out(true, "rolled_back", 17_000);
+    early.bad_responses = vec![(ms(11_000), 0); 49];
+    early.bad_responses.push((ms(11_500), 1));
+    assert_sound(&early);
+    early.bad_responses.push((ms(11_900), 0));
+    assert_finds(&early, "nothing for bad versions");
+    add_fault(&mut early, FaultTarget::Vm(0));
+    assert_sound(&early);
+}
