--- a/crates/soak/src/record.rs
+++ b/crates/soak/src/record.rs
@@ -32,6 +32,8 @@
         /// Whether the body is complete and matches the hash of the signature, if
         /// there is one.
         intact: bool,
+        /// Whether the request was refused for the quota of its team.
+        over_quota: bool,
     },
     /// The connection closed, or sent invalid bytes, before a complete response.
     ConnectionClosed,
@@ -52,6 +54,20 @@
     pub hash: u64,
 }
 
+/// The key that a caller sends with a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Key {
+    /// The key of the route's team that all configurations have.
+    Lasting,
+    /// The key of the route's team that only the configuration at this index in
+    /// [`Record::tickets`] has.
+    Passing(usize),
+    /// The key that each configuration gives to another team.
+    Moving,
+    /// The key of the team at this index in [`LIMITED`](crate::caller::LIMITED).
+    Limited(usize),
+}
+
 /// A request as its caller observed it.
 #[derive(Clone, Debug)]
 pub struct Request {
@@ -65,6 +81,8 @@
     pub route: &'static str,
     /// Whether the request may be executed more than once.
     pub idempotent: bool,
+    /// The key that the caller sent.
+    pub key: Key,
     /// The time limit that the caller sent with the request.
     pub timeout: Duration,
     /// Which request this one repeats that makes servers crash; `None` for others.
@@ -82,6 +100,8 @@
     pub at: Time,
     /// The server instance that received the request.
     pub instance: InstanceIndex,
+    /// The team that the request names, if it is one of the run.
+    pub team: Option<&'static str>,
     /// Whether the server started to execute the request.
     pub executed: bool,
 }
@@ -130,6 +150,8 @@
     pub name: String,
     /// The service to which the instance belongs.
     pub service: &'static str,
+    /// The version of its software.
+    pub version: &'static str,
     /// The failure domain in which the instance runs.
     pub domain: &'static str,
     /// The end of the time in which the instance is cold; zero if it started warm.
@@ -139,6 +161,22 @@
     pub leaving_since: Option<Time>,
 }
 
+/// An order to move a service to another version.
+#[derive(Clone, Debug)]
+pub struct RollOut {
+    /// The service.
+    pub service: &'static str,
+    /// The ordered version.
+    pub version: &'static str,
+    /// Whether the servers of this version fail calls.
+    pub is_bad: bool,
+    /// When the store acknowledged the order.
+    pub at: Time,
+    /// The final state in the store and when the operator saw it; `None` if the operator
+    /// no longer waited for it.
+    pub end: Option<(Time, String)>,
+}
+
 /// A configuration that was written to the store.
 #[derive(Clone, Copy, Debug)]
 pub struct Ticket {
@@ -228,6 +266,10 @@
     pub instances: Vec<ServerInstance>,
     /// Configurations in the order of their acknowledgement.
     pub tickets: Vec<Ticket>,
+    /// Orders to roll versions out, in the order in which the operator saw their end.
+    pub roll_outs: Vec<RollOut>,
+    /// Responses with which servers of a bad version failed calls: when, and the server.
+    pub bad_responses: Vec<(Time, InstanceIndex)>,
     /// Failure domains that were taken out of service.
     pub domain_outs: Vec<DomainOut>,
     /// Faults in the order in which they ended.
@@ -289,13 +331,19 @@
 
     /// Records that a request arrives at a server; returns the index in
     /// [`Record::arrivals`].
-    pub fn record_arrival(&self, call: CallId, instance: InstanceIndex) -> usize {
+    pub fn record_arrival(
+        &self,
+        call: CallId,
+        instance: InstanceIndex,
+        team: Option<&'static str>,
+    ) -> usize {
         let at = self.now();
         let mut record = self.lock();
         record.arrivals.push(Arrival {
             call,
             at,
             instance,
+            team,
             executed: false,
         });
         record.arrivals.len() - 1
