Leave out the worst server only from two bad responses on

The counts of the worst server are left out per home and kind of call, and are added up. A single bad response per home and kind was always left out, though they were of different servers: sixteen spread failures were ignored.

The worst server now counts as such from two bad responses on. The new test fails before; the test of 1000 healthy versions still passes.

--- a/crates/route/src/rollout/evidence.rs
+++ b/crates/route/src/rollout/evidence.rs
@@ -29,6 +29,9 @@
 const MEDIAN_SAMPLES_MAX: u32 = 1024;
 /// The servers of the version from which on the worst one is left out.
 const SERVERS_MIN: usize = 3;
+/// The bad responses of the worst server from which on they are left out. Single ones at
+/// many homes and kinds of calls would add up to many that are of different servers.
+const WORST_MIN: u32 = 2;
 /// The buckets of [`Times`].
 const BUCKETS: usize = 64;
 /// The buckets of [`Times`] in each doubling.
@@ -244,6 +247,8 @@
         self.servers[index].1 += u32::from(bad);
         let worst = self.servers.iter().map(|known| known.1).max();
         let several = self.servers.len() >= SERVERS_MIN;
-        self.counts.target.worst = worst.filter(|_| several).unwrap_or(0);
+        self.counts.target.worst = worst
+            .filter(|bad| several && *bad >= WORST_MIN)
+            .unwrap_or(0);
     }
 }
--- a/crates/route/tests/rollouts.rs
+++ b/crates/route/tests/rollouts.rs
@@ -608,3 +608,29 @@
     let step = decider.step(SUPPLY, Time::ZERO);
     assert_eq!(step, Some(Step::Enter(Phase::RolledBack)));
 }
+
+#[test]
+fn single_failures_at_many_homes_count() {
+    let terms = Terms {
+        order: 7,
+        share: SHARE,
+        lease: LEASE,
+    };
+    let mut decider = Decider::new(Time::ZERO, DURATION, Time::ZERO);
+    for shard in 0..16 {
+        let mut home = Exposure::new(terms, Time::ZERO);
+        for n in 0..10_u64 {
+            let outcome = if n == 9 {
+                Outcome::Failed
+            } else {
+                Outcome::Done
+            };
+            home.record_end((n, VersionGroup::Old), 1, Outcome::Done, 0.2, false);
+            home.record_end((n, VersionGroup::Target), 1, outcome, 0.2, false);
+        }
+        let report = home.report(Report::new(1, shard, Duration::ZERO));
+        decider.record(shard, report, Time::ZERO);
+    }
+    let step = decider.step(SUPPLY, Time::ZERO);
+    assert_eq!(step, Some(Step::Enter(Phase::RolledBack)));
+}
