--- a/crates/route/src/quota/mod.rs
+++ b/crates/route/src/quota/mod.rs
@@ -23,9 +23,11 @@
 
 pub use bucket::Bucket;
 pub use bucket::Inflow;
+pub use delegator::Delegation;
 pub use delegator::Delegator;
 pub use desk::Denied;
 pub use desk::Desk;
+pub use desk::Granted;
 pub use desk::Taken;
 pub use desk::Token;
 pub use fleet::FleetSize;
@@ -44,7 +46,7 @@
 /// the loss of one leaves most of what teams usually need.
 pub const LANES: usize = 2;
 /// How long a part is delegated.
-pub const LEASE: Duration = Duration::from_millis(3000);
+pub const LEASE: Duration = Duration::from_millis(1500);
 /// How long a token may be held by the VM that asked for it.
 pub const HOLD: Duration = Duration::from_millis(400);
 /// By how much a delegator counts its leases longer than the home does.
--- a/crates/route/src/quota/vm.rs
+++ b/crates/route/src/quota/vm.rs
@@ -8,10 +8,12 @@
 
 use crate::instance::InstanceId;
 use crate::quota::AskId;
+use crate::quota::Delegation;
 use crate::quota::Delegator;
 use crate::quota::Denied;
 use crate::quota::Desk;
 use crate::quota::FleetSize;
+use crate::quota::Granted;
 use crate::quota::Home;
 use crate::quota::Lane;
 use crate::quota::Limit;
@@ -284,10 +286,16 @@
                 instance,
                 stamp,
                 share,
+                waits,
                 credit,
             } => {
                 if instance == self.instance {
-                    lane.home.delegate(from, stamp, (share, credit), now);
+                    let delegation = Delegation {
+                        share,
+                        waits,
+                        credit,
+                    };
+                    lane.home.delegate(from, stamp, delegation, now);
                 }
             }
             QuotaBody::Return {
@@ -299,10 +307,15 @@
                 self.serve(msg.lane, (from, ask), team, extra, now);
             }
             QuotaBody::Grant { ask, extra } => {
-                let granted = self.desk.granted((from, msg.lane), ask, extra, now);
-                if let Some(token) = granted {
-                    self.counts.granted += 1;
-                    self.answers.push((ask, Answer::Granted(token)));
+                match self.desk.granted((from, msg.lane), ask, extra, now) {
+                    Granted::Token(token) => {
+                        self.counts.granted += 1;
+                        self.answers.push((ask, Answer::Granted(token)));
+                    }
+                    Granted::GiveBack => {
+                        self.send(from, msg.lane, QuotaBody::GiveBack { ask }, now);
+                    }
+                    Granted::Nothing => {}
                 }
             }
             QuotaBody::Deny { ask, retry_after } => {
@@ -333,19 +346,22 @@
                 instance: home.1,
                 stamp,
                 share: delegation.share,
+                waits: delegation.waits,
                 credit: delegation.credit,
             };
             self.send(home.0, lane, delegate, now);
         }
     }
 
-    /// Sends an ask to the home of its lane.
+    /// Sends an ask to the home of its lane. A lane whose home is not known counts as one that
+    /// refuses, so the other one is asked at once.
     fn ask(&mut self, ask: AskId, now: Time) {
         let Some((lane, team, extra)) = self.desk.pending(ask) else {
             return;
         };
-        if let Some(home) = self.lanes[usize::from(lane)].home_vm {
-            self.send(home, lane, QuotaBody::Ask { ask, team, extra }, now);
+        match self.lanes[usize::from(lane)].home_vm {
+            Some(home) => self.send(home, lane, QuotaBody::Ask { ask, team, extra }, now),
+            None => self.finish_denied(lane, ask, NO_HOME_RETRY_AFTER, now),
         }
     }
 
--- a/crates/route/src/rollout/decider.rs
+++ b/crates/route/src/rollout/decider.rs
@@ -18,6 +18,11 @@
 const SURGE_END: f64 = 0.7;
 /// The part of the ordered time after which there is a verdict in any case.
 const LAST_END: f64 = 0.85;
+/// The part of the ordered time after which there is a verdict even without any report.
+const SILENT_END: f64 = 0.95;
+/// The time for which a new decider waits for the reports of all homes. It is longer than
+/// the time between two reports of a home.
+const SETTLE: Duration = Duration::from_secs(2);
 /// The longest time between the switch and its completion, in which the old servers
 /// finish their calls.
 const SWITCH_TIME: Duration = Duration::from_secs(2);
@@ -29,7 +34,8 @@
 const KIND_MIN: u32 = 8;
 /// The share of the old version's calls from which on a kind is usual.
 const KIND_SHARE: f64 = 0.05;
-/// The reports that are kept. Those of homes with the fewest calls give way.
+/// The reports that are kept. Those of homes with the fewest calls give way, and last those
+/// that found the version to be bad.
 const REPORTS_MAX: usize = 64;
 
 /// The slots of the servers that may get calls, by version.
@@ -41,6 +47,13 @@
     pub old: u32,
 }
 
+impl Supply {
+    /// Returns whether the servers of the version can take all calls.
+    pub fn is_sufficient(self) -> bool {
+        self.target > 0 && self.target >= self.old / 2
+    }
+}
+
 /// What follows from a decision.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Step {
@@ -80,6 +93,8 @@
 #[derive(Clone, Debug)]
 pub struct Decider {
     started: Time,
+    begun: Time,
+    isolated: bool,
     duration: Duration,
     phase: Phase,
     phase_since: Time,
@@ -98,6 +113,8 @@
     pub fn new(started: Time, duration: Duration, now: Time) -> Self {
         Self {
             started,
+            begun: now,
+            isolated: false,
             duration,
             phase: Phase::Trial,
             phase_since: now,
@@ -111,6 +128,11 @@
         self.phase
     }
 
+    /// Returns whether the roll-out is to be written as completed.
+    pub fn completes(&self) -> bool {
+        self.completes && self.phase == Phase::Switch
+    }
+
     /// Returns the time since the order.
     pub fn elapsed(&self, now: Time) -> Duration {
         now.saturating_sub(self.started)
@@ -157,8 +179,11 @@
             Err(index) => self.reports.insert(index, new),
         }
         if self.reports.len() > REPORTS_MAX {
-            let least = (0..self.reports.len()).min_by_key(|&i| self.reports[i].report.firsts);
-            if let Some(index) = least {
+            let weight = |index: &usize| {
+                let report = &self.reports[*index].report;
+                (report.closed, report.firsts)
+            };
+            if let Some(index) = (0..self.reports.len()).min_by_key(weight) {
                 self.reports.remove(index);
             }
         }
@@ -169,6 +194,17 @@
         self.enter(Phase::RolledBack, now);
     }
 
+    /// Sets whether this VM hears too few VMs to know the counts of most homes. It then
+    /// only rolls back a version that is bad beyond doubt.
+    pub fn set_isolated(&mut self, isolated: bool) {
+        self.isolated = isolated;
+    }
+
+    /// Returns whether the homes had time to report, and can.
+    fn is_informed(&self, now: Time) -> bool {
+        now >= self.begun + SETTLE && !self.isolated
+    }
+
     /// Returns the next step of the roll-out; none if it stays as it is.
     pub fn step(&mut self, supply: Supply, now: Time) -> Option<Step> {
         let next = self.next_phase(supply, now);
@@ -178,7 +214,7 @@
         }
         let wait = SWITCH_TIME.min(self.duration.mul_f64(SWITCH_PART));
         let due = self.phase == Phase::Switch && now >= self.phase_since + wait;
-        if due && !self.completes {
+        if due && self.is_informed(now) && !self.completes {
             self.completes = true;
             return Some(Step::Complete);
         }
@@ -191,11 +227,19 @@
         if closed || verdict::is_clear(&kinds) {
             return Some(Phase::RolledBack);
         }
+        if !self.is_informed(now) {
+            return None;
+        }
         let part = self.elapsed(now).as_secs_f64() / self.duration.as_secs_f64().max(0.001);
+        let last_end = if self.reports.is_empty() {
+            SILENT_END
+        } else {
+            LAST_END
+        };
         match self.phase {
             Phase::Trial if part < TRIAL_END => None,
             Phase::Trial => Some(Phase::Surge),
-            Phase::Surge if part >= LAST_END => Some(last_verdict(&kinds, supply)),
+            Phase::Surge if part >= last_end => Some(last_verdict(&kinds, supply)),
             Phase::Surge if part >= SURGE_END && is_settled(&kinds, supply) => Some(Phase::Switch),
             _ => None,
         }
@@ -233,11 +277,6 @@
     }
 }
 
-/// Returns whether the servers of the version can take over.
-fn is_supplied(supply: Supply) -> bool {
-    supply.target > 0 && supply.target >= supply.old / 2
-}
-
 /// Returns whether enough is known to put the version in force before the last moment.
 fn is_settled(kinds: &[KindEvidence], supply: Supply) -> bool {
     let all = verdict::sum(kinds);
@@ -258,7 +297,7 @@
     let alone = supply.old == 0 && supply.target > 0;
     let tried = all.target.total >= TOTAL_MIN;
     let good = verdict::highest_score(kinds) < verdict::DOUBT_SCORE;
-    if alone || (tried && good && is_supplied(supply)) {
+    if alone || (tried && good && supply.is_sufficient()) {
         Phase::Switch
     } else {
         Phase::RolledBack
--- a/crates/soak/tests/verify.rs
+++ b/crates/soak/tests/verify.rs
@@ -4,17 +4,22 @@
 use std::time::Duration;
 
 use base::Time;
+use soak::caller::moving_team;
+use soak::caller::GREEDY;
+use soak::caller::MODEST;
 use soak::record::Arrival;
 use soak::record::CallId;
 use soak::record::DomainOut;
 use soak::record::Fault;
 use soak::record::FaultTarget;
+use soak::record::Key;
 use soak::record::Misnamed;
 use soak::record::NoticeSent;
 use soak::record::Process;
 use soak::record::Record;
 use soak::record::Request;
 use soak::record::RequestEnd;
+use soak::record::RollOut;
 use soak::record::ServerInstance;
 use soak::record::ServerNotice;
 use soak::record::Signature;
@@ -38,6 +43,7 @@
         signature: Some(SIGNATURE),
         echoed_id: None,
         intact: true,
+        over_quota: false,
     }
 }
 
@@ -47,6 +53,7 @@
         signature: None,
         echoed_id: None,
         intact: true,
+        over_quota: false,
     }
 }
 
@@ -60,6 +67,7 @@
         location,
         name: name.into(),
         service,
+        version: "v1",
         domain,
         cold_until: Time::ZERO,
         leaving_since: None,
@@ -103,6 +111,7 @@
         vm: 0,
         route,
         idempotent: route != "write",
+        key: Key::Lasting,
         timeout: ms(1500),
         poison: None,
         end: Some((ms(at + 50), end)),
@@ -116,6 +125,7 @@
         call,
         at: ms(at),
         instance,
+        team: None,
         executed: true,
     });
 }
@@ -204,6 +214,7 @@
             signature,
             echoed_id,
             intact,
+            over_quota: false,
         };
         let call = add_request(&mut record, 10_000, "read", end);
         add_execution(&mut record, call, 10_001, 0);
@@ -219,6 +230,7 @@
         signature: Some(SIGNATURE),
         echoed_id: None,
         intact: true,
+        over_quota: false,
     };
     add_request(&mut record, 10_000, "read", end);
     assert_finds(&record, "whole answer");
@@ -502,6 +514,7 @@
             signature: None,
             echoed_id: None,
             intact: true,
+            over_quota: false,
         };
         record.requests[call as usize].end = Some((ms(at + 40), end));
         record.requests[call as usize].poison = Some(0);
@@ -566,3 +579,166 @@
     });
     assert!(verify(&record).iter().any(|found| found.rule == "teams"));
 }
+
+/// Adds a fault of `target` from 9.5 s to 10.5 s.
+fn add_fault(record: &mut Record, target: FaultTarget) {
+    let span = Span {
+        from: ms(9_500),
+        to: ms(10_500),
+    };
+    let name = "fault";
+    record.faults.push(Fault { span, target, name });
+}
+
+/// Returns a record with a second configuration at 10 s and a request with `key` at `at`, in
+/// milliseconds, that runs for `team`.
+fn record_with_key(key: Key, at: u64, team: Option<&'static str>) -> Record {
+    let mut record = record();
+    record.tickets.push(Ticket {
+        at: ms(10_000),
+        moving: "orders",
+    });
+    let id = add_served_request(&mut record, at, "read", 0);
+    record.requests[id as usize].key = key;
+    record.arrivals[0].team = team;
+    record
+}
+
+#[test]
+fn verify_key_that_was_taken_away_is_reported() {
+    let passing = |number, at| record_with_key(Key::Passing(number), at, None);
+    assert_sound(&passing(0, 12_400));
+    assert_sound(&passing(1, 12_600));
+    assert_finds(&passing(0, 12_600), "keys in time");
+    let mut outage = passing(0, 12_600);
+    add_fault(&mut outage, FaultTarget::Store);
+    assert_sound(&outage);
+    let mut paused = passing(0, 12_600);
+    add_fault(&mut paused, FaultTarget::Vm(0));
+    assert_sound(&paused);
+}
+
+#[test]
+fn verify_key_that_moved_counts_for_the_new_team() {
+    let moving = |at, number| record_with_key(Key::Moving, at, Some(moving_team(number)));
+    assert_sound(&moving(12_400, 0));
+    assert_sound(&moving(12_600, 1));
+    assert_finds(&moving(12_600, 0), "keys in time");
+    assert_finds(&record_with_key(Key::Moving, 12_600, None), "keys in time");
+}
+
+/// Adds `count` calls of a team with a quota, which run `step` ms apart from 10 s on.
+fn add_limited(record: &mut Record, team: usize, count: u64, step: u64) {
+    for n in 0..count {
+        let id = add_served_request(record, 10_000 + n * step, "read", 0);
+        record.requests[id as usize].key = Key::Limited(team);
+    }
+}
+
+#[test]
+fn verify_team_that_exceeds_its_quota_is_reported() {
+    // 6 a second and a burst of 6 are 59.6 calls in 5 s with the tolerance.
+    let mut record = record();
+    add_limited(&mut record, GREEDY, 59, 1);
+    // A second attempt is no second call.
+    add_execution(&mut record, 0, 10_100, 1);
+    assert_sound(&record);
+    let mut stalled = record.clone();
+    add_limited(&mut record, GREEDY, 1, 1);
+    assert_finds(&record, "quotas");
+    record.faults.push(Fault {
+        span: record.processes[0].span,
+        target: FaultTarget::Vm(0),
+        name: "paused",
+    });
+    assert_finds(&record, "quotas");
+    add_limited(&mut stalled, GREEDY, 1, 1);
+    stalled.stalls.push(Span {
+        from: ms(10_000),
+        to: ms(10_500),
+    });
+    assert_sound(&stalled);
+}
+
+#[test]
+fn verify_calls_of_a_steady_team_count_by_window() {
+    let mut record = record();
+    add_limited(&mut record, GREEDY, 300, 90);
+    assert_sound(&record);
+    let mut faster = self::record();
+    add_limited(&mut faster, GREEDY, 300, 80);
+    assert_finds(&faster, "quotas");
+}
+
+#[test]
+fn verify_team_that_is_refused_within_its_quota_is_reported() {
+    let refuse = |record: &mut Record, count: usize| {
+        for request in record.requests.iter_mut().take(count) {
+            request.end = Some((
+                request.at + ms(1),
+                RequestEnd::Response {
+                    status: 429,
+                    signature: None,
+                    echoed_id: None,
+                    intact: true,
+                    over_quota: true,
+                },
+            ));
+        }
+        record.arrivals.retain(|a| a.call >= count as CallId);
+    };
+    let mut record = record();
+    add_limited(&mut record, MODEST, 100, 250);
+    refuse(&mut record, 35);
+    assert_sound(&record);
+    refuse(&mut record, 36);
+    assert_finds(&record, "served within the quota");
+    for request in &mut record.requests {
+        request.key = Key::Limited(GREEDY);
+    }
+    assert_sound(&record);
+}
+
+/// Returns a record with a roll-out of `plans` that ends in `state` at 20 s, and a call at
+/// the version at `at`, in milliseconds.
+fn record_with_roll_out(is_bad: bool, state: &str, at: u64) -> Record {
+    let mut record = record();
+    record.instances[0].version = "v2";
+    record.roll_outs.push(RollOut {
+        service: "plans",
+        version: "v2",
+        is_bad,
+        at: ms(10_000),
+        end: Some((ms(20_000), state.into())),
+    });
+    add_served_request(&mut record, at, "read", 0);
+    record
+}
+
+#[test]
+fn verify_roll_out_with_the_wrong_end_is_reported() {
+    assert_sound(&record_with_roll_out(true, "rolled_back", 15_000));
+    assert_sound(&record_with_roll_out(false, "completed", 40_000));
+    for (is_bad, state) in [(true, "completed"), (false, "rolled_back")] {
+        let record = record_with_roll_out(is_bad, state, 15_000);
+        assert_finds(&record, "roll-outs");
+    }
+    let mut record = record_with_roll_out(true, "rolled_back", 15_000);
+    record.roll_outs[0].end = None;
+    assert_finds(&record, "roll-outs");
+}
+
+#[test]
+fn verify_bad_version_that_still_gets_calls_is_reported() {
+    assert_sound(&record_with_roll_out(true, "rolled_back", 24_900));
+    let late = record_with_roll_out(true, "rolled_back", 25_100);
+    assert_finds(&late, "nothing for bad versions");
+    let mut early = record_with_roll_out(true, "rolled_back", 17_000);
+    early.bad_responses = vec![(ms(11_000), 0); 49];
+    early.bad_responses.push((ms(11_500), 1));
+    assert_sound(&early);
+    early.bad_responses.push((ms(11_900), 0));
+    assert_finds(&early, "nothing for bad versions");
+    add_fault(&mut early, FaultTarget::Vm(0));
+    assert_sound(&early);
+}
