Divide quotas among the VMs of all regions

N counted the VMs of the own region only, while the bound is summed over all VMs: with homes in two regions each region granted the whole quota. View now counts the registered VMs of all regions, the undiscovered ones included. The homes stay in the region, so that no call waits for another one.

The test builds four memberships in two regions without a network: the number that was used before is 2 there, N is now 4.

--- a/crates/node/src/quotas.rs
+++ b/crates/node/src/quotas.rs
@@ -184,7 +184,7 @@
     /// Collects parts that are due, and logs what was refused.
     pub(crate) fn tick_quotas(&self, now: Time) {
         let view = self.view();
-        self.with_quotas(|quotas| quotas.tick(registered(&view), now));
+        self.with_quotas(|quotas| quotas.tick(view.registered as u32, now));
         if self.quotas.active.load(Ordering::Relaxed) {
             self.log_refused(now);
         }
@@ -340,11 +340,6 @@
     }
 }
 
-/// Returns the number of VMs that should exist, whether they respond or not.
-fn registered(view: &View) -> u32 {
-    (view.vms.len() + view.undiscovered) as u32
-}
-
 /// Returns what quotas need of `view`. A VM that has found no other one yet of those that
 /// should exist does not know the fleet, and has no home.
 fn home_view(view: &View, self_id: VmId) -> HomeView<'_> {
@@ -357,7 +352,7 @@
     HomeView {
         homes,
         alive: &view.alive,
-        registered: registered(view),
+        registered: view.registered as u32,
     }
 }
 
--- a/crates/node/src/view.rs
+++ b/crates/node/src/view.rs
@@ -25,6 +25,9 @@
     pub total_alive: usize,
     /// The number of VMs that should exist but of which nothing has been heard.
     pub undiscovered: usize,
+    /// The number of VMs of all regions that have not left, this VM, dead and undiscovered
+    /// ones included. Quotas bound the calls of all regions together.
+    pub registered: usize,
     /// The addresses of the other VMs, sorted by id.
     addresses: Vec<(VmId, SocketAddr)>,
 }
@@ -81,14 +84,12 @@
         let by_domain = group_by_domain(&alive, domain).into_iter();
         let by_domain = by_domain.map(|(domain, vms)| (domain, self::eligible(&vms, capacity)));
         let by_domain = by_domain.collect();
-        let may_hold_permits =
-            |peer: &&member::Peer| peer.health != Health::Left && same_region(peer);
-        let mut vms: Vec<VmId> = members
-            .peers()
-            .iter()
-            .filter(may_hold_permits)
-            .map(|peer| peer.profile.vm)
-            .collect();
+        let remaining = || {
+            let peers = members.peers().iter();
+            peers.filter(|peer| peer.health != Health::Left)
+        };
+        let may_hold_permits = remaining().filter(|peer| same_region(peer));
+        let mut vms: Vec<VmId> = may_hold_permits.map(|peer| peer.profile.vm).collect();
         vms.push(own.vm);
         vms.sort_unstable();
         let addresses = members
@@ -103,6 +104,7 @@
             vms,
             total_alive: all_alive.len(),
             undiscovered: members.undiscovered(),
+            registered: remaining().count() + 1 + members.undiscovered(),
             addresses,
         }
     }
--- a/crates/node/tests/view.rs
+++ b/crates/node/tests/view.rs
@@ -3,7 +3,12 @@
 use std::time::Duration;
 
 use base::Time;
+use member::Action;
+use member::Config;
+use member::Membership;
+use member::Profile;
 use node::view::eligible;
+use node::view::View;
 use node::view_schedule::ViewSchedule;
 
 /// The size of the largest fleet in these tests.
@@ -64,3 +69,47 @@
         assert!(schedule.take_due(version, fleet, due) || last == now);
     }
 }
+
+/// Returns the memberships of four VMs, two in each of two regions, that know each other.
+fn two_regions() -> Vec<Membership> {
+    let address = |vm: u16| ([127, 0, 0, 1], 7000 + vm).into();
+    let mut vms: Vec<Membership> = (0..4)
+        .map(|vm| {
+            let profile = Profile {
+                vm: u64::from(vm),
+                name: vm.to_string(),
+                address: address(vm),
+                domain: 0,
+                region: u64::from(vm / 2),
+                capacity: 1000,
+            };
+            let members = Membership::new(profile, 1, Config::default(), u64::from(vm));
+            members.with_seeds(vec![address(0)])
+        })
+        .collect();
+    for step in 0..200 {
+        let now = Time::from_millis(1000 + 20 * step);
+        for from in 0..vms.len() {
+            vms[from].tick(now);
+            for action in vms[from].take_actions() {
+                if let Action::Send { to, msg } = action {
+                    let to = usize::from(to.port() - 7000);
+                    vms[to].receive(now, from as u64, address(from as u16), msg);
+                }
+            }
+        }
+    }
+    vms
+}
+
+#[test]
+fn registered_counts_the_vms_of_all_regions() {
+    let mut vms = two_regions();
+    for members in &vms {
+        let view = View::new(members);
+        assert_eq!((view.vms.len(), view.registered), (2, 4));
+    }
+    // A VM that is listed and was never heard of counts too.
+    vms[0].set_platform_list(vec![0, 1, 2, 3, 9]);
+    assert_eq!(View::new(&vms[0]).registered, 5);
+}
