Grant small teams tokens while few VMs are alive

Each lane's bucket is capped at its share of the stock, and a call needs a whole token: with a quarter of the VMs alive a team of 4 calls a second got none. When the VMs that respond keep the smallest stock below a token in a lane for 5 s, one VM is the home of both lanes, and takes what one bucket lacks of a token out of the other one. Fractions are taken once, so the bound is untouched.

--- a/crates/route/src/quota/bucket.rs
+++ b/crates/route/src/quota/bucket.rs
@@ -89,24 +89,52 @@
         self.tokens = self.tokens.min(self.cap(inflow.share));
     }
 
-    /// Puts back a token that was not used.
-    pub fn put_back(&mut self, inflow: Inflow, now: Time) {
-        self.tokens += 1.0;
+    /// Fills the bucket of a limit that has just come into force. Its team may have been
+    /// without one before, so nothing of the stock has been used.
+    pub fn fill_up(&mut self, inflow: Inflow) {
+        self.tokens = self.cap(inflow.share);
+    }
+
+    /// Puts back `amount` of a token that was not used. Returns what there is no room for.
+    pub fn put_back(&mut self, amount: f64, inflow: Inflow, now: Time) -> f64 {
         self.fill(inflow, now);
+        let room = (self.cap(inflow.share) - self.tokens).max(0.0);
+        let put = amount.min(room);
+        self.tokens += put;
+        amount - put
     }
 
     /// Takes a token, and up to `extra` ones that are granted ahead; returns how many of
     /// these, or when there will be a token.
     pub fn take(&mut self, extra: u32, inflow: Inflow, now: Time) -> Result<u32, Duration> {
+        self.take_with(None, extra, inflow, now)
+    }
+
+    /// Takes as [`Self::take`] does; what this bucket lacks of the token comes out of `other`,
+    /// the bucket of the other lane at the same home.
+    pub fn take_with(
+        &mut self,
+        mut other: Option<(&mut Self, Inflow)>,
+        extra: u32,
+        inflow: Inflow,
+        now: Time,
+    ) -> Result<u32, Duration> {
         self.fill(inflow, now);
-        let credit = (self.credit * inflow.credit - self.credit_used).max(0.0);
-        if self.tokens + credit < 1.0 {
-            return Err(self.promise(inflow.share, now));
+        let (mut tokens, mut share) = (self.tokens, inflow.share);
+        let mut usable = tokens + self.credit_left(inflow);
+        if let Some((other, inflow)) = &mut other {
+            other.fill(*inflow, now);
+            tokens += other.tokens;
+            share += inflow.share;
+            usable += other.tokens + other.credit_left(*inflow);
+        }
+        if usable < 1.0 {
+            return Err(self.promise(tokens, share, now));
+        }
+        let lacking = self.withdraw(1.0, inflow);
+        if let Some((other, inflow)) = other {
+            other.withdraw(lacking, inflow);
         }
-        // The credit lapses, and what flows in does not.
-        let borrowed = credit.min(1.0);
-        self.credit_used += borrowed;
-        self.tokens -= 1.0 - borrowed;
         let stock = self.stock * inflow.share;
         if extra == 0 || self.tokens < stock * AHEAD_LEVEL {
             return Ok(0);
@@ -119,6 +147,20 @@
         Ok(granted)
     }
 
+    fn credit_left(&self, inflow: Inflow) -> f64 {
+        (self.credit * inflow.credit - self.credit_used).max(0.0)
+    }
+
+    /// Takes up to `amount` out of the credit and the tokens. Returns what is lacking.
+    fn withdraw(&mut self, amount: f64, inflow: Inflow) -> f64 {
+        // The credit lapses, and what flows in does not.
+        let borrowed = self.credit_left(inflow).min(amount);
+        self.credit_used += borrowed;
+        let taken = self.tokens.min(amount - borrowed);
+        self.tokens -= taken;
+        amount - borrowed - taken
+    }
+
     fn cap(&self, share: f64) -> f64 {
         let ahead: f64 = self.ahead.iter().map(|(_, tokens)| tokens).sum();
         (self.stock * share - ahead).max(0.0)
@@ -126,13 +168,13 @@
 
     /// Returns when the next token will be there that no refused call was told of, or after
     /// [`PROMISE_MAX`] if that is earlier and there will be any token by then.
-    fn promise(&mut self, share: f64, now: Time) -> Duration {
+    fn promise(&mut self, tokens: f64, share: f64, now: Time) -> Duration {
         let rate = self.limit.rate * share;
         if rate <= 0.0 {
             return DRY_RETRY_AFTER;
         }
         let step = |tokens: f64| Duration::from_secs_f64((tokens / rate).min(60.0));
-        let next = now + step(1.0 - self.tokens);
+        let next = now + step(1.0 - tokens);
         let later = (self.promised + step(1.0)).min(now + PROMISE_MAX);
         self.promised = next.max(later);
         self.promised - now
--- a/crates/route/src/quota/home.rs
+++ b/crates/route/src/quota/home.rs
@@ -149,9 +149,11 @@
     }
 
     /// Grants a token of `team`, and up to `extra` more ahead; returns how many of these, or
-    /// when there will be a token.
+    /// when there will be a token. What this lane lacks of a token comes out of `other`, the
+    /// home of the other lane if that is this VM too.
     pub fn take(
         &mut self,
+        other: Option<&mut Self>,
         (vm, ask): (VmId, AskId),
         team: TeamId,
         extra: u32,
@@ -168,7 +170,8 @@
             // The configuration in force here sets no limit.
             return Ok(0);
         };
-        let extra = self.buckets[index].take(extra, inflow, now)?;
+        let other = other.and_then(|other| other.bucket(team, now));
+        let extra = self.buckets[index].take_with(other, extra, inflow, now)?;
         if extra > 0 {
             self.held_until = now + HOLD;
         }
@@ -183,19 +186,34 @@
         Ok(extra)
     }
 
-    /// Takes a token back that was granted a moment ago and is not used.
-    pub fn give_back(&mut self, vm: VmId, ask: AskId, now: Time) {
+    /// Takes a token back that was granted a moment ago and is not used. What this lane has
+    /// no room for goes to `other`, as in [`Self::take`].
+    pub fn give_back(&mut self, other: Option<&mut Self>, vm: VmId, ask: AskId, now: Time) {
         self.forget_recent(now);
         let is_same = |recent: &Recent| recent.vm == vm && recent.ask == ask;
         let Some(index) = self.recent.iter().position(is_same) else {
             return;
         };
-        let team = self.recent.remove(index).map(|recent| recent.team);
+        let Some(team) = self.recent.remove(index).map(|recent| recent.team) else {
+            return;
+        };
+        let mut left = 1.0;
+        for home in [Some(self), other].into_iter().flatten() {
+            if let Some((bucket, inflow)) = home.bucket(team, now) {
+                left = bucket.put_back(left, inflow, now);
+            }
+        }
+    }
+
+    /// Returns the bucket of `team`, with what has flowed in by `now`.
+    fn bucket(&mut self, team: TeamId, now: Time) -> Option<(&mut Bucket, Inflow)> {
+        if !self.is_active() {
+            return None;
+        }
         self.advance(now);
         let inflow = self.inflow(now);
-        if let Some(Ok(index)) = team.map(|team| self.find(team)) {
-            self.buckets[index].put_back(inflow, now);
-        }
+        let index = self.find(team).ok()?;
+        Some((&mut self.buckets[index], inflow))
     }
 
     /// Brings the parts up to `now`. Whenever a lease ended in between, all buckets are
--- a/crates/route/src/quota/vm.rs
+++ b/crates/route/src/quota/vm.rs
@@ -27,6 +27,10 @@
 /// The retry delay of a call for which no home answered. The next home has tokens by then.
 const NO_HOME_RETRY_AFTER: Duration = Duration::from_millis(500);
 
+/// How long buckets must have been too small before one VM becomes the home of both lanes: a
+/// fleet that starts finds itself within less.
+const SCARCE_DELAY: Duration = Duration::from_secs(5);
+
 /// The VMs as far as quotas are concerned.
 #[derive(Clone, Copy, Debug)]
 pub struct HomeView<'a> {
@@ -93,6 +97,10 @@
     limits: Vec<Limit>,
     fleet: FleetSize,
     alive: Vec<VmId>,
+    /// The home of each lane while no bucket is too small.
+    homes: [Option<VmId>; LANES],
+    /// Since when buckets have been too small; see [`Self::is_scarce`].
+    scarce_since: Option<Time>,
     lanes: [LaneState; LANES],
     desk: Desk,
     outgoing: Vec<(VmId, QuotaMsg)>,
@@ -124,6 +132,8 @@
             limits: Vec::new(),
             fleet: FleetSize::new(),
             alive: Vec::new(),
+            homes: [None; LANES],
+            scarce_since: None,
             lanes: [lane.clone(), lane],
             desk: Desk::new(first),
             outgoing: Vec::new(),
@@ -193,15 +203,16 @@
     pub fn set_view(&mut self, view: HomeView<'_>, now: Time) {
         self.fleet.observe(view.registered, now);
         self.alive = view.alive.to_vec();
-        for (lane, home) in self.lanes.iter_mut().zip(view.homes) {
-            lane.home_vm = home;
-        }
+        self.homes = view.homes;
         self.choose_roles(now);
     }
 
     /// Asks for parts that are due, and forgets what is outdated.
     pub fn tick(&mut self, registered: u32, now: Time) {
         self.fleet.observe(registered, now);
+        if self.is_scarce() || self.scarce_since.is_some() {
+            self.choose_roles(now);
+        }
         self.desk.tick(now);
         let collect = QuotaBody::Collect {
             instance: self.instance,
@@ -219,10 +230,8 @@
 
     /// Returns the parts to their owners, at a planned stop.
     pub fn leave(&mut self, now: Time) {
-        for lane in 0..LANES {
-            self.lanes[lane].home_vm = None;
-            self.stop_home(lane, now);
-        }
+        self.homes = [None; LANES];
+        self.choose_roles(now);
     }
 
     /// Drops what may be outdated after this VM was paused.
@@ -275,7 +284,7 @@
         if !self.is_active() || index >= LANES {
             return;
         }
-        let lane = &mut self.lanes[index];
+        let (lane, other) = two_lanes(&mut self.lanes, index);
         match msg.body {
             QuotaBody::Collect {
                 instance,
@@ -321,7 +330,9 @@
             QuotaBody::Deny { ask, retry_after } => {
                 self.finish_denied(msg.lane, ask, retry_after, now);
             }
-            QuotaBody::GiveBack { ask } => lane.home.give_back(from, ask, now),
+            QuotaBody::GiveBack { ask } => {
+                lane.home.give_back(Some(&mut other.home), from, ask, now);
+            }
         }
     }
 
@@ -374,11 +385,12 @@
         extra: u32,
         now: Time,
     ) {
-        let home = &mut self.lanes[usize::from(lane)].home;
-        if !home.is_active() {
+        let (own, other) = two_lanes(&mut self.lanes, usize::from(lane));
+        if !own.home.is_active() {
             return;
         }
-        let answer = match home.take((from, ask), team, extra, now) {
+        let other = Some(&mut other.home);
+        let answer = match own.home.take(other, (from, ask), team, extra, now) {
             Ok(extra) => QuotaBody::Grant { ask, extra },
             Err(retry_after) => QuotaBody::Deny { ask, retry_after },
         };
@@ -396,10 +408,24 @@
         }
     }
 
+    /// Returns whether the parts of the VMs that respond keep a bucket of one lane below a
+    /// token. One VM is the home of both lanes then, and grants tokens out of both buckets.
+    fn is_scarce(&self) -> bool {
+        let present = self.alive.len() as f64 / f64::from(self.fleet.get());
+        let is_small = |limit: &Limit| limit.stock(&self.terms) * present < LANES as f64;
+        self.limits.iter().any(is_small)
+    }
+
     /// Becomes the home of lanes, or gives that up, as the view says.
     fn choose_roles(&mut self, now: Time) {
+        let since = *self.scarce_since.get_or_insert(now);
+        self.scarce_since = self.is_scarce().then_some(since);
+        let is_scarce = self.scarce_since.is_some() && now >= since + SCARCE_DELAY;
         for index in 0..LANES {
+            let single = self.homes[0].filter(|_| is_scarce);
+            let home = single.or(self.homes[index]);
             let lane = &mut self.lanes[index];
+            lane.home_vm = home;
             let is_chosen = !self.limits.is_empty() && lane.home_vm == Some(self.self_id);
             if !is_chosen {
                 self.stop_home(index, now);
@@ -450,3 +476,13 @@
         }
     }
 }
+
+/// Returns the lane `index` and the other one.
+fn two_lanes(lanes: &mut [LaneState; LANES], index: usize) -> (&mut LaneState, &mut LaneState) {
+    let [first, second] = lanes;
+    if index == 0 {
+        (first, second)
+    } else {
+        (second, first)
+    }
+}
--- a/crates/route/tests/quotas.rs
+++ b/crates/route/tests/quotas.rs
@@ -319,6 +319,65 @@
     fleet.check_bound();
 }
 
+#[test]
+fn small_team_gets_tokens_while_few_vms_are_alive() {
+    for (alive, terms) in [(3, TERMS), (5, Terms::default())] {
+        let limits = vec![Limit::new(0, 4.0, 1.6).unwrap()];
+        let rules = Rules {
+            terms,
+            ..Rules::new(limits)
+        };
+        let mut fleet = Fleet::new(12, rules, 10);
+        fleet.run(Duration::from_secs(5));
+        (alive..12).for_each(|vm| fleet.stop(vm));
+        fleet.run(Duration::from_secs(9));
+        fleet.clear_counts();
+        // More than the part of the VMs that are left.
+        fleet.demand = vec![24.0];
+        fleet.run(Duration::from_secs(20));
+        let part = 4.0 * 20.0 * alive as f64 / 12.0;
+        let granted = fleet.granted[0] as f64;
+        eprintln!("{alive} of 12 VMs: {granted} granted, the part is {part:.1}");
+        assert!(granted > 0.8 * part, "{granted} of {part}");
+        assert!(granted < part + 3.0, "{granted} of {part}");
+        fleet.check_bound();
+    }
+}
+
+#[test]
+fn token_out_of_both_lanes_goes_back_to_both() {
+    let limits = [Limit::new(1, 1.0, 2.0).unwrap()];
+    let at = |ms| Time::from_secs(10) + Duration::from_millis(ms);
+    let mut homes = [Home::new(Terms::default()), Home::new(Terms::default())];
+    for home in &mut homes {
+        home.start(&limits, at(0));
+        home.collect(&[7], at(0));
+        let delegation = Delegation {
+            share: 0.25,
+            waits: false,
+            credit: 0.0,
+        };
+        home.delegate(7, at(1), delegation, at(1));
+        home.collect(&[7], at(1));
+        // A later lease keeps the part.
+        home.delegate(7, at(1000), delegation, at(1000));
+        home.collect(&[7], at(1000));
+        home.delegate(7, at(2000), delegation, at(2000));
+    }
+    // Each bucket holds half of a token, and its cap is three quarters of one.
+    let [first, second] = &mut homes;
+    assert!(first.take(None, (3, 1), 1, 0, at(2010)).is_err());
+    assert_eq!(
+        first.take(Some(&mut *second), (3, 2), 1, 0, at(2010)),
+        Ok(0)
+    );
+    let refused = first.take(Some(&mut *second), (3, 3), 1, 0, at(2020));
+    let delay = refused.unwrap_err().as_secs_f64();
+    assert!((1.5..3.1).contains(&delay), "{delay}");
+    first.give_back(Some(&mut *second), 3, 2, at(2020));
+    assert_eq!(second.take(Some(first), (3, 4), 1, 0, at(2030)), Ok(0));
+}
+
 #[test]
 fn herd_that_restarts_keeps_the_bound_and_is_served_soon() {
     let usual = usual_rates();
