Begin a limit that is added with its burst

A limit that a new configuration adds began with an empty bucket, so its team was refused at once. The bucket now begins at its cap, which all homes together keep within C. It begins empty as before at a home younger than a window and 3 s, and for a team that had a limit within that time, whose tokens may have been granted in the same window.

--- a/crates/route/src/quota/home.rs
+++ b/crates/route/src/quota/home.rs
@@ -44,6 +44,8 @@
     /// Sorted by team.
     buckets: Vec<Bucket>,
     recent: VecDeque<Recent>,
+    /// Teams whose limits were taken away lately, with the time.
+    dropped: Vec<(TeamId, Time)>,
     /// The sum of the shares of credits.
     credit: f64,
     /// When this VM became the home; `None` if it is not.
@@ -60,6 +62,7 @@
             parts: Parts::default(),
             buckets: Vec::new(),
             recent: VecDeque::new(),
+            dropped: Vec::new(),
             credit: 0.0,
             since: None,
             held_until: Time::ZERO,
@@ -94,14 +97,25 @@
     }
 
     /// Puts the sorted `limits` in force.
+    ///
+    /// The bucket of a team that had no limit begins full. It begins empty if tokens of the
+    /// limit may have been granted within the window: by an earlier home of this lane, or by
+    /// this one before the limit was taken away for a moment.
     pub fn set_limits(&mut self, limits: &[Limit], now: Time) {
-        if !self.is_active() {
+        let Some(since) = self.since else {
             return;
-        }
+        };
+        let span = self.terms.window + CREDIT_LIFE;
+        let is_settled = now >= since + span;
         self.advance(now);
         let (terms, inflow) = (self.terms, self.inflow(now));
-        let mut old = std::mem::take(&mut self.buckets);
-        let mut known = old.drain(..).peekable();
+        let old = std::mem::take(&mut self.buckets);
+        let is_limited = |team: TeamId| limits.binary_search_by_key(&team, |l| l.team).is_ok();
+        let ended = old.iter().map(|bucket| bucket.limit().team);
+        let ended = ended.filter(|team| !is_limited(*team));
+        self.dropped.retain(|(_, at)| now < *at + span);
+        self.dropped.extend(ended.map(|team| (team, now)));
+        let mut known = old.into_iter().peekable();
         for limit in limits {
             while known.next_if(|b| b.limit().team < limit.team).is_some() {}
             let bucket = match known.next_if(|b| b.limit().team == limit.team) {
@@ -111,7 +125,14 @@
                     }
                     bucket
                 }
-                None => Bucket::new(*limit, &terms, inflow),
+                None => {
+                    let mut bucket = Bucket::new(*limit, &terms, inflow);
+                    let was_dropped = self.dropped.iter().any(|(team, _)| *team == limit.team);
+                    if is_settled && !was_dropped {
+                        bucket.fill_up(inflow);
+                    }
+                    bucket
+                }
             };
             self.buckets.push(bucket);
         }
--- a/crates/route/tests/quota_sim/mod.rs
+++ b/crates/route/tests/quota_sim/mod.rs
@@ -104,6 +104,8 @@
     /// Calls that may still give their token back.
     unsure: Vec<(usize, Token, Time)>,
     scale: f64,
+    /// The number of teams that have a limit; the others have none yet.
+    limited: usize,
     /// The largest limits that were in force in the last windows.
     bound_scale: f64,
 }
@@ -150,6 +152,7 @@
             runs: Vec::new(),
             unsure: Vec::new(),
             scale: 1.0,
+            limited: teams,
             bound_scale: 1.0,
         };
         (0..count).for_each(|vm| fleet.update_view(vm));
@@ -233,6 +236,16 @@
     pub(crate) fn set_rate_scale(&mut self, scale: f64) {
         self.scale = scale;
         self.bound_scale = self.bound_scale.max(scale);
+        self.put_in_force();
+    }
+
+    /// Lets only the first `count` teams have a limit.
+    pub(crate) fn limit_teams(&mut self, count: usize) {
+        self.limited = count;
+        self.put_in_force();
+    }
+
+    fn put_in_force(&mut self) {
         let limits = self.limits();
         for vm in 0..self.vms.len() {
             let now = self.vms[vm].clock(self.now);
@@ -299,7 +312,8 @@
             burst: limit.burst * self.scale,
             ..*limit
         };
-        self.rules.limits.iter().map(scaled).collect()
+        let limited = self.rules.limits.iter().take(self.limited);
+        limited.map(scaled).collect()
     }
 
     /// Lets each VM learn of a change after a delay of its own.
--- a/crates/route/tests/quotas.rs
+++ b/crates/route/tests/quotas.rs
@@ -515,6 +515,35 @@
     assert!(fleet.granted[0] as f64 <= 80.5, "{}", fleet.granted[0]);
 }
 
+#[test]
+fn limit_that_is_added_begins_with_its_burst_and_keeps_the_bound() {
+    for seed in 0..20 {
+        let limits = [(40.0, 10.0), (10.0, 60.0)];
+        let limits = limits.iter().zip(0..);
+        let limits = limits.map(|((rate, burst), team)| Limit::new(team, *rate, *burst).unwrap());
+        let mut fleet = Fleet::new(13, Rules::new(limits.collect()), seed);
+        fleet.limit_teams(1);
+        fleet.run(Duration::from_secs(10));
+        fleet.limit_teams(2);
+        fleet.demand = vec![0.0, 60.0];
+        fleet.run(Duration::from_millis(700));
+        let (granted, refused) = fleet.totals();
+        assert!(refused * 20 < granted, "{refused} of {granted}");
+        // The next homes begin without the burst, which has been used.
+        fleet.demand = vec![0.0, 500.0];
+        for _ in 0..3 {
+            fleet.run(Duration::from_millis(100 * (seed % 5)));
+            let home = fleet.home_of(12);
+            fleet.restart(home, Duration::from_millis(300));
+            fleet.run(Duration::from_millis(1500));
+            fleet.limit_teams(1);
+            fleet.limit_teams(2);
+        }
+        fleet.run(WINDOW);
+        fleet.check_bound();
+    }
+}
+
 #[test]
 fn limit_beyond_all_use_is_none() {
     assert!(Limit::new(1, 1e9, 0.0).is_none());
