Bound the retry delay that a message between VMs names

A Deny with a delay near the largest Duration overflowed the desk's sum and panicked. The desk shortens it to 60 s, the most that a home names.

The other sums on values of quota messages were read: stamps are compared and added to only if they are not ahead of the own clock, shares outside of 0 to 1 and tokens held for longer than HOLD are dropped or cut. A test sends the extremes of every message; before this it panicked in Desk::denied.

--- a/crates/route/src/quota/desk.rs
+++ b/crates/route/src/quota/desk.rs
@@ -24,6 +24,8 @@
 const IDLE_TIME: Duration = Duration::from_secs(5);
 /// For how long a lane whose home did not answer is asked second.
 const SILENT_TIME: Duration = Duration::from_millis(500);
+/// The longest delay that a home names. A message with a longer one is broken.
+const RETRY_MAX: Duration = Duration::from_secs(60);
 /// The most asks at once. Beyond it calls are refused.
 const ASKS_MAX: usize = 4096;
 /// How long after an ask a grant that is not used is given back. The home accepts no later one.
@@ -269,6 +271,7 @@
         let Some(asked) = found.filter(|_| usize::from(lane) < LANES) else {
             return Denied::Nothing;
         };
+        let retry_after = retry_after.min(RETRY_MAX);
         asked.refused[usize::from(lane)] = Some(retry_after);
         if !asked.asked.iter().all(|asked| *asked) {
             asked.turn();
--- a/crates/route/tests/quotas.rs
+++ b/crates/route/tests/quotas.rs
@@ -13,6 +13,8 @@
 use route::quota::Bucket;
 use route::quota::Delegation;
 use route::quota::Delegator;
+use route::quota::Denied;
+use route::quota::Desk;
 use route::quota::FleetSize;
 use route::quota::Home;
 use route::quota::HomeView;
@@ -258,6 +260,66 @@
     }
 }
 
+#[test]
+fn messages_with_extreme_values_do_no_harm() {
+    let now = Time::from_secs(20);
+    let mut quotas = Quotas::new(3, 50, TERMS, Time::ZERO, 0);
+    quotas.set_limits(vec![Limit::new(1, 10.0, 5.0).unwrap()], Time::ZERO);
+    let view = HomeView {
+        homes: [Some(3), Some(2)],
+        alive: &[2, 3],
+        registered: 2,
+    };
+    quotas.set_view(view, now);
+    quotas.tick(2, now);
+    let (instance, ask, extra) = (50, u64::MAX, u32::MAX);
+    let mut bodies = Vec::new();
+    for time in [Duration::MAX, Duration::ZERO] {
+        bodies.extend([0, u32::MAX].map(|fleet| QuotaBody::Collect {
+            instance,
+            stamp: time,
+            fleet,
+        }));
+        let shares = [f64::NAN, f64::INFINITY, -1.0, 2.0, 0.0, 1.0];
+        bodies.extend(shares.map(|share| QuotaBody::Delegate {
+            instance,
+            stamp: time,
+            share,
+            waits: false,
+            credit: share,
+        }));
+        bodies.push(QuotaBody::Return {
+            instance,
+            stamp: time,
+            held: time,
+        });
+    }
+    bodies.extend([
+        QuotaBody::Ask {
+            ask,
+            team: 1,
+            extra,
+        },
+        QuotaBody::Grant { ask, extra },
+        QuotaBody::GiveBack { ask },
+    ]);
+    for body in bodies {
+        for lane in [0, 1, u8::MAX] {
+            quotas.receive(2, QuotaMsg { lane, body }, now);
+            quotas.tick(2, now);
+        }
+    }
+    // A refusal without end, of both lanes, is shortened.
+    let mut desk = Desk::new(0);
+    assert_eq!(desk.take(1, now), Taken::Wait(0));
+    let mut deny = |lane| desk.denied(lane, 0, Duration::MAX, now);
+    assert_eq!(deny(0), Denied::AskOther);
+    assert_eq!(deny(1), Denied::Refused(Duration::from_secs(60)));
+    let again = desk.take(1, now);
+    assert_eq!(again, Taken::Refused(Duration::from_secs(60)));
+    assert!(quotas.share() <= 0.5, "{}", quotas.share());
+}
+
 #[test]
 fn busy_vms_hold_tokens_ahead() {
     let usual = usual_rates();
