Keep the key of a relayed call that its connection field lists

A VM without a path to servers removed the fields that the caller's connection field lists before it relayed the call, so Connection: X-Key made the other VM answer 401, where a call that is not relayed is served. A relayed request now keeps what the other VM reads, which removes the key itself before any server gets it.

--- a/crates/entry/src/dialect.rs
+++ b/crates/entry/src/dialect.rs
@@ -44,6 +44,9 @@
     /// limit.
     fn timeout(&self, fields: &HeaderMap) -> Option<Duration>;
 
+    /// Returns the names of the fields by which an entry VM knows a call and its caller.
+    fn entry_fields(&self) -> Vec<HeaderName>;
+
     /// Returns the digest of the key that the caller sent; `None` if it sent no key, an
     /// empty one or several.
     fn caller_key(&self, fields: &HeaderMap) -> Option<KeyDigest>;
@@ -133,6 +136,10 @@
         text.parse().ok().map(Duration::from_millis)
     }
 
+    fn entry_fields(&self) -> Vec<HeaderName> {
+        vec![headers::KEY]
+    }
+
     fn caller_key(&self, fields: &HeaderMap) -> Option<KeyDigest> {
         only_key(fields, &headers::KEY)
     }
--- a/crates/entry/src/proxy.rs
+++ b/crates/entry/src/proxy.rs
@@ -231,7 +231,14 @@
             place.stream_anyway();
         }
         let (parts, incoming) = request.into_parts();
-        let reading = OutgoingRequest::new(parts, incoming, peer, max_body, &self.identity.memory);
+        let reading = OutgoingRequest::new_relayed(
+            parts,
+            incoming,
+            peer,
+            max_body,
+            &self.identity.memory,
+            &*self.dialect,
+        );
         let result = match net::timeout(limit, reading).await {
             Some(Ok(mut outgoing)) => {
                 let set_fields = |fields: &mut HeaderMap, left| {
--- a/crates/entry/src/request.rs
+++ b/crates/entry/src/request.rs
@@ -112,6 +112,37 @@
         })
     }
 
+    /// Creates the request to another VM that handles the call as one of its own. What that VM
+    /// reads stays even if the caller's `connection` field lists it.
+    ///
+    /// # Errors
+    ///
+    /// Fails as [`Self::new`] does.
+    pub async fn new_relayed(
+        parts: Parts,
+        incoming: impl CallBody,
+        peer: SocketAddr,
+        max_body: usize,
+        budget: &MemoryBudget,
+        dialect: &dyn Dialect,
+    ) -> Result<Self, LocalResponse> {
+        let mut names = dialect.entry_fields();
+        names.extend([header::HOST, headers::IDEMPOTENCY_KEY]);
+        let read: Vec<(HeaderName, HeaderValue)> = names
+            .iter()
+            .flat_map(|name| parts.headers.get_all(name).iter().map(move |v| (name, v)))
+            .map(|(name, value)| (name.clone(), value.clone()))
+            .collect();
+        let mut outgoing = Self::new(parts, incoming, peer, max_body, budget).await?;
+        for (name, _) in &read {
+            outgoing.fields.remove(name);
+        }
+        for (name, value) in read {
+            outgoing.fields.append(name, value);
+        }
+        Ok(outgoing)
+    }
+
     /// Makes this a request of `team` to servers: the caller's key is removed, and the team
     /// is named in place of what the caller wrote, in all attempts.
     pub fn set_team(&mut self, team: Option<&Team>, dialect: &Arc<dyn Dialect>) {
--- a/crates/entry/tests/request.rs
+++ b/crates/entry/tests/request.rs
@@ -140,3 +140,36 @@
         assert_eq!(collected.to_bytes().len(), size);
     }
 }
+
+#[test]
+fn new_relayed_keeps_what_the_other_vm_reads() {
+    let request = request("/a")
+        .header("connection", "close, Snipepaddle-Key, idempotency-key")
+        .header("connection", "host, x-hop, snipepaddle-team")
+        .header(headers::KEY, "k")
+        .header(headers::KEY, "k2")
+        .header(headers::IDEMPOTENCY_KEY, "booking-17")
+        .header(headers::TEAM, "forged")
+        .header("x-hop", "1")
+        .body(Full::new(Bytes::new()))
+        .unwrap();
+    let (parts, body) = request.into_parts();
+    let peer: SocketAddr = "10.0.0.1:1000".parse().unwrap();
+    let budget = MemoryBudget::new(MAX_BODY);
+    let reading = OutgoingRequest::new_relayed(parts, body, peer, MAX_BODY, &budget, &Native);
+    let Ok(mut outgoing) = smol::block_on(reading) else {
+        panic!("the request is valid");
+    };
+    let request = outgoing.build().unwrap();
+    let values = |name: &str| -> Vec<&[u8]> {
+        let values = request.headers().get_all(name).iter();
+        values.map(|value| value.as_bytes()).collect()
+    };
+    // Two keys are refused as those of a call that is not relayed.
+    assert_eq!(values("snipepaddle-key"), [b"k".as_slice(), b"k2"]);
+    assert_eq!(values("idempotency-key"), [b"booking-17"]);
+    assert_eq!(values("host"), [b"a.example"]);
+    for name in ["connection", "x-hop", "snipepaddle-team"] {
+        assert!(values(name).is_empty(), "{name}");
+    }
+}
