Warn of names of teams that are not ASCII

A review took such teams for left out. They are not: HeaderValue::from_str takes bytes beyond ASCII, so the team has its keys and servers get the name in UTF-8.

Tests: the audit's warning is new. That the name is decoded and reaches servers as UTF-8 held before and is now tested.

--- a/crates/conf/src/audit/entries.rs
+++ b/crates/conf/src/audit/entries.rs
@@ -135,6 +135,10 @@
         if team.name.trim().is_empty() {
             findings.error(&entry, "has no usable name", "name it");
         }
+        if !team.name.is_ascii() {
+            let problem = "servers get its name in UTF-8, which they may read in another encoding";
+            findings.warn(&entry, problem, "name it in ASCII");
+        }
         if team.keys.is_empty() {
             findings.error(&entry, "has no key, so it cannot call", "give it a key");
             continue;
--- a/crates/conf/tests/audit.rs
+++ b/crates/conf/tests/audit.rs
@@ -161,6 +161,13 @@
     layout.teams = Some(vec![team(" ", &[])]);
     expect(&layout, None, Gravity::Error, "usable name");
     expect(&layout, None, Gravity::Error, "has no key");
+    layout.teams = Some(vec![team("João", &["j"])]);
+    expect(
+        &layout,
+        None,
+        Gravity::Warning,
+        "team \"João\": servers get",
+    );
     layout.teams = Some(Vec::new());
     expect(&layout, None, Gravity::Warning, "list is empty");
 }
--- a/crates/entry/tests/request.rs
+++ b/crates/entry/tests/request.rs
@@ -108,14 +108,14 @@
 
 #[test]
 fn set_team_replaces_what_the_caller_wrote_in_every_attempt() {
-    for (team, expected) in [(Some("a"), Some("a")), (None, None)] {
+    for team in [Some("a"), Some("João"), None] {
         let mut outgoing = of_team(Full::new(Bytes::from_static(b"x")), "k", team);
         for _ in 0..2 {
             let request = outgoing.build().unwrap();
             let fields = request.headers();
             assert!(!fields.contains_key(headers::KEY));
             let teams: Vec<_> = fields.get_all(headers::TEAM).iter().collect();
-            assert_eq!(teams, expected.into_iter().collect::<Vec<_>>());
+            assert_eq!(teams, team.into_iter().collect::<Vec<_>>());
         }
     }
 }
