Tell idempotency keys of different teams apart

A key was known by its service alone, so a call of one team got 409 as the repeat of another team's call with the same Idempotency-Key, and did not run though it had never come before. No response of another team was returned: none is stored. The hash now includes the name of the team, where the call has one; without a team it is that of earlier builds.

--- a/crates/entry/src/proxy.rs
+++ b/crates/entry/src/proxy.rs
@@ -392,7 +392,7 @@
         let elapsed = route.mapping.map_or(Duration::ZERO, |mapping| {
             self.elapsed.observe(&mapping.name, time_left)
         });
-        let key = idempotency_key(service, &rule, request.headers());
+        let key = idempotency_key(service, &rule, team, request.headers());
         let place = place_of(&request);
         let (parts, incoming) = request.into_parts();
         let reading = OutgoingRequest::new(parts, incoming, peer, max_body, &self.identity.memory);
@@ -800,12 +800,20 @@
 }
 
 /// Returns the hash of the caller's idempotency key, if the call has one and must not run
-/// twice. The hash includes the name of the service, so calls of different services may
-/// have the same key.
-fn idempotency_key(service: &Service, rule: &CallRule, fields: &HeaderMap) -> Option<KeyHash> {
+/// twice. The hash includes the names of the service and the team, so calls of different
+/// services and of different teams may have the same key. Without a team it is that of
+/// earlier builds.
+fn idempotency_key(
+    service: &Service,
+    rule: &CallRule,
+    team: Option<&Team>,
+    fields: &HeaderMap,
+) -> Option<KeyHash> {
     if rule.idempotent {
         return None;
     }
     let key = fields.get(headers::IDEMPOTENCY_KEY)?.to_str().ok()?;
-    Some(base::hash::of(&["key", &service.name, key]))
+    let mut names = vec!["key", &service.name, key];
+    names.extend(team.map(|team| team.name.as_str()));
+    Some(base::hash::of(&names))
 }
--- a/crates/route/src/keys.rs
+++ b/crates/route/src/keys.rs
@@ -36,13 +36,13 @@
 /// key grants the key.
 const NO_MAJORITY_RETRY: Duration = Duration::from_secs(1);
 
-/// Hash of an idempotency key together with its service.
+/// Hash of an idempotency key together with its service, and the team that sent it if any.
 pub type KeyHash = u64;
 
 /// A claim of a key by a call.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct KeyClaim {
-    /// Hash of the key and its service.
+    /// Hash of the key, its service and its team.
     pub key: KeyHash,
     /// Id by which the claiming VM identifies the call. Together with the VM it
     /// makes repeated claims of one call recognizable.
