Test the bound while one home has both lanes

Twelve simulated VMs are split so that the stock of a lane is below a token, the home of both lanes is killed, and calls give their tokens back; the most calls in a window stay within the bound.

--- a/crates/route/tests/quotas.rs
+++ b/crates/route/tests/quotas.rs
@@ -130,6 +130,37 @@
     }
 }
 
+#[test]
+fn bound_holds_while_one_home_has_both_lanes() {
+    for seed in 0..20 {
+        let rules = Rules {
+            terms: Terms {
+                slack: 6.0,
+                ..TERMS
+            },
+            large: 12,
+            drift: 0.01,
+            limits: vec![Limit::new(0, 8.0, 0.0).unwrap()],
+        };
+        let mut fleet = Fleet::new(12, rules, seed);
+        fleet.demand = vec![200.0];
+        fleet.refuse_runs = seed % 2 == 0;
+        // The side of the first VM is too small for two homes.
+        for count in [6, 3, 7, 1, 6] {
+            fleet.split(count);
+            fleet.run(Duration::from_millis(6500 + 150 * seed));
+            let homes = fleet.homes_of(0);
+            assert_eq!(homes[0], homes[1]);
+            fleet.restart(homes[0], Duration::from_millis(100 * seed));
+            fleet.run(Duration::from_millis(400));
+            fleet.heal();
+            fleet.run(Duration::from_millis(2000));
+        }
+        eprintln!("{} calls in a window", fleet.most_in_window(0));
+        fleet.check_bound();
+    }
+}
+
 #[test]
 fn home_grants_the_whole_quota() {
     let rules = Rules::new(vec![Limit::new(0, 40.0, 0.0).unwrap()]);
