--- a/crates/route/src/quota/home.rs
+++ b/crates/route/src/quota/home.rs
@@ -44,6 +44,8 @@
     /// Sorted by team.
     buckets: Vec<Bucket>,
     recent: VecDeque<Recent>,
+    /// Teams whose limits were taken away lately, with the time.
+    dropped: Vec<(TeamId, Time)>,
     /// The sum of the shares of credits.
     credit: f64,
     /// When this VM became the home; `None` if it is not.
@@ -60,6 +62,7 @@
             parts: Parts::default(),
             buckets: Vec::new(),
             recent: VecDeque::new(),
+            dropped: Vec::new(),
             credit: 0.0,
             since: None,
             held_until: Time::ZERO,
@@ -94,14 +97,25 @@
     }
 
     /// Puts the sorted `limits` in force.
+    ///
+    /// The bucket of a team that had no limit begins full. It begins empty if tokens of the
+    /// limit may have been granted within the window: by an earlier home of this lane, or by
+    /// this one before the limit was taken away for a moment.
     pub fn set_limits(&mut self, limits: &[Limit], now: Time) {
-        if !self.is_active() {
+        let Some(since) = self.since else {
             return;
-        }
+        };
+        let span = self.terms.window + CREDIT_LIFE;
+        let is_settled = now >= since + span;
         self.advance(now);
         let (terms, inflow) = (self.terms, self.inflow(now));
-        let mut old = std::mem::take(&mut self.buckets);
-        let mut known = old.drain(..).peekable();
+        let old = std::mem::take(&mut self.buckets);
+        let is_limited = |team: TeamId| limits.binary_search_by_key(&team, |l| l.team).is_ok();
+        let ended = old.iter().map(|bucket| bucket.limit().team);
+        let ended = ended.filter(|team| !is_limited(*team));
+        self.dropped.retain(|(_, at)| now < *at + span);
+        self.dropped.extend(ended.map(|team| (team, now)));
+        let mut known = old.into_iter().peekable();
         for limit in limits {
             while known.next_if(|b| b.limit().team < limit.team).is_some() {}
             let bucket = match known.next_if(|b| b.limit().team == limit.team) {
@@ -111,7 +125,14 @@
                     }
                     bucket
                 }
-                None => Bucket::new(*limit, &terms, inflow),
+                None => {
+                    let mut bucket = Bucket::new(*limit, &terms, inflow);
+                    let was_dropped = self.dropped.iter().any(|(team, _)| *team == limit.team);
+                    if is_settled && !was_dropped {
+                        bucket.fill_up(inflow);
+                    }
+                    bucket
+                }
             };
             self.buckets.push(bucket);
         }
@@ -149,9 +170,11 @@
     }
 
     /// Grants a token of `team`, and up to `extra` more ahead; returns how many of these, or
-    /// when there will be a token.
+    /// when there will be a token. What this lane lacks of a token comes out of `other`, the
+    /// home of the other lane if that is this VM too.
     pub fn take(
         &mut self,
+        other: Option<&mut Self>,
         (vm, ask): (VmId, AskId),
         team: TeamId,
         extra: u32,
@@ -168,7 +191,8 @@
             // The configuration in force here sets no limit.
             return Ok(0);
         };
-        let extra = self.buckets[index].take(extra, inflow, now)?;
+        let other = other.and_then(|other| other.bucket(team, now));
+        let extra = self.buckets[index].take_with(other, extra, inflow, now)?;
         if extra > 0 {
             self.held_until = now + HOLD;
         }
@@ -183,19 +207,34 @@
         Ok(extra)
     }
 
-    /// Takes a token back that was granted a moment ago and is not used.
-    pub fn give_back(&mut self, vm: VmId, ask: AskId, now: Time) {
+    /// Takes a token back that was granted a moment ago and is not used. What this lane has
+    /// no room for goes to `other`, as in [`Self::take`].
+    pub fn give_back(&mut self, other: Option<&mut Self>, vm: VmId, ask: AskId, now: Time) {
         self.forget_recent(now);
         let is_same = |recent: &Recent| recent.vm == vm && recent.ask == ask;
         let Some(index) = self.recent.iter().position(is_same) else {
             return;
         };
-        let team = self.recent.remove(index).map(|recent| recent.team);
+        let Some(team) = self.recent.remove(index).map(|recent| recent.team) else {
+            return;
+        };
+        let mut left = 1.0;
+        for home in [Some(self), other].into_iter().flatten() {
+            if let Some((bucket, inflow)) = home.bucket(team, now) {
+                left = bucket.put_back(left, inflow, now);
+            }
+        }
+    }
+
+    /// Returns the bucket of `team`, with what has flowed in by `now`.
+    fn bucket(&mut self, team: TeamId, now: Time) -> Option<(&mut Bucket, Inflow)> {
+        if !self.is_active() {
+            return None;
+        }
         self.advance(now);
         let inflow = self.inflow(now);
-        if let Some(Ok(index)) = team.map(|team| self.find(team)) {
-            self.buckets[index].put_back(inflow, now);
-        }
+        let index = self.find(team).ok()?;
+        Some((&mut self.buckets[index], inflow))
     }
 
     /// Brings the parts up to `now`. Whenever a lease ended in between, all buckets are
--- a/crates/route/tests/quotas.rs
+++ b/crates/route/tests/quotas.rs
@@ -13,6 +13,8 @@
 use route::quota::Bucket;
 use route::quota::Delegation;
 use route::quota::Delegator;
+use route::quota::Denied;
+use route::quota::Desk;
 use route::quota::FleetSize;
 use route::quota::Home;
 use route::quota::HomeView;
@@ -128,6 +130,37 @@
     }
 }
 
+#[test]
+fn bound_holds_while_one_home_has_both_lanes() {
+    for seed in 0..20 {
+        let rules = Rules {
+            terms: Terms {
+                slack: 6.0,
+                ..TERMS
+            },
+            large: 12,
+            drift: 0.01,
+            limits: vec![Limit::new(0, 8.0, 0.0).unwrap()],
+        };
+        let mut fleet = Fleet::new(12, rules, seed);
+        fleet.demand = vec![200.0];
+        fleet.refuse_runs = seed % 2 == 0;
+        // The side of the first VM is too small for two homes.
+        for count in [6, 3, 7, 1, 6] {
+            fleet.split(count);
+            fleet.run(Duration::from_millis(6500 + 150 * seed));
+            let homes = fleet.homes_of(0);
+            assert_eq!(homes[0], homes[1]);
+            fleet.restart(homes[0], Duration::from_millis(100 * seed));
+            fleet.run(Duration::from_millis(400));
+            fleet.heal();
+            fleet.run(Duration::from_millis(2000));
+        }
+        eprintln!("{} calls in a window", fleet.most_in_window(0));
+        fleet.check_bound();
+    }
+}
+
 #[test]
 fn home_grants_the_whole_quota() {
     let rules = Rules::new(vec![Limit::new(0, 40.0, 0.0).unwrap()]);
@@ -258,6 +291,66 @@
     }
 }
 
+#[test]
+fn messages_with_extreme_values_do_no_harm() {
+    let now = Time::from_secs(20);
+    let mut quotas = Quotas::new(3, 50, TERMS, Time::ZERO, 0);
+    quotas.set_limits(vec![Limit::new(1, 10.0, 5.0).unwrap()], Time::ZERO);
+    let view = HomeView {
+        homes: [Some(3), Some(2)],
+        alive: &[2, 3],
+        registered: 2,
+    };
+    quotas.set_view(view, now);
+    quotas.tick(2, now);
+    let (instance, ask, extra) = (50, u64::MAX, u32::MAX);
+    let mut bodies = Vec::new();
+    for time in [Duration::MAX, Duration::ZERO] {
+        bodies.extend([0, u32::MAX].map(|fleet| QuotaBody::Collect {
+            instance,
+            stamp: time,
+            fleet,
+        }));
+        let shares = [f64::NAN, f64::INFINITY, -1.0, 2.0, 0.0, 1.0];
+        bodies.extend(shares.map(|share| QuotaBody::Delegate {
+            instance,
+            stamp: time,
+            share,
+            waits: false,
+            credit: share,
+        }));
+        bodies.push(QuotaBody::Return {
+            instance,
+            stamp: time,
+            held: time,
+        });
+    }
+    bodies.extend([
+        QuotaBody::Ask {
+            ask,
+            team: 1,
+            extra,
+        },
+        QuotaBody::Grant { ask, extra },
+        QuotaBody::GiveBack { ask },
+    ]);
+    for body in bodies {
+        for lane in [0, 1, u8::MAX] {
+            quotas.receive(2, QuotaMsg { lane, body }, now);
+            quotas.tick(2, now);
+        }
+    }
+    // A refusal without end, of both lanes, is shortened.
+    let mut desk = Desk::new(0);
+    assert_eq!(desk.take(1, now), Taken::Wait(0));
+    let mut deny = |lane| desk.denied(lane, 0, Duration::MAX, now);
+    assert_eq!(deny(0), Denied::AskOther);
+    assert_eq!(deny(1), Denied::Refused(Duration::from_secs(60)));
+    let again = desk.take(1, now);
+    assert_eq!(again, Taken::Refused(Duration::from_secs(60)));
+    assert!(quotas.share() <= 0.5, "{}", quotas.share());
+}
+
 #[test]
 fn busy_vms_hold_tokens_ahead() {
     let usual = usual_rates();
@@ -319,6 +412,65 @@
     fleet.check_bound();
 }
 
+#[test]
+fn small_team_gets_tokens_while_few_vms_are_alive() {
+    for (alive, terms) in [(3, TERMS), (5, Terms::default())] {
+        let limits = vec![Limit::new(0, 4.0, 1.6).unwrap()];
+        let rules = Rules {
+            terms,
+            ..Rules::new(limits)
+        };
+        let mut fleet = Fleet::new(12, rules, 10);
+        fleet.run(Duration::from_secs(5));
+        (alive..12).for_each(|vm| fleet.stop(vm));
+        fleet.run(Duration::from_secs(9));
+        fleet.clear_counts();
+        // More than the part of the VMs that are left.
+        fleet.demand = vec![24.0];
+        fleet.run(Duration::from_secs(20));
+        let part = 4.0 * 20.0 * alive as f64 / 12.0;
+        let granted = fleet.granted[0] as f64;
+        eprintln!("{alive} of 12 VMs: {granted} granted, the part is {part:.1}");
+        assert!(granted > 0.8 * part, "{granted} of {part}");
+        assert!(granted < part + 3.0, "{granted} of {part}");
+        fleet.check_bound();
+    }
+}
+
+#[test]
+fn token_out_of_both_lanes_goes_back_to_both() {
+    let limits = [Limit::new(1, 1.0, 2.0).unwrap()];
+    let at = |ms| Time::from_secs(10) + Duration::from_millis(ms);
+    let mut homes = [Home::new(Terms::default()), Home::new(Terms::default())];
+    for home in &mut homes {
+        home.start(&limits, at(0));
+        home.collect(&[7], at(0));
+        let delegation = Delegation {
+            share: 0.25,
+            waits: false,
+            credit: 0.0,
+        };
+        home.delegate(7, at(1), delegation, at(1));
+        home.collect(&[7], at(1));
+        // A later lease keeps the part.
+        home.delegate(7, at(1000), delegation, at(1000));
+        home.collect(&[7], at(1000));
+        home.delegate(7, at(2000), delegation, at(2000));
+    }
+    // Each bucket holds half of a token, and its cap is three quarters of one.
+    let [first, second] = &mut homes;
+    assert!(first.take(None, (3, 1), 1, 0, at(2010)).is_err());
+    assert_eq!(
+        first.take(Some(&mut *second), (3, 2), 1, 0, at(2010)),
+        Ok(0)
+    );
+    let refused = first.take(Some(&mut *second), (3, 3), 1, 0, at(2020));
+    let delay = refused.unwrap_err().as_secs_f64();
+    assert!((1.5..3.1).contains(&delay), "{delay}");
+    first.give_back(Some(&mut *second), 3, 2, at(2020));
+    assert_eq!(second.take(Some(first), (3, 4), 1, 0, at(2030)), Ok(0));
+}
+
 #[test]
 fn herd_that_restarts_keeps_the_bound_and_is_served_soon() {
     let usual = usual_rates();
@@ -456,6 +608,35 @@
     assert!(fleet.granted[0] as f64 <= 80.5, "{}", fleet.granted[0]);
 }
 
+#[test]
+fn limit_that_is_added_begins_with_its_burst_and_keeps_the_bound() {
+    for seed in 0..20 {
+        let limits = [(40.0, 10.0), (10.0, 60.0)];
+        let limits = limits.iter().zip(0..);
+        let limits = limits.map(|((rate, burst), team)| Limit::new(team, *rate, *burst).unwrap());
+        let mut fleet = Fleet::new(13, Rules::new(limits.collect()), seed);
+        fleet.limit_teams(1);
+        fleet.run(Duration::from_secs(10));
+        fleet.limit_teams(2);
+        fleet.demand = vec![0.0, 60.0];
+        fleet.run(Duration::from_millis(700));
+        let (granted, refused) = fleet.totals();
+        assert!(refused * 20 < granted, "{refused} of {granted}");
+        // The next homes begin without the burst, which has been used.
+        fleet.demand = vec![0.0, 500.0];
+        for _ in 0..3 {
+            fleet.run(Duration::from_millis(100 * (seed % 5)));
+            let home = fleet.home_of(12);
+            fleet.restart(home, Duration::from_millis(300));
+            fleet.run(Duration::from_millis(1500));
+            fleet.limit_teams(1);
+            fleet.limit_teams(2);
+        }
+        fleet.run(WINDOW);
+        fleet.check_bound();
+    }
+}
+
 #[test]
 fn limit_beyond_all_use_is_none() {
     assert!(Limit::new(1, 1e9, 0.0).is_none());
