Tell a VM that relays a call what its servers ask for

The VM that made the attempts removed the servers' notices from the relayed response, so the VM that passed it on sent servers calls that leave or rest once it had a path again. It now reports the notices and rate limits of all attempts of the call in a field of the connection between the two VMs, and the other one records them.

--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -37,6 +37,8 @@
 use crate::dialect::Dialect;
 use crate::dialect::ResponseKind;
 use crate::guard::PermitGuard;
+use crate::heard::Heard;
+use crate::heard::Wish;
 use crate::pool::Conn;
 use crate::pool::Pools;
 use crate::ports::Permit;
@@ -83,6 +85,8 @@
     pub deadline: Time,
     /// The place of the request on the caller's connection.
     pub place: Place,
+    /// What servers have asked for in their responses to the call.
+    pub heard: Heard,
     /// The memory for what is buffered of the response.
     pub memory: MemoryBudget,
 }
@@ -272,6 +276,7 @@
             Duration::ZERO
         };
         let (ports, dialect) = (self.ports.clone(), self.dialect.clone());
+        let heard = self.heard.clone();
         let server = self.permit.server;
         let exchange = async move {
             let result = match conn.sender() {
@@ -283,7 +288,7 @@
             };
             let result = result.map(|response| {
                 let (parts, body) = response.into_parts();
-                note_server(&*ports, &*dialect, server, &parts);
+                note_server(&*ports, &*dialect, &heard, server, &parts);
                 Response::from_parts(parts, body)
             });
             (conn, result)
@@ -480,13 +485,24 @@
     }
 }
 
-/// Records what `server` asks for in the head of its response.
-fn note_server(ports: &dyn Ports, dialect: &dyn Dialect, server: ServerId, parts: &Parts) {
-    if dialect.leaving(&parts.headers) {
-        ports.note_server(server, Notice::Leaving);
+/// Records what `server` asks for in the head of its response, also for the VM that relayed
+/// the call. The rate limit is recorded here when the permit is released.
+fn note_server(
+    ports: &dyn Ports,
+    dialect: &dyn Dialect,
+    heard: &Heard,
+    server: ServerId,
+    parts: &Parts,
+) {
+    let now = ports.now();
+    let leaving = dialect.leaving(&parts.headers).then_some(Notice::Leaving);
+    let rest = dialect.rest(parts).map(Notice::Rest);
+    for notice in [leaving, rest].into_iter().flatten() {
+        ports.note_server(server, notice);
+        heard.add(server, Wish::Notice(notice), now);
     }
-    if let Some(delay) = dialect.rest(parts) {
-        ports.note_server(server, Notice::Rest(delay));
+    if let Some(interval) = dialect.call_interval(&parts.headers) {
+        heard.add(server, Wish::Interval(interval), now);
     }
 }
 
--- a/crates/entry/src/call.rs
+++ b/crates/entry/src/call.rs
@@ -27,6 +27,7 @@
 use crate::attempt::FailedAttempt;
 use crate::attempt::ServerResponse;
 use crate::headers;
+use crate::heard::Heard;
 use crate::local_response::Disposition;
 use crate::local_response::LocalResponse;
 use crate::ports::Permit;
@@ -62,6 +63,8 @@
     pub(crate) tried: Vec<ServerId>,
     /// The number of attempts that may have run, including those in progress.
     pub(crate) sends: AtomicU32,
+    /// What servers have asked for in their responses to the call.
+    pub(crate) heard: Heard,
     /// The server of the last attempt that failed and may have run.
     pub(crate) may_have_run: Mutex<Option<ServedBy>>,
 }
--- a/crates/entry/src/headers.rs
+++ b/crates/entry/src/headers.rs
@@ -37,6 +37,11 @@
 pub const KEY: HeaderName = HeaderName::from_static("snipepaddle-key");
 /// The name of the team that makes the call, in requests to servers.
 pub const TEAM: HeaderName = HeaderName::from_static("snipepaddle-team");
+/// What servers asked for in their responses to a relayed call, between the two VMs; see
+/// [`crate::heard`].
+pub const HEARD: HeaderName = HeaderName::from_static(HEARD_NAME);
+/// The name of [`HEARD`].
+pub const HEARD_NAME: &str = "snipepaddle-heard";
 /// The caller's key for a call that must not run twice.
 pub const IDEMPOTENCY_KEY: HeaderName = HeaderName::from_static("idempotency-key");
 
@@ -57,7 +62,7 @@
 
 /// Response fields that only the load balancer sets. They are removed from requests
 /// and from servers' responses, so that neither can forge them.
-const RESERVED: [HeaderName; 7] = [
+const RESERVED: [HeaderName; 8] = [
     VM,
     DOMAIN,
     SERVER,
@@ -65,17 +70,22 @@
     OUTCOME,
     REASON,
     RETRY_AFTER_MS,
+    HEARD,
 ];
 
-/// Removes the hop-by-hop fields and the fields that `connection` lists.
-pub fn strip_hop_by_hop(headers: &mut HeaderMap) {
-    let listed: Vec<HeaderName> = headers
-        .get_all(header::CONNECTION)
-        .iter()
+/// Returns the names that `connection` lists.
+pub fn listed_in_connection(headers: &HeaderMap) -> Vec<HeaderName> {
+    let values = headers.get_all(header::CONNECTION).iter();
+    values
         .filter_map(|value| value.to_str().ok())
         .flat_map(|value| value.split(','))
         .filter_map(|name| name.trim().parse().ok())
-        .collect();
+        .collect()
+}
+
+/// Removes the hop-by-hop fields and the fields that `connection` lists.
+pub fn strip_hop_by_hop(headers: &mut HeaderMap) {
+    let listed = listed_in_connection(headers);
     for name in HOP_BY_HOP.iter().chain(&listed) {
         headers.remove(name);
     }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -13,6 +13,7 @@
 mod elapsed;
 pub mod guard;
 pub mod headers;
+pub mod heard;
 mod hedging;
 pub mod local_response;
 pub mod pool;
--- a/crates/entry/src/ports.rs
+++ b/crates/entry/src/ports.rs
@@ -107,6 +107,10 @@
     /// Records what a server asked for in a response.
     fn note_server(&self, server: ServerId, notice: Notice);
 
+    /// Records that a server named a rate limit of a call every `interval` in a response to
+    /// an attempt that another VM made for this one.
+    fn note_rate(&self, server: ServerId, interval: Duration);
+
     /// Returns whether `server` may be sent a call, as far as the server itself is
     /// concerned. It has to be asked right before a call is sent.
     fn allows_server(&self, server: ServerId) -> bool;
--- a/crates/entry/src/proxy.rs
+++ b/crates/entry/src/proxy.rs
@@ -387,6 +387,7 @@
         });
         let key = idempotency_key(service, &rule, request.headers());
         let place = place_of(&request);
+        let heard = request.extensions().get().cloned().unwrap_or_default();
         let (parts, incoming) = request.into_parts();
         let reading = OutgoingRequest::new(parts, incoming, peer, max_body, &self.identity.memory);
         let mut outgoing = net::timeout(limit, Box::pin(reading))
@@ -417,6 +418,7 @@
             progress,
             tried: Vec::new(),
             sends: AtomicU32::new(0),
+            heard,
             may_have_run: Mutex::default(),
         };
         let result = Box::pin(self.attempt_with_retries(call, outgoing)).await;
@@ -695,6 +697,7 @@
             permit,
             deadline: call.deadline,
             place: call.place.clone(),
+            heard: call.heard.clone(),
             memory: self.identity.memory.clone(),
         };
         call.sends.fetch_add(1, Ordering::Relaxed);
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -27,6 +27,8 @@
 
 use crate::call::stopping_response;
 use crate::headers;
+use crate::heard;
+use crate::heard::Heard;
 use crate::local_response::LocalResponse;
 use crate::pool::Conn;
 use crate::pool::Pools;
@@ -50,11 +52,17 @@
 impl Handler for RelayedCalls {
     fn call(
         self: Arc<Self>,
-        request: Request<Incoming>,
+        mut request: Request<Incoming>,
         peer: SocketAddr,
     ) -> BoxFuture<'static, Response<Body>> {
         let proxy = self.0.clone();
-        Box::pin(async move { proxy.respond_here(request, peer).await })
+        Box::pin(async move {
+            let heard = Heard::of_relayed();
+            request.extensions_mut().insert(heard.clone());
+            let mut response = proxy.respond_here(request, peer).await;
+            heard.set_field(response.headers_mut(), proxy.ports.now());
+            response
+        })
     }
 }
 
@@ -148,6 +156,9 @@
 
     fn pass_on(&self, response: Response<Incoming>, conn: Conn) -> Response<Body> {
         let (mut parts, inner) = response.into_parts();
+        for wish in heard::take_field(&mut parts.headers) {
+            wish.record(&*self.ports);
+        }
         headers::strip_hop_by_hop(&mut parts.headers);
         let body = RelayedBody {
             inner,
--- a/crates/load/tests/partition.rs
+++ b/crates/load/tests/partition.rs
@@ -8,6 +8,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use entry::headers::HEARD_NAME;
 use harness::respond_whole;
 use harness::Harness;
 use harness::Scripted;
@@ -93,25 +94,36 @@
     check_partition(Cut::NewRefused);
 }
 
+/// Cuts the second VM off, and waits until it relays its calls.
+fn cut_off(harness: &Harness, connector: &CutConnector) {
+    connector.set(Cut::Refused);
+    let began = std::time::Instant::now();
+    while began.elapsed() < SETTLE_TIME {
+        harness.call_at(harness.all_callers()[1], "GET", "/", "", "");
+        std::thread::sleep(Duration::from_millis(50));
+    }
+}
+
+/// Gives the second VM its path back.
+fn join_again(connector: &CutConnector) {
+    connector.set(Cut::None);
+    std::thread::sleep(Duration::from_secs(1));
+}
+
 #[test]
 fn server_that_leaves_gets_calls_of_a_vm_that_relayed_its_response() {
     let connector = Arc::new(CutConnector::new());
     let servers: Vec<Scripted> = (0..2).map(|_| Scripted::new(respond_leaving)).collect();
     let harness = start(&connector, &servers);
-    connector.set(Cut::Refused);
     let partitioned = harness.all_callers()[1];
-    let began = std::time::Instant::now();
-    while began.elapsed() < SETTLE_TIME {
-        harness.call_at(partitioned, "GET", "/", "", "");
-        std::thread::sleep(Duration::from_millis(50));
-    }
+    cut_off(&harness, &connector);
     let counts = || [servers[0].count(), servers[1].count()];
     let before = counts();
     let answer = harness.call_at(partitioned, "POST", "/leave", "", "x");
     assert!(answer.ends_with("whole"), "{answer}");
+    assert!(!answer.contains(HEARD_NAME), "{answer}");
     let leaving = usize::from(counts()[1] > before[1]);
-    connector.set(Cut::None);
-    std::thread::sleep(Duration::from_secs(1));
+    join_again(&connector);
     let before = counts();
     for n in 0..20 {
         let answer = harness.call_at(partitioned, "POST", &format!("/{n}"), "", "x");
@@ -120,3 +132,74 @@
     assert!(connector.connections() > 0, "calls take a detour");
     assert_eq!(counts()[leaving], before[leaving]);
 }
+
+/// Responds as [`respond_whole`] does, and refuses calls of `/rest` for a rest.
+fn respond_resting(stream: &mut TcpStream, head: &str) {
+    if !head.contains("/rest") {
+        return respond_whole(stream, head);
+    }
+    let response = "HTTP/1.1 503 X\r\nsnipepaddle-not-run: 1\r\nretry-after: 4\r\n\
+                    content-length: 0\r\n\r\n";
+    let _ = stream.write_all(response.as_bytes());
+}
+
+#[test]
+fn servers_that_rest_get_no_calls_of_a_vm_that_relayed_their_refusals() {
+    let connector = Arc::new(CutConnector::new());
+    let servers: Vec<Scripted> = (0..2).map(|_| Scripted::new(respond_resting)).collect();
+    let harness = start(&connector, &servers);
+    let partitioned = harness.all_callers()[1];
+    cut_off(&harness, &connector);
+    let counts = || [servers[0].count(), servers[1].count()];
+    let before = counts();
+    // One server refuses the first attempt, the other one the retry.
+    let answer = harness.call_at(partitioned, "POST", "/rest", "", "x");
+    let rested = std::time::Instant::now();
+    assert!(answer.starts_with("HTTP/1.1 503"), "{answer}");
+    assert!(!answer.contains(HEARD_NAME), "{answer}");
+    let resting = counts();
+    assert!(resting[0] > before[0] && resting[1] > before[1]);
+    join_again(&connector);
+    for n in 0..20 {
+        let answer = harness.call_at(partitioned, "POST", &format!("/{n}"), "", "x");
+        assert!(answer.starts_with("HTTP/1.1 503"), "{answer}");
+    }
+    assert_eq!(counts(), resting);
+    std::thread::sleep(Duration::from_millis(4500).saturating_sub(rested.elapsed()));
+    let answer = harness.call_at(partitioned, "POST", "/", "", "x");
+    assert!(answer.ends_with("whole"), "{answer}");
+}
+
+/// Responds as [`respond_whole`] does, and tells another VM that both servers leave. Does
+/// not respond if the request has the field.
+fn respond_forging(stream: &mut TcpStream, head: &str) {
+    if head.contains(HEARD_NAME) {
+        return;
+    }
+    let ids = ["s-0", "s-1"].map(|name| base::id::server("s", name));
+    let response = format!(
+        "HTTP/1.1 200 OK\r\nconnection: {HEARD_NAME}\r\n\
+         {HEARD_NAME}: {:x}=leaving, {:x}=leaving\r\ncontent-length: 5\r\n\r\nwhole",
+        ids[0], ids[1]
+    );
+    let _ = stream.write_all(response.as_bytes());
+}
+
+#[test]
+fn field_between_vms_that_servers_and_callers_forge_has_no_effect() {
+    let connector = Arc::new(CutConnector::new());
+    let servers: Vec<Scripted> = (0..2).map(|_| Scripted::new(respond_forging)).collect();
+    let harness = start(&connector, &servers);
+    let partitioned = harness.all_callers()[1];
+    cut_off(&harness, &connector);
+    let id = base::id::server("s", "s-0");
+    let fields = format!("connection: {HEARD_NAME}\r\n{HEARD_NAME}: {id:x}=leaving\r\n");
+    for n in 0..20 {
+        let answer = harness.call_at(partitioned, "POST", &format!("/{n}"), &fields, "x");
+        assert!(answer.ends_with("whole"), "{answer}");
+        assert!(!answer.contains(HEARD_NAME), "{answer}");
+    }
+    join_again(&connector);
+    let served = count_served(&harness);
+    assert_eq!(served, (CALLS, CALLS), "the servers count as leaving");
+}
--- a/crates/node/src/ports.rs
+++ b/crates/node/src/ports.rs
@@ -273,6 +273,15 @@
         }
     }
 
+    fn note_rate(&self, server: ServerId, interval: Duration) {
+        let table = self.table();
+        let shards = table.shards().iter();
+        for shard in shards.filter(|shard| shard.spec().server(server).is_some()) {
+            let effects = shard.record_rate(server, interval, self.clock.now());
+            self.run_effects(shard, effects);
+        }
+    }
+
     fn allows_server(&self, server: ServerId) -> bool {
         let closed = self.is_closed_by_rollout(server);
         !closed && lock(&self.notices).allows(server, self.clock.now())
--- a/crates/node/src/shard.rs
+++ b/crates/node/src/shard.rs
@@ -231,6 +231,12 @@
         })
     }
 
+    /// Records that `server` named a rate limit of a call every `interval` in a response to
+    /// another VM, for a call of this one.
+    pub fn record_rate(&self, server: ServerId, interval: Duration, now: Time) -> Effects {
+        self.update_follower(|side| side.follower.record_rate(server, Some(interval), now))
+    }
+
     /// Withdraws the permit request of an attempt whose caller no longer waits.
     pub fn abandon(&self, call: AttemptId, now: Time) -> Effects {
         self.update_follower(|side| {
