Name the servers that want no calls of a VM in the calls that it relays

A VM without a path relays its calls to several VMs, of which only one has heard that a server leaves or rests. The test of the leaving server has a third VM now and also calls before the path is back.

--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -248,7 +248,8 @@
         if !server.is_some_and(|server| state.accepts_calls(server)) {
             return Some("the server was removed, drains or is in a domain out of service");
         }
-        if !self.ports.allows_server(self.permit.server) {
+        let server = self.permit.server;
+        if !self.ports.allows_server(server) || self.heard.denied().contains(&server) {
             return Some("the server leaves or asked for no calls");
         }
         (!self.ports.may_send_until(self.deadline)).then_some("the VM stops")
--- a/crates/entry/src/headers.rs
+++ b/crates/entry/src/headers.rs
@@ -39,9 +39,9 @@
 pub const TEAM: HeaderName = HeaderName::from_static("snipepaddle-team");
 /// What servers asked for in their responses to a relayed call, between the two VMs; see
 /// [`crate::heard`].
-pub const HEARD: HeaderName = HeaderName::from_static(HEARD_NAME);
-/// The name of [`HEARD`].
-pub const HEARD_NAME: &str = "snipepaddle-heard";
+pub const HEARD: HeaderName = HeaderName::from_static("snipepaddle-heard");
+/// The servers that want no calls of the VM that relays the call, between the two VMs.
+pub const DENIED: HeaderName = HeaderName::from_static("snipepaddle-denied");
 /// The caller's key for a call that must not run twice.
 pub const IDEMPOTENCY_KEY: HeaderName = HeaderName::from_static("idempotency-key");
 
@@ -62,7 +62,7 @@
 
 /// Response fields that only the load balancer sets. They are removed from requests
 /// and from servers' responses, so that neither can forge them.
-const RESERVED: [HeaderName; 8] = [
+const RESERVED: [HeaderName; 9] = [
     VM,
     DOMAIN,
     SERVER,
@@ -71,6 +71,7 @@
     REASON,
     RETRY_AFTER_MS,
     HEARD,
+    DENIED,
 ];
 
 /// Returns the names that `connection` lists.
--- a/crates/entry/src/heard.rs
+++ b/crates/entry/src/heard.rs
@@ -1,22 +1,24 @@
-//! What servers ask for in their responses to the attempts of a relayed call, for the VM that
-//! relayed it.
+//! What servers ask for, between a VM that relays a call and the VM that makes the attempts.
 //!
-//! The VM that makes the attempts reports it in a field of its response, and the other one
-//! records it as if it had heard the servers itself: the call was its own, and the servers
-//! may not tell it again before it has a path. The field belongs to the connection between
-//! the two VMs (RFC 9110, section 7.6.1), so VMs that don't know it remove it, and one that a
-//! server has written is not taken. See `docs/design/partitions.md`.
+//! The relaying VM names in its request the servers that want no calls of it. The other one
+//! reports in its response what the servers of the attempts asked for, and the relaying VM
+//! records it as if it had heard the servers itself. Both fields belong to the connection
+//! between the two VMs (RFC 9110, section 7.6.1), so VMs that don't know them remove them, and
+//! those that a caller or a server has written are not taken. See
+//! `docs/design/partitions.md`.
 
 use std::fmt;
 use std::str::FromStr;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::MutexGuard;
 use std::sync::PoisonError;
 use std::time::Duration;
 
 use base::ServerId;
 use base::Time;
 use http::header;
+use http::header::HeaderName;
 use http::HeaderMap;
 use http::HeaderValue;
 use route::notices::Notice;
@@ -24,6 +26,10 @@
 use crate::headers;
 use crate::ports::Ports;
 
+/// The most servers that a request names: the head has to stay small. So many want no calls
+/// only if hardly any does.
+const DENIED_MAX: usize = 128;
+
 /// What a server asks for in a response.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Wish {
@@ -104,52 +110,95 @@
 /// All attempts of the call share it, since a retry or a hedge may respond to the caller in
 /// place of the server that asked.
 #[derive(Clone, Debug, Default)]
-pub struct Heard(Option<Arc<Mutex<Vec<(ServerWish, Time)>>>>);
+pub struct Heard(Option<Arc<Relayed>>);
+
+/// What is known of a relayed call.
+#[derive(Debug, Default)]
+struct Relayed {
+    /// The servers that want no calls of the VM that relayed the call.
+    denied: Vec<ServerId>,
+    wishes: Mutex<Vec<(ServerWish, Time)>>,
+}
 
 impl Heard {
-    /// Creates the empty list of a call that another VM relayed.
-    pub fn of_relayed() -> Self {
-        Self(Some(Arc::default()))
+    /// Creates the empty list of a call that another VM relayed with these fields. Has to be
+    /// called before the `connection` field is removed.
+    pub fn of_relayed(fields: &HeaderMap) -> Self {
+        let denied = parse_list(own_text(fields, &headers::DENIED), |text| {
+            ServerId::from_str_radix(text, 16).ok()
+        });
+        let wishes = Mutex::default();
+        Self(Some(Arc::new(Relayed { denied, wishes })))
+    }
+
+    /// Returns the servers that want no calls of the VM that relayed the call.
+    pub fn denied(&self) -> &[ServerId] {
+        self.0.as_ref().map_or(&[], |relayed| &relayed.denied)
     }
 
     /// Adds the `wish` of `server`, which it sent at `now`.
     pub fn add(&self, server: ServerId, wish: Wish, now: Time) {
-        if let Some(list) = &self.0 {
-            let mut list = list.lock().unwrap_or_else(PoisonError::into_inner);
-            list.push((ServerWish { server, wish }, now));
+        if let Some(relayed) = &self.0 {
+            lock(&relayed.wishes).push((ServerWish { server, wish }, now));
         }
     }
 
     /// Adds the field for the VM that relayed the call to its response.
     pub fn set_field(&self, fields: &mut HeaderMap, now: Time) {
-        let Some(list) = &self.0 else {
+        let Some(relayed) = &self.0 else {
             return;
         };
-        let list = list.lock().unwrap_or_else(PoisonError::into_inner);
-        let left = list
+        let left: Vec<String> = lock(&relayed.wishes)
             .iter()
-            .filter_map(|(wish, at)| wish.after(now.saturating_sub(*at)));
-        let texts: Vec<String> = left.map(|wish| wish.to_string()).collect();
-        if texts.is_empty() {
-            return;
-        }
-        if let Ok(value) = HeaderValue::from_str(&texts.join(", ")) {
-            fields.insert(headers::HEARD, value);
-            let name = HeaderValue::from_static(headers::HEARD_NAME);
-            fields.append(header::CONNECTION, name);
-        }
+            .filter_map(|(wish, at)| wish.after(now.saturating_sub(*at)))
+            .map(|wish| wish.to_string())
+            .collect();
+        set_own(fields, headers::HEARD, &left);
     }
 }
 
+/// Adds the field with the `denied` servers to a request for the VM that makes the attempts.
+pub fn set_denied(fields: &mut HeaderMap, denied: &[ServerId]) {
+    let ids = denied.iter().take(DENIED_MAX);
+    let ids: Vec<String> = ids.map(|server| format!("{server:x}")).collect();
+    set_own(fields, headers::DENIED, &ids);
+}
+
 /// Removes the field from a response of the VM to which a call was relayed, before its
 /// `connection` field is removed, and returns what it says.
 ///
 /// A field that is not of this connection is a server's, which a VM that doesn't know the
 /// field has passed on. Such a field says nothing, and neither do wishes of newer VMs.
 pub fn take_field(fields: &mut HeaderMap) -> Vec<ServerWish> {
-    let of_connection = headers::listed_in_connection(fields).contains(&headers::HEARD);
-    let value = fields.remove(headers::HEARD).filter(|_| of_connection);
-    let text = value.as_ref().and_then(|value| value.to_str().ok());
-    let wishes = text.unwrap_or_default().split(',');
-    wishes.filter_map(|wish| wish.trim().parse().ok()).collect()
+    let wishes = parse_list(own_text(fields, &headers::HEARD), |text| text.parse().ok());
+    fields.remove(headers::HEARD);
+    wishes
+}
+
+/// Sets the field `name` of the connection to `items`, if there are any.
+fn set_own(fields: &mut HeaderMap, name: HeaderName, items: &[String]) {
+    if items.is_empty() {
+        return;
+    }
+    if let Ok(value) = HeaderValue::from_str(&items.join(", ")) {
+        fields.insert(&name, value);
+        fields.append(header::CONNECTION, name.into());
+    }
+}
+
+/// Returns the value of the field `name` if `connection` lists it.
+fn own_text<'a>(fields: &'a HeaderMap, name: &HeaderName) -> &'a str {
+    let listed = headers::listed_in_connection(fields).contains(name);
+    let value = fields.get(name).filter(|_| listed);
+    let text = value.and_then(|value| value.to_str().ok());
+    text.unwrap_or_default()
+}
+
+fn parse_list<T>(text: &str, parse: impl Fn(&str) -> Option<T>) -> Vec<T> {
+    let items = text.split(',');
+    items.filter_map(|item| parse(item.trim())).collect()
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
--- a/crates/entry/src/proxy.rs
+++ b/crates/entry/src/proxy.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use base::DomainId;
+use base::ServerId;
 use base::TeamId;
 use base::Time;
 use bytes::Bytes;
@@ -64,6 +65,7 @@
 use crate::dialect::Native;
 use crate::elapsed::ElapsedEstimator;
 use crate::headers;
+use crate::heard;
 use crate::local_response::Disposition;
 use crate::local_response::LocalResponse;
 use crate::pool::Pools;
@@ -211,7 +213,7 @@
     }
 
     /// Relays a call to another VM, which makes the attempts. Calls of no route are responded
-    /// to here.
+    /// to here, and so are those of a service whose servers all want no calls of this VM.
     async fn relay(&self, request: Request<impl CallBody>, peer: SocketAddr) -> Response<Body> {
         let began = self.ports.now();
         let state = self.ports.state();
@@ -221,6 +223,9 @@
         let Some(RouteMatch { service, rule, .. }) = route else {
             return self.respond_here(request, peer).await;
         };
+        if self.ports.rest_left(service).is_some() {
+            return self.respond_here(request, peer).await;
+        }
         let id = self.dialect.call_id(request.headers());
         let time_left = self.dialect.timeout(request.headers());
         let limit = time_left.map_or(rule.deadline, |left| left.min(rule.deadline));
@@ -234,8 +239,10 @@
         let reading = OutgoingRequest::new(parts, incoming, peer, max_body, &self.identity.memory);
         let result = match net::timeout(limit, reading).await {
             Some(Ok(mut outgoing)) => {
+                let denied = self.denied_servers(&state);
                 let set_fields = |fields: &mut HeaderMap, left| {
                     self.dialect.set_attempt_fields(fields, left, "");
+                    heard::set_denied(fields, &denied);
                 };
                 progress.set_stage(Stage::Response);
                 self.relays
@@ -261,6 +268,18 @@
         result.unwrap_or_else(|response| response.into_response(&self.identity.vm, &*self.dialect))
     }
 
+    /// Returns the servers in service that want no calls of this VM. The other VM may choose
+    /// another service of the route, so these are those of all services.
+    fn denied_servers(&self, state: &State) -> Vec<ServerId> {
+        let mut denied = self.ports.denied_servers();
+        denied.retain(|id| {
+            let services = state.services.iter();
+            let mut found = services.filter_map(|service| state.server(service.id(), *id));
+            found.any(|server| state.accepts_calls(server))
+        });
+        denied
+    }
+
     fn track_call(&self, id: Option<&HeaderValue>, service: &str, began: Time) -> Progress {
         let id = id.and_then(|id| id.to_str().ok()).unwrap_or_default();
         let (ports, metrics) = (self.ports.clone(), self.metrics.clone());
@@ -584,6 +603,7 @@
         }
         let mut avoid = call.tried.clone();
         avoid.extend(self.ports.denied_servers());
+        avoid.extend_from_slice(call.heard.denied());
         let permit_request = PermitRequest {
             class: call.rule.class,
             left: self.time_left(call),
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -57,7 +57,7 @@
     ) -> BoxFuture<'static, Response<Body>> {
         let proxy = self.0.clone();
         Box::pin(async move {
-            let heard = Heard::of_relayed();
+            let heard = Heard::of_relayed(request.headers());
             request.extensions_mut().insert(heard.clone());
             let mut response = proxy.respond_here(request, peer).await;
             heard.set_field(response.headers_mut(), proxy.ports.now());
--- a/crates/entry/tests/heard.rs
+++ b/crates/entry/tests/heard.rs
@@ -4,6 +4,7 @@
 
 use base::Time;
 use entry::headers;
+use entry::heard::set_denied;
 use entry::heard::take_field;
 use entry::heard::Heard;
 use entry::heard::ServerWish;
@@ -20,7 +21,7 @@
 
 /// Returns the fields of the response to a relayed call `after` servers had these wishes.
 fn response(wishes: &[(u64, Wish)], after: Duration) -> HeaderMap {
-    let heard = Heard::of_relayed();
+    let heard = Heard::of_relayed(&HeaderMap::new());
     for (server, wish) in wishes {
         heard.add(*server, *wish, NOW);
     }
@@ -98,3 +99,17 @@
     let server = SERVER;
     assert_eq!(take_field(&mut fields), [ServerWish { server, wish }]);
 }
+
+#[test]
+fn set_denied_names_servers_to_a_vm_that_takes_no_field_of_a_caller() {
+    let ids: Vec<u64> = (0..200).map(|n| SERVER + n).collect();
+    let mut fields = HeaderMap::new();
+    set_denied(&mut fields, &ids);
+    assert_eq!(Heard::of_relayed(&fields).denied(), &ids[..128]);
+    fields.remove(header::CONNECTION);
+    assert!(Heard::of_relayed(&fields).denied().is_empty());
+    headers::strip_reserved(&mut fields);
+    assert!(fields.is_empty());
+    set_denied(&mut fields, &[]);
+    assert!(fields.is_empty());
+}
--- a/crates/load/tests/partition.rs
+++ b/crates/load/tests/partition.rs
@@ -8,7 +8,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use entry::headers::HEARD_NAME;
 use harness::respond_whole;
 use harness::Harness;
 use harness::Scripted;
@@ -20,6 +19,9 @@
 /// The time from the start of a partition until calls have to be served again.
 const SETTLE_TIME: Duration = Duration::from_secs(3);
 const CALLS: usize = 60;
+/// The fields between VMs.
+const HEARD: &str = "snipepaddle-heard";
+const DENIED: &str = "snipepaddle-denied";
 
 /// Responds as [`respond_whole`] does, and says to a call of `/leave` that the server leaves.
 fn respond_leaving(stream: &mut TcpStream, head: &str) {
@@ -114,23 +116,29 @@
 fn server_that_leaves_gets_calls_of_a_vm_that_relayed_its_response() {
     let connector = Arc::new(CutConnector::new());
     let servers: Vec<Scripted> = (0..2).map(|_| Scripted::new(respond_leaving)).collect();
-    let harness = start(&connector, &servers);
+    let mut harness = start(&connector, &servers);
+    // One of the two others makes the attempt and hears the server, the other one does not.
+    harness.add_vm("vm-3");
     let partitioned = harness.all_callers()[1];
     cut_off(&harness, &connector);
     let counts = || [servers[0].count(), servers[1].count()];
     let before = counts();
     let answer = harness.call_at(partitioned, "POST", "/leave", "", "x");
     assert!(answer.ends_with("whole"), "{answer}");
-    assert!(!answer.contains(HEARD_NAME), "{answer}");
+    assert!(!answer.contains(HEARD), "{answer}");
     let leaving = usize::from(counts()[1] > before[1]);
-    join_again(&connector);
     let before = counts();
-    for n in 0..20 {
-        let answer = harness.call_at(partitioned, "POST", &format!("/{n}"), "", "x");
-        assert!(answer.ends_with("whole"), "{answer}");
+    for joined in [false, true] {
+        if joined {
+            join_again(&connector);
+        }
+        for n in 0..20 {
+            let answer = harness.call_at(partitioned, "POST", &format!("/{n}"), "", "x");
+            assert!(answer.ends_with("whole"), "{answer}");
+        }
+        assert_eq!(counts()[leaving], before[leaving], "{joined}");
     }
     assert!(connector.connections() > 0, "calls take a detour");
-    assert_eq!(counts()[leaving], before[leaving]);
 }
 
 /// Responds as [`respond_whole`] does, and refuses calls of `/rest` for a rest.
@@ -156,7 +164,7 @@
     let answer = harness.call_at(partitioned, "POST", "/rest", "", "x");
     let rested = std::time::Instant::now();
     assert!(answer.starts_with("HTTP/1.1 503"), "{answer}");
-    assert!(!answer.contains(HEARD_NAME), "{answer}");
+    assert!(!answer.contains(HEARD), "{answer}");
     let resting = counts();
     assert!(resting[0] > before[0] && resting[1] > before[1]);
     join_again(&connector);
@@ -173,13 +181,13 @@
 /// Responds as [`respond_whole`] does, and tells another VM that both servers leave. Does
 /// not respond if the request has the field.
 fn respond_forging(stream: &mut TcpStream, head: &str) {
-    if head.contains(HEARD_NAME) {
+    if head.contains(HEARD) || head.contains(DENIED) {
         return;
     }
     let ids = ["s-0", "s-1"].map(|name| base::id::server("s", name));
     let response = format!(
-        "HTTP/1.1 200 OK\r\nconnection: {HEARD_NAME}\r\n\
-         {HEARD_NAME}: {:x}=leaving, {:x}=leaving\r\ncontent-length: 5\r\n\r\nwhole",
+        "HTTP/1.1 200 OK\r\nconnection: {HEARD}\r\n\
+         {HEARD}: {:x}=leaving, {:x}=leaving\r\ncontent-length: 5\r\n\r\nwhole",
         ids[0], ids[1]
     );
     let _ = stream.write_all(response.as_bytes());
@@ -193,11 +201,12 @@
     let partitioned = harness.all_callers()[1];
     cut_off(&harness, &connector);
     let id = base::id::server("s", "s-0");
-    let fields = format!("connection: {HEARD_NAME}\r\n{HEARD_NAME}: {id:x}=leaving\r\n");
+    let fields =
+        format!("connection: {HEARD}, {DENIED}\r\n{HEARD}: {id:x}=leaving\r\n{DENIED}: {id:x}\r\n");
     for n in 0..20 {
         let answer = harness.call_at(partitioned, "POST", &format!("/{n}"), &fields, "x");
         assert!(answer.ends_with("whole"), "{answer}");
-        assert!(!answer.contains(HEARD_NAME), "{answer}");
+        assert!(!answer.contains(HEARD), "{answer}");
     }
     join_again(&connector);
     let served = count_served(&harness);
