--- a/crates/load/tests/partition.rs
+++ b/crates/load/tests/partition.rs
@@ -113,7 +113,7 @@
 }
 
 #[test]
-fn server_that_leaves_gets_calls_of_a_vm_that_relayed_its_response() {
+fn server_that_leaves_gets_no_calls_of_a_vm_that_relayed_its_response() {
     let connector = Arc::new(CutConnector::new());
     let servers: Vec<Scripted> = (0..2).map(|_| Scripted::new(respond_leaving)).collect();
     let mut harness = start(&connector, &servers);
