Let quotas flow from the restart of the whole fleet on

Cause: after a restart of all VMs the homes of the quotas began with empty buckets when nine parts in ten were there, and a VM that was taken for dead while it was slow to start was not asked for its part.

Change: a delegation says how long the sender's process has run and how long no home has used the part. A home that may use the parts of a restarted fleet gets what would have flowed since the last of these VMs started, unless it or another home used the part since. Nothing else can have used it, so a window over the restart has the rate as before. A home also asks VMs that fell silent less than two seconds ago.

--- a/crates/route/src/quota/delegator.rs
+++ b/crates/route/src/quota/delegator.rs
@@ -27,6 +27,10 @@
     pub share: f64,
     /// Whether an earlier process of this VM may have delegated the part to another home.
     pub waits: bool,
+    /// How long this process of the VM has run.
+    pub age: Duration,
+    /// How long no other home has used the share, as far as this process knows.
+    pub unused: Duration,
     /// The share of each credit.
     pub credit: f64,
 }
@@ -39,6 +43,10 @@
     stamp: Time,
     /// When no lease of this process runs any more.
     until: Time,
+    /// When this process started.
+    start: Time,
+    /// When the last lease to another home than the lessee ended.
+    unused_since: Time,
     /// When no lease of an earlier process runs any more.
     earlier_until: Time,
     /// The home that got the last credit.
@@ -56,6 +64,8 @@
             lessee: None,
             stamp: Time::ZERO,
             until: start,
+            start,
+            unused_since: start,
             earlier_until: start + with_margin(LEASE),
             credited: None,
             credit_from: start + with_margin(window + CREDIT_LIFE),
@@ -85,6 +95,9 @@
         let part = 1.0 / (f64::from(fleet.max(1)) * LANES as f64);
         let is_free = self.lessee == Some(home) || now >= self.until;
         if is_free {
+            if self.lessee != Some(home) {
+                self.unused_since = self.until;
+            }
             self.until = self.until.max(now + with_margin(LEASE));
             let renewed = self.lessee == Some(home);
             self.stamp = if renewed {
@@ -102,6 +115,8 @@
         Some(Delegation {
             share: if is_free { part } else { 0.0 },
             waits: now < self.earlier_until,
+            age: now.saturating_sub(self.start),
+            unused: now.saturating_sub(self.unused_since),
             credit: if is_new { part } else { 0.0 },
         })
     }
--- a/crates/route/src/quota/home.rs
+++ b/crates/route/src/quota/home.rs
@@ -86,7 +86,9 @@
     /// granted ahead can be used.
     pub fn stop(&mut self, now: Time) -> (Vec<VmId>, Duration) {
         let owners = self.parts.delegators().collect();
+        self.parts.clear(now);
         *self = Self {
+            parts: std::mem::take(&mut self.parts),
             held_until: self.held_until,
             ..Self::new(self.terms)
         };
@@ -141,7 +143,7 @@
             self.credit += delegation.credit;
         }
         if now >= since + SETTLE_TIME {
-            self.parts.resume();
+            self.parts.resume(now);
         }
         if self.share() < held {
             self.fill_all(now);
--- a/crates/route/src/quota/mod.rs
+++ b/crates/route/src/quota/mod.rs
@@ -11,6 +11,7 @@
 mod fleet;
 mod home;
 mod msg;
+mod owners;
 mod parts;
 mod vm;
 
@@ -36,6 +37,7 @@
 pub use msg::Lane;
 pub use msg::QuotaBody;
 pub use msg::QuotaMsg;
+pub use owners::Owners;
 pub use vm::Answer;
 pub use vm::Counts;
 pub use vm::HomeView;
@@ -129,6 +131,11 @@
     duration.mul_f64(DRIFT_MARGIN)
 }
 
+/// Returns the least that `duration` by a delegator's clock is by the home's.
+fn without_margin(duration: Duration) -> Duration {
+    duration.div_f64(DRIFT_MARGIN)
+}
+
 /// Returns the home of each lane among the VMs `eligible`: both ends of their order by the
 /// weights of their failure domains and their own. So the homes are in two domains if there
 /// are two, and the loss of a home or its domain does not move the other lane.
--- a/crates/route/src/quota/msg.rs
+++ b/crates/route/src/quota/msg.rs
@@ -47,6 +47,10 @@
         /// Whether the sender has just started, and an earlier process of it may have
         /// delegated the share to another home.
         waits: bool,
+        /// How long the sender's process has run.
+        age: Duration,
+        /// How long no home has used the share, as far as that process knows.
+        unused: Duration,
         /// The share of each credit.
         credit: f64,
     },
--- a/crates/route/src/quota/parts.rs
+++ b/crates/route/src/quota/parts.rs
@@ -5,6 +5,7 @@
 use base::Time;
 use base::VmId;
 
+use crate::quota::without_margin;
 use crate::quota::Delegation;
 use crate::quota::HOLD;
 use crate::quota::LANES;
@@ -18,6 +19,8 @@
 /// The share of all VMs that must have restarted for the others to be taken for restarted
 /// too: some may be down for good.
 const RESTARTED_SHARE: f64 = 0.9;
+/// How long it matters that a part was used: longer than parts of a new process wait.
+const USED_TIME: Duration = LEASE.saturating_mul(2);
 /// When a part is asked for again that was not delegated.
 const COLLECT_AGAIN: Duration = Duration::from_millis(250);
 
@@ -32,6 +35,10 @@
     share: f64,
     /// Whether an earlier process of the VM may have delegated the part to another home.
     waits: bool,
+    /// The latest time at which the process of the VM can have started.
+    started: Time,
+    /// Until when this home or another one may have used the part while it did not wait.
+    used_until: Time,
     /// When the lease ends for the home.
     until: Time,
 }
@@ -50,6 +57,8 @@
     first_end: Option<Time>,
     /// Whether parts that wait are used; see [`Self::resume`].
     resumed: bool,
+    /// Until when earlier terms of this home used parts.
+    earlier_until: Time,
 }
 
 impl Parts {
@@ -77,8 +86,10 @@
 
     /// Removes the shares whose leases have ended by `now`.
     pub(crate) fn remove_ended(&mut self, now: Time) {
+        let resumed = self.resumed;
         for part in &mut self.parts {
             if part.until <= now {
+                part.end_use(resumed, part.until);
                 part.share = 0.0;
             }
         }
@@ -87,8 +98,9 @@
 
     /// Returns which of the sorted `alive` VMs to ask now, and counts them as asked.
     pub(crate) fn take_due(&mut self, alive: &[VmId], now: Time) -> Vec<VmId> {
+        let is_used = |part: &Part| part.share > 0.0 || now < part.used_until + USED_TIME;
         self.parts
-            .retain(|part| part.share > 0.0 || alive.binary_search(&part.vm).is_ok());
+            .retain(|part| is_used(part) || alive.binary_search(&part.vm).is_ok());
         let mut due = Vec::new();
         for &vm in alive {
             let index = self.find(vm).unwrap_or_else(|index| {
@@ -124,6 +136,10 @@
         part.stamp = stamp;
         let until = stamp + USABLE;
         if share > 0.0 && now < until {
+            part.end_use(self.resumed, now);
+            let unused = without_margin(delegation.unused);
+            part.used_until = part.used_until.max(now.saturating_sub(unused));
+            part.started = now.saturating_sub(without_margin(delegation.age));
             part.share = share;
             part.waits = delegation.waits;
             part.until = until;
@@ -134,14 +150,38 @@
     }
 
     /// Uses parts that wait if nearly all VMs have just restarted: then no home from before
-    /// is left that could use them too.
-    pub(crate) fn resume(&mut self) {
-        let waiting = self.parts.iter().filter(|part| part.waits);
-        let share: f64 = waiting.map(|part| part.share).sum();
-        if !self.resumed && share >= RESTARTED_SHARE / LANES as f64 {
-            self.resumed = true;
-            self.recount();
+    /// is left that could use them too. Nothing has used them since the last VM started, so
+    /// what would have flowed since then does so now.
+    pub(crate) fn resume(&mut self, now: Time) {
+        let held = self.parts.iter().filter(|part| part.share > 0.0);
+        let waiting = held.filter(|part| part.waits);
+        let share: f64 = waiting.clone().map(|part| part.share).sum();
+        if self.resumed || share < RESTARTED_SHARE / LANES as f64 {
+            return;
+        }
+        let started = waiting.clone().map(|part| part.started).max();
+        let started = started.map_or(now, |started| started.max(self.earlier_until));
+        let missed = waiting.map(|part| {
+            let since = started.max(part.used_until);
+            part.share * now.saturating_sub(since).as_secs_f64()
+        });
+        let missed: f64 = missed.sum();
+        self.resumed = true;
+        self.recount();
+        self.flow += missed * (self.share() / self.share).min(1.0);
+    }
+
+    /// Gives up all parts.
+    pub(crate) fn clear(&mut self, now: Time) {
+        let resumed = self.resumed;
+        for part in &mut self.parts {
+            part.end_use(resumed, now);
         }
+        let last = self.parts.iter().map(|part| part.used_until).max();
+        *self = Self {
+            earlier_until: self.earlier_until.max(last.unwrap_or(Time::ZERO)),
+            ..Self::default()
+        };
     }
 
     /// Returns the VMs whose parts the home holds.
@@ -174,7 +214,16 @@
             due: now,
             share: 0.0,
             waits: false,
+            started: now,
+            used_until: Time::ZERO,
             until: Time::ZERO,
         }
     }
+
+    /// Records that the home used the part, if it did, until `now`.
+    fn end_use(&mut self, resumed: bool, now: Time) {
+        if self.share > 0.0 && (resumed || !self.waits) {
+            self.used_until = self.used_until.max(now);
+        }
+    }
 }
--- a/crates/route/src/quota/vm.rs
+++ b/crates/route/src/quota/vm.rs
@@ -17,6 +17,7 @@
 use crate::quota::Home;
 use crate::quota::Lane;
 use crate::quota::Limit;
+use crate::quota::Owners;
 use crate::quota::QuotaBody;
 use crate::quota::QuotaMsg;
 use crate::quota::Taken;
@@ -92,7 +93,7 @@
     /// Sorted by team.
     limits: Vec<Limit>,
     fleet: FleetSize,
-    alive: Vec<VmId>,
+    owners: Owners,
     lanes: [LaneState; LANES],
     desk: Desk,
     outgoing: Vec<(VmId, QuotaMsg)>,
@@ -123,7 +124,7 @@
             terms,
             limits: Vec::new(),
             fleet: FleetSize::new(),
-            alive: Vec::new(),
+            owners: Owners::default(),
             lanes: [lane.clone(), lane],
             desk: Desk::new(first),
             outgoing: Vec::new(),
@@ -192,7 +193,7 @@
     /// Records a change of the fleet.
     pub fn set_view(&mut self, view: HomeView<'_>, now: Time) {
         self.fleet.observe(view.registered, now);
-        self.alive = view.alive.to_vec();
+        self.owners.set_alive(view.alive, now);
         for (lane, home) in self.lanes.iter_mut().zip(view.homes) {
             lane.home_vm = home;
         }
@@ -208,8 +209,9 @@
             stamp: now,
             fleet: self.fleet.get(),
         };
+        let owners = self.owners.asked(now);
         for lane in 0..LANES {
-            let due = self.lanes[lane].home.collect(&self.alive, now);
+            let due = self.lanes[lane].home.collect(&owners, now);
             for vm in due {
                 self.send(vm, lane as Lane, collect, now);
             }
@@ -287,12 +289,16 @@
                 stamp,
                 share,
                 waits,
+                age,
+                unused,
                 credit,
             } => {
                 if instance == self.instance {
                     let delegation = Delegation {
                         share,
                         waits,
+                        age,
+                        unused,
                         credit,
                     };
                     lane.home.delegate(from, stamp, delegation, now);
@@ -347,6 +353,8 @@
                 stamp,
                 share: delegation.share,
                 waits: delegation.waits,
+                age: delegation.age,
+                unused: delegation.unused,
                 credit: delegation.credit,
             };
             self.send(home.0, lane, delegate, now);
--- a/crates/route/tests/quotas.rs
+++ b/crates/route/tests/quotas.rs
@@ -17,6 +17,7 @@
 use route::quota::Home;
 use route::quota::HomeView;
 use route::quota::Limit;
+use route::quota::Owners;
 use route::quota::QuotaBody;
 use route::quota::QuotaMsg;
 use route::quota::Quotas;
@@ -128,6 +129,34 @@
     }
 }
 
+#[test]
+fn bound_holds_when_the_fleet_restarts_again_and_again() {
+    for seed in 0..40 {
+        let mut rng = fastrand::Rng::with_seed(seed);
+        let rules = Rules {
+            terms: Terms {
+                slack: 4.0,
+                ..TERMS
+            },
+            large: 1 + rng.usize(..7),
+            drift: 0.01,
+            limits: vec![Limit::new(0, 30.0, 10.0).unwrap()],
+        };
+        let mut fleet = Fleet::new(7, rules, seed);
+        fleet.demand = vec![400.0];
+        fleet.view_delay = Duration::from_millis(rng.u64(50..800));
+        fleet.run(Duration::from_secs(4));
+        for _ in 0..8 {
+            let spread = rng.u64(1..600);
+            for vm in 0..7 {
+                fleet.restart(vm, Duration::from_millis(rng.u64(..spread)));
+            }
+            fleet.run(Duration::from_millis(rng.u64(600..4000)));
+        }
+        fleet.check_bound();
+    }
+}
+
 #[test]
 fn home_grants_the_whole_quota() {
     let rules = Rules::new(vec![Limit::new(0, 40.0, 0.0).unwrap()]);
@@ -374,6 +403,8 @@
     let delegation = |waits| Delegation {
         share: 0.05,
         waits,
+        age: Duration::ZERO,
+        unused: Duration::ZERO,
         credit: 0.0,
     };
     for vm in 0..9 {
@@ -384,6 +415,96 @@
     assert!((home.share() - 0.4).abs() < 1e-9, "{}", home.share());
 }
 
+/// Returns how many tokens a home has, to which ten VMs that started 1 s ago, and of which
+/// another home used the part of one until 0.5 s ago, delegate `at` this time.
+fn tokens_after_restart(home: &mut Home, at: Time) -> usize {
+    let vms: Vec<u64> = (0..10).collect();
+    home.collect(&vms, at);
+    for vm in vms {
+        let delegation = Delegation {
+            share: 0.05,
+            waits: true,
+            age: Duration::from_millis(1000),
+            unused: Duration::from_millis(if vm == 0 { 500 } else { 1000 }),
+            credit: 0.0,
+        };
+        home.delegate(vm, at, delegation, at);
+    }
+    (0..1000)
+        .take_while(|ask| home.take((0, *ask), 0, 0, at).is_ok())
+        .count()
+}
+
+#[test]
+fn home_of_a_fleet_that_restarted_has_what_flowed_since() {
+    let mut home = Home::new(Terms::default());
+    let limits = [Limit::new(0, 100.0, 500.0).unwrap()];
+    home.start(&limits, Time::from_secs(10));
+    // 100 calls a second, half of them in this lane, for 1 s less the drift of clocks.
+    let at = Time::from_millis(10_700);
+    assert_eq!(tokens_after_restart(&mut home, at), 45);
+    // What it used itself does not come again, nor in its next term.
+    let at = Time::from_millis(11_000);
+    assert_eq!(tokens_after_restart(&mut home, at), 15);
+    home.stop(at);
+    home.start(&limits, at);
+    let at = Time::from_millis(11_700);
+    let tokens = tokens_after_restart(&mut home, at);
+    assert!((33..=35).contains(&tokens), "{tokens}");
+}
+
+#[test]
+fn delegator_tells_how_long_a_part_was_not_used() {
+    let start = Time::from_secs(100);
+    let mut delegator = Delegator::new(start, WINDOW);
+    let at = |ms| start + Duration::from_millis(ms);
+    let mut collect = |vm, ms| {
+        let delegated = delegator.collect((vm, 50), at(ms), 10, WINDOW, at(ms));
+        let delegated = delegated.map(|d| (d.share, d.age.as_millis(), d.unused.as_millis()));
+        delegated.unwrap()
+    };
+    // The first answer may have been lost.
+    assert_eq!(collect(1, 200), (0.05, 200, 200));
+    assert_eq!(collect(1, 450), (0.05, 450, 450));
+    // The other home gets the part when the lease has ended, 1.575 s later.
+    assert_eq!(collect(2, 2000).0, 0.0);
+    assert_eq!(collect(2, 2100), (0.05, 2100, 75));
+}
+
+#[test]
+fn vm_that_fell_silent_is_asked_for_a_while() {
+    let at = Time::from_secs;
+    let mut owners = Owners::default();
+    owners.set_alive(&[1, 2, 3], at(10));
+    owners.set_alive(&[1, 3], at(11));
+    owners.set_alive(&[1], at(12));
+    assert_eq!(owners.asked(at(12)), [1, 2, 3]);
+    assert_eq!(owners.asked(at(13)), [1, 3]);
+    owners.set_alive(&[1, 3], at(13));
+    assert_eq!(owners.asked(at(20)), [1, 3]);
+}
+
+#[test]
+fn fleet_that_restarts_as_a_whole_serves_what_returns() {
+    let usual = usual_rates();
+    let mut fleet = Fleet::new(120, Rules::new(limits(&usual)), 9);
+    fleet.run(Duration::from_secs(5));
+    fleet.demand = usual.iter().map(|usual| usual * 0.96).collect();
+    fleet.run(Duration::from_secs(4));
+    for vm in 0..120 {
+        fleet.restart(vm, Duration::from_millis(500));
+    }
+    fleet.run(Duration::from_millis(500 + 1300));
+    fleet.clear_counts();
+    // Callers that were refused come in too.
+    fleet.demand = usual.iter().map(|usual| usual * 2.0).collect();
+    fleet.run(Duration::from_secs(1));
+    let (granted, refused) = fleet.totals();
+    eprintln!("return after a restart: {granted} granted and {refused} refused in 1 s");
+    assert!(refused * 20 < granted, "{refused} of {granted}");
+    fleet.check_bound();
+}
+
 #[test]
 fn parts_of_older_builds_are_not_used() {
     let rules = Rules::new(vec![Limit::new(0, 60.0, 0.0).unwrap()]);
