Wait longer for peers that started at the same time

Cause: when all VMs start at once, those with a tenth of a core are busy for seconds and acknowledge pings late. Homes saw 106 to 114 of 120 VMs, and some VMs took the home of a lane of the quotas for dead and delegated to another one, so the lane came back up to 2 s later.

Change: for 2.5 s after its start, a VM waits four timeouts longer for peers whose incarnations show that they started within 2.5 s of it.

--- a/crates/member/src/membership/mod.rs
+++ b/crates/member/src/membership/mod.rs
@@ -41,6 +41,11 @@
 /// The limit, in ack timeouts, by which the delays of this VM extend the wait for one
 /// ack. It bounds how much later a VM that is always late detects a failure.
 const LATENESS_MAX_TIMEOUTS: u32 = 8;
+/// How long after its start a VM is patient with peers that started at about the same time.
+/// When all VMs start at once, the smallest ones respond late.
+const START_TIME: Duration = Duration::from_millis(2500);
+/// By how many ack timeouts such a peer may respond later.
+const START_PATIENCE: u32 = 4;
 /// Probe periods between two attempts to reconnect to a dead peer or a seed, which
 /// end a partition once the network is back.
 const RECONNECT_PERIODS: u32 = 5;
@@ -134,6 +139,10 @@
 pub struct Membership {
     profile: Profile,
     incarnation: Incarnation,
+    /// The incarnation at the start.
+    first_incarnation: Incarnation,
+    /// When the VM ticked first.
+    started: Option<Time>,
     config: Config,
     seeds: Vec<SocketAddr>,
     peers: Vec<Peer>,
@@ -170,6 +179,8 @@
         let mut members = Self {
             profile,
             incarnation,
+            first_incarnation: incarnation,
+            started: None,
             config,
             seeds: Vec::new(),
             peers: Vec::new(),
@@ -288,6 +299,7 @@
     /// Has to be called at the time that [`Membership::due`] returns; an earlier call
     /// does no harm.
     pub fn tick(&mut self, now: Time) {
+        self.started.get_or_insert(now);
         self.extend_probes(now);
         self.run_due(now);
         self.next_tick = Some(self.due());
--- a/crates/member/src/membership/probes.rs
+++ b/crates/member/src/membership/probes.rs
@@ -8,6 +8,8 @@
 use super::Probe;
 use super::Relay;
 use super::PING_REQUEST_PEERS;
+use super::START_PATIENCE;
+use super::START_TIME;
 use crate::msg::Msg;
 use crate::msg::ProbeId;
 use crate::msg::Revisions;
@@ -184,11 +186,26 @@
             vm,
             id,
             sent: now,
-            lateness: Duration::ZERO,
+            lateness: self.patience(vm, now),
             relayed: false,
         });
     }
 
+    /// Returns how much later than usual `vm` may respond: if it and this VM have both just
+    /// started, the whole fleet has, most likely.
+    fn patience(&self, vm: VmId, now: Time) -> Duration {
+        let is_young = self.started.is_none_or(|at| now < at + START_TIME);
+        let is_same_age = self.peer(vm).is_some_and(|peer| {
+            let apart = peer.incarnation.abs_diff(self.first_incarnation);
+            Duration::from_millis(apart) < START_TIME
+        });
+        if is_young && is_same_age {
+            self.config.ack_timeout * START_PATIENCE
+        } else {
+            Duration::ZERO
+        }
+    }
+
     pub(super) fn next_probe_id(&mut self) -> ProbeId {
         self.last_probe = self.last_probe.wrapping_add(1);
         self.last_probe
--- a/crates/member/tests/swim.rs
+++ b/crates/member/tests/swim.rs
@@ -202,6 +202,25 @@
     assert_eq!(net.alive(2), 12);
 }
 
+#[test]
+fn report_unresponsive_vm_that_started_too_may_respond_late() {
+    let mut net = Net::new(3);
+    net.vms[1] = vm(1, 60_000);
+    net.run(Duration::from_secs(1));
+    assert_eq!(net.alive(0), 3);
+    for index in [1, 2] {
+        net.down[index] = true;
+        let failed = net.vms[index].profile().vm;
+        net.vms[0].report_unresponsive(failed, net.now);
+    }
+    // VM 1 has not started with the others.
+    net.run(Duration::from_millis(150));
+    assert_eq!(net.health(0, 1), Some(Health::Suspect));
+    assert_eq!(net.health(0, 2), Some(Health::Alive));
+    net.run(Duration::from_millis(220));
+    assert_eq!(net.health(0, 2), Some(Health::Suspect));
+}
+
 #[test]
 fn receive_paused_vm_refutes_after_it_resumes() {
     let mut net = Net::new(8);
