Offer parts of quotas as soon as a VM knows a limit

Cause: the home of a lane asks for parts every 0.25 s, and a VM that knows no limit yet does not answer. After a restart of the whole fleet the last parts came up to 0.25 s after their VMs had the configuration.

Change: a VM that learns of the first limit offers its part to the homes, which ask for it at once. The message is at the end of its enum; a lost one costs what it cost before.

--- a/crates/node/src/quotas.rs
+++ b/crates/node/src/quotas.rs
@@ -157,6 +157,9 @@
             return;
         }
         quotas.set_view(home_view(&view, self.self_id), now);
+        if !was_active {
+            quotas.offer(now);
+        }
         let effects = inner.effects(now);
         self.quotas.active.store(teams > 0, Ordering::Relaxed);
         drop(inner);
--- a/crates/route/src/quota/home.rs
+++ b/crates/route/src/quota/home.rs
@@ -128,6 +128,11 @@
         self.parts.take_due(alive, now)
     }
 
+    /// Returns whether `vm` is to be asked for its part at once, which it offers.
+    pub fn take_offer(&mut self, vm: VmId, now: Time) -> bool {
+        self.is_active() && self.parts.take_offer(vm, now)
+    }
+
     /// Records a delegation in answer to `stamp`.
     pub fn delegate(&mut self, vm: VmId, stamp: Time, delegation: Delegation, now: Time) {
         // A share that no VM owns is not one.
--- a/crates/route/src/quota/msg.rs
+++ b/crates/route/src/quota/msg.rs
@@ -91,4 +91,6 @@
         /// The number of the ask.
         ask: AskId,
     },
+    /// A VM can delegate its part from now on, and wants to be asked for it.
+    Offer,
 }
--- a/crates/route/src/quota/parts.rs
+++ b/crates/route/src/quota/parts.rs
@@ -116,6 +116,16 @@
         due
     }
 
+    /// Returns whether to ask `vm` now, which can delegate its part from now on.
+    pub(crate) fn take_offer(&mut self, vm: VmId, now: Time) -> bool {
+        let Ok(index) = self.find(vm) else {
+            return false;
+        };
+        let part = &mut self.parts[index];
+        part.due = part.due.max(now + COLLECT_AGAIN);
+        part.share == 0.0
+    }
+
     /// Records that `vm` delegated `share` in answer to `stamp`. Returns whether the answer
     /// counts: a repeated or outdated one does not.
     pub(crate) fn delegate(
--- a/crates/route/src/quota/vm.rs
+++ b/crates/route/src/quota/vm.rs
@@ -204,12 +204,8 @@
     pub fn tick(&mut self, registered: u32, now: Time) {
         self.fleet.observe(registered, now);
         self.desk.tick(now);
-        let collect = QuotaBody::Collect {
-            instance: self.instance,
-            stamp: now,
-            fleet: self.fleet.get(),
-        };
         let owners = self.owners.asked(now);
+        let collect = self.collect(now);
         for lane in 0..LANES {
             let due = self.lanes[lane].home.collect(&owners, now);
             for vm in due {
@@ -219,6 +215,25 @@
         }
     }
 
+    /// Offers this VM's part to the homes, which may have asked for it before this VM knew a
+    /// limit. They ask again later if the offer is lost.
+    pub fn offer(&mut self, now: Time) {
+        for index in 0..LANES {
+            let home = self.lanes[index].home_vm.filter(|vm| *vm != self.self_id);
+            if let Some(home) = home {
+                self.send(home, index as Lane, QuotaBody::Offer, now);
+            }
+        }
+    }
+
+    fn collect(&self, now: Time) -> QuotaBody {
+        QuotaBody::Collect {
+            instance: self.instance,
+            stamp: now,
+            fleet: self.fleet.get(),
+        }
+    }
+
     /// Returns the parts to their owners, at a planned stop.
     pub fn leave(&mut self, now: Time) {
         for lane in 0..LANES {
@@ -328,6 +343,12 @@
                 self.finish_denied(msg.lane, ask, retry_after, now);
             }
             QuotaBody::GiveBack { ask } => lane.home.give_back(from, ask, now),
+            QuotaBody::Offer => {
+                if lane.home.take_offer(from, now) {
+                    let collect = self.collect(now);
+                    self.send(from, msg.lane, collect, now);
+                }
+            }
         }
     }
 
--- a/crates/route/tests/quotas.rs
+++ b/crates/route/tests/quotas.rs
@@ -471,6 +471,43 @@
     assert_eq!(collect(2, 2100), (0.05, 2100, 75));
 }
 
+#[test]
+fn part_that_is_offered_is_collected_at_once() {
+    let at = |ms| Time::from_secs(20) + Duration::from_millis(ms);
+    let view = HomeView {
+        homes: [Some(1), Some(1)],
+        alive: &[1, 2],
+        registered: 2,
+    };
+    let create = |vm| {
+        let mut quotas = Quotas::new(vm, 50, TERMS, Time::ZERO, 0);
+        quotas.set_limits(vec![Limit::new(1, 10.0, 5.0).unwrap()], at(0));
+        quotas.set_view(view, at(0));
+        quotas
+    };
+    let (mut home, mut vm) = (create(1), create(2));
+    home.tick(2, at(0));
+    // The collects come before the VM knows any limit.
+    assert_eq!(home.take_messages().len(), LANES);
+    vm.offer(at(100));
+    for (_, offer) in vm.take_messages() {
+        home.receive(2, offer, at(100));
+    }
+    for (_, collect) in home.take_messages() {
+        vm.receive(1, collect, at(100));
+    }
+    for (_, part) in vm.take_messages() {
+        home.receive(2, part, at(100));
+    }
+    assert!((home.share() - 1.0).abs() < 1e-9, "{}", home.share());
+    // A part that is there is not asked for.
+    vm.offer(at(110));
+    for (_, offer) in vm.take_messages() {
+        home.receive(2, offer, at(110));
+    }
+    assert!(home.take_messages().is_empty());
+}
+
 #[test]
 fn vm_that_fell_silent_is_asked_for_a_while() {
     let at = Time::from_secs;
