Believe suspicions of peers that just started only after an own probe

Change: in the first 2.5 s, a VM doesn't believe another one's suspicion of a peer that started at the same time. The VM that suspects it pings it in each period, so that it refutes at once. A test of datagrams names the new fields of a delegation.

--- a/crates/member/src/membership/gossip.rs
+++ b/crates/member/src/membership/gossip.rs
@@ -146,7 +146,13 @@
 
     pub(super) fn apply_all(&mut self, now: Time, updates: Vec<Update>) {
         for update in updates {
-            self.apply(now, update);
+            let vm = update.profile.vm;
+            let is_slow_start =
+                update.health == Health::Suspect && !self.patience(vm, now).is_zero();
+            // Otherwise, one VM that is slow itself could make all others drop a home.
+            if !is_slow_start {
+                self.apply(now, update);
+            }
         }
     }
 
--- a/crates/member/src/membership/mod.rs
+++ b/crates/member/src/membership/mod.rs
@@ -334,6 +334,7 @@
         if isolated || self.period_count % RECONNECT_PERIODS == 1 {
             self.reconnect();
         }
+        self.ping_slow_suspects(now);
         if let Some(vm) = self.next_target() {
             self.probe(vm, now);
         }
--- a/crates/member/src/membership/probes.rs
+++ b/crates/member/src/membership/probes.rs
@@ -193,7 +193,7 @@
 
     /// Returns how much later than usual `vm` may respond: if it and this VM have both just
     /// started, the whole fleet has, most likely.
-    fn patience(&self, vm: VmId, now: Time) -> Duration {
+    pub(super) fn patience(&self, vm: VmId, now: Time) -> Duration {
         let is_young = self.started.is_none_or(|at| now < at + START_TIME);
         let is_same_age = self.peer(vm).is_some_and(|peer| {
             let apart = peer.incarnation.abs_diff(self.first_incarnation);
@@ -206,6 +206,18 @@
         }
     }
 
+    /// Pings the suspects that may only be slow to start, so that they refute: no other VM
+    /// tells them of the suspicion.
+    pub(super) fn ping_slow_suspects(&mut self, now: Time) {
+        let suspects = self.peers.iter().filter(|p| p.health == Health::Suspect);
+        let suspects = suspects.map(|peer| (peer.profile.vm, peer.profile.address));
+        let mut slow: Vec<(VmId, SocketAddr)> = suspects.collect();
+        slow.retain(|(vm, _)| !self.patience(*vm, now).is_zero());
+        for (vm, to) in slow {
+            self.send_ping(vm, to);
+        }
+    }
+
     pub(super) fn next_probe_id(&mut self) -> ProbeId {
         self.last_probe = self.last_probe.wrapping_add(1);
         self.last_probe
--- a/crates/member/tests/swim.rs
+++ b/crates/member/tests/swim.rs
@@ -5,6 +5,7 @@
 
 use base::Time;
 use base::VmId;
+use member::update::Update;
 use member::Action;
 use member::Config;
 use member::Health;
@@ -221,6 +222,50 @@
     assert_eq!(net.health(0, 2), Some(Health::Suspect));
 }
 
+#[test]
+fn receive_suspicion_of_a_vm_that_started_too_is_not_believed() {
+    let mut net = Net::new(3);
+    net.run(Duration::from_secs(1));
+    let told = |net: &mut Net| {
+        let suspected = net.vms[2].profile().clone();
+        let news = vec![Update {
+            profile: suspected,
+            incarnation: net.vms[2].incarnation(),
+            health: Health::Suspect,
+        }];
+        let (from, to) = (net.vms[1].profile().vm, net.vms[0].profile().vm);
+        let ping = Msg::Ping {
+            to,
+            probe: 1,
+            marks: Revisions::default(),
+            digest: 0,
+            news,
+        };
+        net.vms[0].receive(net.now, from, address(1), ping);
+        net.health(0, 2)
+    };
+    assert_eq!(told(&mut net), Some(Health::Alive));
+    net.run(Duration::from_secs(2));
+    assert_eq!(told(&mut net), Some(Health::Suspect));
+}
+
+#[test]
+fn tick_vm_that_responds_late_at_its_start_refutes_soon() {
+    let mut net = Net::new(20);
+    net.run(Duration::from_secs(1));
+    net.down[2] = true;
+    let slow = net.vms[2].profile().vm;
+    net.vms[0].report_unresponsive(slow, net.now);
+    net.run(Duration::from_millis(400));
+    assert_eq!(net.health(0, 2), Some(Health::Suspect));
+    // Each VM goes by its own probes.
+    let trusting = (0..20).filter(|vm| net.health(*vm, 2) == Some(Health::Alive));
+    assert!(trusting.count() >= 17);
+    net.down[2] = false;
+    net.run(Duration::from_millis(250));
+    assert_eq!(net.health(0, 2), Some(Health::Alive));
+}
+
 #[test]
 fn receive_paused_vm_refutes_after_it_resumes() {
     let mut net = Net::new(8);
--- a/crates/wire/tests/datagrams.rs
+++ b/crates/wire/tests/datagrams.rs
@@ -86,6 +86,8 @@
         stamp: std::time::Duration::from_millis(3),
         share: 0.0125,
         waits: true,
+        age: std::time::Duration::from_millis(1200),
+        unused: std::time::Duration::from_millis(700),
         credit: 0.0,
     };
     let msg = Msg::Quota(route::quota::QuotaMsg { lane: 1, body });
