Merge quotas that flow from the restart of the whole fleet on

After a loss of power of all VMs the homes of the quotas get what would have flowed since the restart, VMs offer their parts once they know a limit, and VMs that started together wait longer for each other. Reviewed by one who did not write it; mended for that: the flow comes only once all VMs are known to have restarted, a VM that was a home names no time before, an offer does not put a renewal off.

--- a/crates/route/src/quota/home.rs
+++ b/crates/route/src/quota/home.rs
@@ -79,6 +79,11 @@
         self.parts.share()
     }
 
+    /// Returns up to when this VM used parts as the home, or may have; `None` if it never did.
+    pub fn last_use(&self, now: Time) -> Option<Time> {
+        self.parts.last_use(now)
+    }
+
     /// Makes this VM the home.
     pub fn start(&mut self, limits: &[Limit], now: Time) {
         self.since = Some(now);
@@ -89,7 +94,9 @@
     /// granted ahead can be used.
     pub fn stop(&mut self, now: Time) -> (Vec<VmId>, Duration) {
         let owners = self.parts.delegators().collect();
+        self.parts.clear(now);
         *self = Self {
+            parts: std::mem::take(&mut self.parts),
             held_until: self.held_until,
             ..Self::new(self.terms)
         };
@@ -147,6 +154,11 @@
         self.parts.take_due(alive, now)
     }
 
+    /// Returns whether `vm` is to be asked for its part at once, which it offers.
+    pub fn take_offer(&mut self, vm: VmId, now: Time) -> bool {
+        self.is_active() && self.parts.take_offer(vm, now)
+    }
+
     /// Records a delegation in answer to `stamp`.
     pub fn delegate(&mut self, vm: VmId, stamp: Time, delegation: Delegation, now: Time) {
         // A share that no VM owns is not one.
@@ -162,7 +174,7 @@
             self.credit += delegation.credit;
         }
         if now >= since + SETTLE_TIME {
-            self.parts.resume();
+            self.parts.resume(now);
         }
         if self.share() < held {
             self.fill_all(now);
--- a/crates/route/src/quota/msg.rs
+++ b/crates/route/src/quota/msg.rs
@@ -47,6 +47,10 @@
         /// Whether the sender has just started, and an earlier process of it may have
         /// delegated the share to another home.
         waits: bool,
+        /// How long the sender's process has run.
+        age: Duration,
+        /// How long no other home has used the share, as far as that process knows.
+        unused: Duration,
         /// The share of each credit.
         credit: f64,
     },
@@ -87,4 +91,6 @@
         /// The number of the ask.
         ask: AskId,
     },
+    /// A VM can delegate its part from now on, and wants to be asked for it.
+    Offer,
 }
--- a/crates/route/src/quota/vm.rs
+++ b/crates/route/src/quota/vm.rs
@@ -17,6 +17,7 @@
 use crate::quota::Home;
 use crate::quota::Lane;
 use crate::quota::Limit;
+use crate::quota::Owners;
 use crate::quota::QuotaBody;
 use crate::quota::QuotaMsg;
 use crate::quota::Taken;
@@ -96,7 +97,7 @@
     /// Sorted by team.
     limits: Vec<Limit>,
     fleet: FleetSize,
-    alive: Vec<VmId>,
+    owners: Owners,
     /// The home of each lane while no bucket is too small.
     homes: [Option<VmId>; LANES],
     /// Since when buckets have been too small; see [`Self::is_scarce`].
@@ -131,7 +132,7 @@
             terms,
             limits: Vec::new(),
             fleet: FleetSize::new(),
-            alive: Vec::new(),
+            owners: Owners::default(),
             homes: [None; LANES],
             scarce_since: None,
             lanes: [lane.clone(), lane],
@@ -202,7 +203,7 @@
     /// Records a change of the fleet.
     pub fn set_view(&mut self, view: HomeView<'_>, now: Time) {
         self.fleet.observe(view.registered, now);
-        self.alive = view.alive.to_vec();
+        self.owners.set_alive(view.alive, now);
         self.homes = view.homes;
         self.choose_roles(now);
     }
@@ -214,13 +215,10 @@
             self.choose_roles(now);
         }
         self.desk.tick(now);
-        let collect = QuotaBody::Collect {
-            instance: self.instance,
-            stamp: now,
-            fleet: self.fleet.get(),
-        };
+        let owners = self.owners.asked(now);
+        let collect = self.collect_msg(now);
         for lane in 0..LANES {
-            let due = self.lanes[lane].home.collect(&self.alive, now);
+            let due = self.lanes[lane].home.collect(&owners, now);
             for vm in due {
                 self.send(vm, lane as Lane, collect, now);
             }
@@ -228,6 +226,25 @@
         }
     }
 
+    /// Offers this VM's part to the homes, which may have asked for it before this VM knew a
+    /// limit. They ask again later if the offer is lost.
+    pub fn offer(&mut self, now: Time) {
+        for index in 0..LANES {
+            let home = self.lanes[index].home_vm.filter(|vm| *vm != self.self_id);
+            if let Some(home) = home {
+                self.send(home, index as Lane, QuotaBody::Offer, now);
+            }
+        }
+    }
+
+    fn collect_msg(&self, now: Time) -> QuotaBody {
+        QuotaBody::Collect {
+            instance: self.instance,
+            stamp: now,
+            fleet: self.fleet.get(),
+        }
+    }
+
     /// Returns the parts to their owners, at a planned stop.
     pub fn leave(&mut self, now: Time) {
         self.homes = [None; LANES];
@@ -296,12 +313,16 @@
                 stamp,
                 share,
                 waits,
+                age,
+                unused,
                 credit,
             } => {
                 if instance == self.instance {
                     let delegation = Delegation {
                         share,
                         waits,
+                        age,
+                        unused,
                         credit,
                     };
                     lane.home.delegate(from, stamp, delegation, now);
@@ -333,6 +354,12 @@
             QuotaBody::GiveBack { ask } => {
                 lane.home.give_back(Some(&mut other.home), from, ask, now);
             }
+            QuotaBody::Offer => {
+                if lane.home.take_offer(from, now) {
+                    let collect = self.collect_msg(now);
+                    self.send(from, msg.lane, collect, now);
+                }
+            }
         }
     }
 
@@ -352,12 +379,18 @@
             return;
         }
         let delegation = state.delegator.collect(home, stamp, fleet, window, now);
-        if let Some(delegation) = delegation {
+        if let Some(mut delegation) = delegation {
+            // What this VM used as the home itself shows that not all parts were unused.
+            if let Some(used) = state.home.last_use(now) {
+                delegation.age = delegation.age.min(now.saturating_sub(used));
+            }
             let delegate = QuotaBody::Delegate {
                 instance: home.1,
                 stamp,
                 share: delegation.share,
                 waits: delegation.waits,
+                age: delegation.age,
+                unused: delegation.unused,
                 credit: delegation.credit,
             };
             self.send(home.0, lane, delegate, now);
@@ -411,7 +444,7 @@
     /// Returns whether the parts of the VMs that respond keep a bucket of one lane below a
     /// token. One VM is the home of both lanes then, and grants tokens out of both buckets.
     fn is_scarce(&self) -> bool {
-        let present = self.alive.len() as f64 / f64::from(self.fleet.get());
+        let present = self.owners.alive_count() as f64 / f64::from(self.fleet.get());
         let is_small = |limit: &Limit| limit.stock(&self.terms) * present < LANES as f64;
         self.limits.iter().any(is_small)
     }
