--- a/review/cases-2.rs
+++ b/review/cases-2.rs
@@ -5,6 +5,7 @@
         "slow-head" => slow_head(world),
         "pipelined" => pipelined(world),
         "names" => names(world),
+        "late-check" => late_check(world),
         _ => unable("no such case"),
     }
 }
@@ -23,11 +24,7 @@
     let (mut foreign, mut answered) = (0, 0);
     for number in 0..12 {
         let id = format!("pay{number}");
-        let body = "booth=4&hour=9";
-        let request = format!(
-            "POST /hold-pay/{number} HTTP/1.1\r\nHost: {HOST}\r\nX-Attempt-Id: {id}\r\nX-Request-Deadline: 1200\r\nContent-Length: {}\r\n\r\n{body}",
-            body.len()
-        );
+        let request = post(&format!("/hold-pay/{number}"), &id, 1200);
         let vm = &fleet.vms[number % fleet.vms.len()];
         let mut conn = Conn::connect(vm.front).unwrap_or_else(|e| unable(&e.to_string()));
         conn.limit(Duration::from_secs(2));
@@ -169,3 +166,69 @@
     );
     world.end(before >= 0.25 && after < 0.25, &text)
 }
+
+/// A server whose liveness check fails although it serves well sends some answers to such checks
+/// once more, where the answer to a call is expected.
+fn late_check(world: &World) -> i32 {
+    const CALLERS: usize = 8;
+    const SPAN: Duration = Duration::from_secs(60);
+    for index in 0..6 {
+        let faulty = world.trouble && index == 0;
+        let traits = Traits { says_ill: faulty, extra_every: if faulty { 33 } else { 0 }, noisy: true };
+        let id = format!("i-reserve-{index}");
+        start_server(&world.store, &world.record, &id, "reserve", ZONES[index % 3], traits, |_| Plan::new(60, 1500));
+    }
+    world.servers("avail", |_| Plan::new(20, 400));
+    let mut fleet = Fleet::new(&ZONES, world.address, false);
+    fleet.start(&world.record);
+    if !fleet.wait_until_serving(HOST, "/slot-check/1", Duration::from_secs(20)) {
+        unable("the fleet does not serve");
+    }
+    thread::sleep(Duration::from_secs(3));
+    let fronts: Vec<SocketAddr> = fleet.vms.iter().map(|vm| vm.front).collect();
+    let refused: Arc<Mutex<Vec<String>>> = Arc::default();
+    let counts: Arc<Mutex<BTreeMap<u16, usize>>> = Arc::default();
+    let callers = (0..CALLERS).map(|caller| {
+        let (record, fronts) = (world.record.clone(), fronts.clone());
+        let (refused, counts) = (refused.clone(), counts.clone());
+        thread::spawn(move || {
+            let begin = Instant::now();
+            let mut number = caller;
+            while begin.elapsed() < SPAN {
+                number += CALLERS;
+                let id = format!("pay{number}");
+                let Ok(mut conn) = Conn::connect(fronts[number % fronts.len()]) else {
+                    continue;
+                };
+                conn.limit(Duration::from_secs(2));
+                let _ = conn.stream.write_all(post(&format!("/hold-pay/{number}"), &id, 1200).as_bytes());
+                let status = conn.read().ok().flatten().map_or(0, |response| response.status());
+                *counts.lock().unwrap().entry(status).or_default() += 1;
+                if status != 200 {
+                    record.note(&format!("answer to {id}: {status}"));
+                }
+                if [408, 421, 429, 503].contains(&status) {
+                    refused.lock().unwrap().push(id);
+                }
+                thread::sleep(Duration::from_millis(60));
+            }
+        })
+    });
+    let callers: Vec<_> = callers.collect();
+    for caller in callers {
+        let _ = caller.join();
+    }
+    thread::sleep(Duration::from_secs(2));
+    let refused = refused.lock().unwrap();
+    let run: Vec<&String> = refused.iter().filter(|id| world.record.has_run(id)).collect();
+    for id in &run {
+        world.record.note(&format!("{id} was answered as not run, and a server ran it"));
+    }
+    let text = format!(
+        "answers by status {:?}; {} bookings were answered as not run, and servers ran {} of them (allowed: 0)",
+        counts.lock().unwrap(),
+        refused.len(),
+        run.len()
+    );
+    world.end(!run.is_empty(), &text)
+}
--- a/review/standins-2.rs
+++ b/review/standins-2.rs
@@ -392,7 +392,25 @@
     }
 }
 
-fn start_server(store: &Store, record: &Record, id: &str, service: &str, zone: &str, plan: impl Fn(&Message) -> Plan + Send + Sync + 'static) {
+/// What is wrong with a server, and its host.
+#[derive(Clone, Copy, Default)]
+struct Traits {
+    /// Its liveness check fails although it serves well.
+    says_ill: bool,
+    /// It sends one in so many answers to liveness checks once more, late; 0 for none.
+    extra_every: u64,
+    /// Its host is five times slower for a third of the time, 150 ms each.
+    noisy: bool,
+}
+
+/// Returns how long work takes now on the host `seed`, in percent.
+fn slowdown(seed: u64) -> u64 {
+    let span = SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis() as u64 / 150;
+    let mixed = (span ^ (seed << 32)).wrapping_mul(0x9e37_79b9_7f4a_7c15);
+    if (mixed >> 40) % 100 < 35 { 500 } else { 100 }
+}
+
+fn start_server(store: &Store, record: &Record, id: &str, service: &str, zone: &str, traits: Traits, plan: impl Fn(&Message) -> Plan + Send + Sync + 'static) {
     let (listener, address) = listen();
     let born = SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis();
     let spec = format!(
@@ -401,16 +419,29 @@
     store.put("servers", id, &spec);
     let (id, record) = (id.to_owned(), record.clone());
     let busy = Arc::new(AtomicU64::new(0));
+    let checks = AtomicU64::new(0);
+    let seed = u64::from(address.port());
     serve(listener, move |mut conn| {
+        let mut extra: Option<String> = None;
         while let Ok(Some(request)) = conn.read() {
-            let load = format!("X-Server-Load: {},0,3,100\r\n", busy.load(Ordering::SeqCst));
+            let percent = if traits.noisy { slowdown(seed) } else { 100 };
+            let load = format!("X-Server-Load: {},0,3,{percent}\r\n", busy.load(Ordering::SeqCst));
             if request.path() == "/health" {
                 let fields = format!("X-Instance-Id: {id}\r\n{load}");
-                if respond(&mut conn.stream, "200 OK", &fields, b"").is_err() {
+                let status = if traits.says_ill { "503 Service Unavailable" } else { "200 OK" };
+                let number = checks.fetch_add(1, Ordering::SeqCst) + 1;
+                if traits.extra_every > 0 && number % traits.extra_every == 0 {
+                    extra = Some(format!("HTTP/1.1 {status}\r\n{fields}Content-Length: 0\r\n\r\n"));
+                }
+                if respond(&mut conn.stream, status, &fields, b"").is_err() {
                     return;
                 }
                 continue;
             }
+            if let Some(extra) = extra.take() {
+                record.note(&format!("{id} sends its last answer to a liveness check once more"));
+                let _ = conn.stream.write_all(extra.as_bytes());
+            }
             let attempt = request.field("x-attempt-id").unwrap_or("").to_owned();
             if request.field("x-expect-instance").is_some_and(|expected| expected != id) {
                 let fields = format!("X-Instance-Id: {id}\r\nX-Not-Executed: 1\r\nX-Attempt-Id: {attempt}\r\n");
@@ -423,7 +454,7 @@
             record.run.lock().unwrap().push(attempt.clone());
             busy.fetch_add(1, Ordering::SeqCst);
             let plan = plan(&request);
-            thread::sleep(plan.delay);
+            thread::sleep(plan.delay * percent as u32 / 100);
             busy.fetch_sub(1, Ordering::SeqCst);
             let head = format!(
                 "HTTP/1.1 200 OK\r\nX-Attempt-Id: {attempt}\r\nX-Response-Seal: s.{attempt}\r\n{load}Content-Length: {}\r\n\r\n",
@@ -624,6 +655,14 @@
     conn.read().ok().flatten().map(|response| response.status())
 }
 
+fn post(path: &str, id: &str, deadline_ms: u64) -> String {
+    let body = "booth=4&hour=9";
+    format!(
+        "POST {path} HTTP/1.1\r\nHost: {HOST}\r\nX-Attempt-Id: {id}\r\nX-Request-Deadline: {deadline_ms}\r\nContent-Length: {}\r\n\r\n{body}",
+        body.len()
+    )
+}
+
 const HOST: &str = "booths.example";
 
 /// The configuration: the routes of lsbr-booking, each with one service.
@@ -666,7 +705,7 @@
     fn servers(&self, service: &str, plan: impl Fn(&Message) -> Plan + Send + Sync + Clone + 'static) {
         for (index, zone) in ZONES.iter().enumerate() {
             let id = format!("i-{service}-{index}");
-            start_server(&self.store, &self.record, &id, service, zone, plan.clone());
+            start_server(&self.store, &self.record, &id, service, zone, Traits::default(), plan.clone());
         }
     }
 
