--- a/review/cases-2.rs
+++ b/review/cases-2.rs
@@ -6,6 +6,7 @@
         "pipelined" => pipelined(world),
         "names" => names(world),
         "late-check" => late_check(world),
+        "relayed" => relayed(world),
         _ => unable("no such case"),
     }
 }
@@ -170,9 +171,9 @@
 /// A server whose liveness check fails although it serves well sends some answers to such checks
 /// once more, where the answer to a call is expected.
 fn late_check(world: &World) -> i32 {
-    const CALLERS: usize = 8;
-    const SPAN: Duration = Duration::from_secs(60);
-    for index in 0..6 {
+    const CALLERS: usize = 14;
+    const SPAN: Duration = Duration::from_secs(85);
+    for index in 0..7 {
         let faulty = world.trouble && index == 0;
         let traits = Traits { says_ill: faulty, extra_every: if faulty { 33 } else { 0 }, noisy: true };
         let id = format!("i-reserve-{index}");
@@ -232,3 +233,72 @@
     );
     world.end(!run.is_empty(), &text)
 }
+
+/// A VM that is cut off from all servers relays its calls; one of the VMs that take them stands
+/// still while it passes answers on.
+fn relayed(world: &World) -> i32 {
+    const CALLS: usize = 30;
+    const TIMEOUT: Duration = Duration::from_secs(2);
+    const FREEZE: Duration = Duration::from_secs(4);
+    for index in 0..12 {
+        let id = format!("i-studio-admin-{index}");
+        start_server(&world.store, &world.record, &id, "studio-admin", ZONES[index % 3], Traits::default(), |request| {
+            let large = request.path().contains("large");
+            let mut plan = Plan::new(10, if large { 200_000 } else { 400 });
+            plan.pause = Duration::from_millis(if large { 100 } else { 0 });
+            plan
+        });
+    }
+    world.servers("avail", |_| Plan::new(20, 400));
+    let mut fleet = Fleet::new(&ZONES, world.address, true);
+    fleet.start(&world.record);
+    if !fleet.wait_until_serving(HOST, "/slot-check/1", Duration::from_secs(20)) {
+        unable("the fleet does not serve");
+    }
+    thread::sleep(Duration::from_secs(3));
+    let front = fleet.vms[0].front;
+    if world.trouble {
+        fleet.cut(0, "refused");
+        world.record.note("the first VM is cut off from all servers");
+        thread::sleep(Duration::from_secs(1));
+    }
+    for number in 0..20 {
+        let status = status_of(front, HOST, "/gear-log/small", &format!("before{number}"), 2000);
+        world.record.note(&format!("before{number}: {status:?}"));
+    }
+    let calls = (0..CALLS).map(|number| {
+        let record = world.record.clone();
+        thread::spawn(move || {
+            let id = format!("large{number}");
+            let Ok(mut conn) = Conn::connect(front) else {
+                return Duration::ZERO;
+            };
+            conn.limit(Duration::from_secs(20));
+            let begin = Instant::now();
+            let _ = conn.stream.write_all(get(HOST, "/gear-log/large", &id, 3000).as_bytes());
+            let end = match conn.read() {
+                Ok(Some(response)) => format!("{} with {} bytes", response.start, response.body.len()),
+                Ok(None) => "closed".into(),
+                Err(error) => error,
+            };
+            let took = begin.elapsed();
+            record.note(&format!("{id} ended after {} ms: {end}", took.as_millis()));
+            took
+        })
+    });
+    let calls: Vec<_> = calls.collect();
+    thread::sleep(Duration::from_millis(800));
+    if world.trouble {
+        fleet.signal(1, "STOP", &world.record);
+        thread::sleep(FREEZE);
+        fleet.signal(1, "CONT", &world.record);
+    }
+    let times: Vec<Duration> = calls.into_iter().filter_map(|call| call.join().ok()).collect();
+    let longer = times.iter().filter(|time| **time > TIMEOUT).count();
+    let late = times.iter().filter(|time| **time > TIMEOUT + Duration::from_millis(500)).count();
+    let longest = times.iter().max().map_or(0, |time| time.as_millis());
+    let text = format!(
+        "of {CALLS} requests {longer} lasted longer than timeout_s, {late} had no final answer 0.5 s after it (allowed: 7, or a quarter); the longest took {longest} ms"
+    );
+    world.end(late >= 8 && late * 4 > longer, &text)
+}
--- a/review/standins-2.rs
+++ b/review/standins-2.rs
@@ -587,6 +587,21 @@
         }
     }
 
+    /// Cuts the connections of a VM to servers, by the daemon's own means for tests.
+    fn cut(&self, index: usize, how: &str) {
+        let file = self.directory.join(format!("{}.cut", self.vms[index].name));
+        let written = std::fs::write(file, how);
+        written.unwrap_or_else(|e| unable(&e.to_string()));
+    }
+
+    fn signal(&self, index: usize, name: &str, record: &Record) {
+        let vm = &self.vms[index];
+        if let Some(child) = &vm.child {
+            let sent = Command::new("kill").arg(format!("-{name}")).arg(child.id().to_string()).status();
+            record.note(&format!("SIG{name} to {}: {sent:?}", vm.name));
+        }
+    }
+
     fn ended(&mut self) -> Vec<String> {
         let mut ended = Vec::new();
         for vm in &mut self.vms {
