--- a/review/standins-2.rs
+++ b/review/standins-2.rs
@@ -47,9 +47,15 @@
 /// The time after which a run is given up.
 const TIME_LIMIT: Duration = Duration::from_secs(110);
 
+/// The folder for settings and logs.
+fn directory() -> PathBuf {
+    std::env::temp_dir().join(format!("review-2-{}", std::process::id()))
+}
+
 /// Ends all processes that were started, and this one with code 2.
 fn unable(why: &str) -> ! {
     eprintln!("cannot run: {why}");
+    let _ = std::fs::remove_dir_all(directory());
     let started = STARTED.lock().map(|pids| pids.clone()).unwrap_or_default();
     for pid in started {
         let _ = Command::new("kill").args(["-9", &pid.to_string()]).status();
@@ -493,20 +499,25 @@
     directory: PathBuf,
 }
 
+/// Returns a port that is free for TCP and UDP and was not returned before, below those that
+/// the system gives to outgoing connections.
 fn free_port() -> u16 {
-    loop {
-        let tcp = TcpListener::bind("127.0.0.1:0").unwrap_or_else(|e| unable(&e.to_string()));
-        let port = tcp.local_addr().unwrap().port();
-        if UdpSocket::bind(("127.0.0.1", port)).is_ok() {
+    static NEXT: AtomicU64 = AtomicU64::new(0);
+    let begin = u64::from(std::process::id()) * 37;
+    for _ in 0..12_000 {
+        let port = 20_000 + ((begin + NEXT.fetch_add(1, Ordering::SeqCst)) % 12_000) as u16;
+        let address = ("127.0.0.1", port);
+        if TcpListener::bind(address).is_ok() && UdpSocket::bind(address).is_ok() {
             return port;
         }
     }
+    unable("no port is free");
 }
 
 impl Fleet {
     /// Writes the settings of VMs in the given zones, from the template of the deploy file.
     fn new(zones: &[&str], store: SocketAddr, faults: bool) -> Self {
-        let directory = std::env::temp_dir().join(format!("review-2-{}", std::process::id()));
+        let directory = directory();
         let made = std::fs::create_dir_all(&directory);
         made.unwrap_or_else(|e| unable(&e.to_string()));
         let template = std::fs::read_to_string("deploy/settings.json");
