platform: continue a list after the names that its pages have

What callers saw: VMs that started found no configuration, and rejected all requests, while other objects of the kind `config` filled a page in front of `main`; they knew no server behind a page of names that are no Unicode or too long for a request.

Cause: the list went on after the last entry that had been kept. The decoder drops other objects than `main`, and entries whose metadata it cannot read. A page of which nothing was kept ended the list as if it were the last one. A name of 65,534 bytes or more cannot be put into the target of a request at all.

--- a/crates/conf/src/registry.rs
+++ b/crates/conf/src/registry.rs
@@ -79,8 +79,9 @@
 pub struct Page {
     /// The entries or changes.
     pub items: Vec<RegistryEntry>,
-    /// Whether the list continues after the last of `items`.
-    pub has_more: bool,
+    /// The name after which the list continues, which need not be that of an entry; `None`
+    /// if this is the last page.
+    pub next: Option<String>,
     /// The registry revision up to which the page is complete, from which the next
     /// watch continues.
     pub revision: Revision,
--- a/crates/node/src/registry.rs
+++ b/crates/node/src/registry.rs
@@ -649,11 +649,8 @@
     let mut page = registry.list(topic, None, RESPONSE_TIMEOUT).await?;
     let revision = page.revision;
     let mut items = std::mem::take(&mut page.items);
-    while page.has_more {
-        let Some(last) = items.last().map(|item| item.name.clone()) else {
-            break;
-        };
-        page = registry.list(topic, Some(&last), RESPONSE_TIMEOUT).await?;
+    while let Some(after) = page.next.take() {
+        page = registry.list(topic, Some(&after), RESPONSE_TIMEOUT).await?;
         if revisions::era(page.revision) != revisions::era(revision) {
             // The registry was restored between two pages, which do not fit together.
             return Err(plat::Error::Compacted);
--- a/crates/node/tests/quotas.rs
+++ b/crates/node/tests/quotas.rs
@@ -61,7 +61,7 @@
         let items = (topic == Topic::Layout).then_some(entry);
         let page = Page {
             items: items.into_iter().collect(),
-            has_more: false,
+            next: None,
             revision: base::revisions::in_era(1, 1),
         };
         Box::pin(async { Ok(page) })
