node: list a topic whose changes cannot be read at once

What callers saw: a sound server that joined was never used, and a new configuration never came into force, after another writer had changed a dozen objects of 1,000,000 bytes each while no VM could read the store. The VMs served on what they knew.

Cause: the response to the next watch has all these changes, as no page bounds them, and is longer than the client accepts. The watch failed as a read without an answer does, and was sent again from the same revision. A change that cannot be split from the others had the same effect for good, although the entry may have been replaced since.

Why this works: a response that is too long is an error of its own (`net`, `plat`). After it, and after one that is no page, the topic is listed: in pages, and as it is now. It counts as a failure, so that a list that cannot be read either is tried with the usual backoff; too many changes are no outage and hold no removal back.

--- a/crates/net/src/client.rs
+++ b/crates/net/src/client.rs
@@ -9,6 +9,7 @@
 use async_channel::Receiver;
 use http::Request;
 use http::Response;
+use http_body_util::LengthLimitError;
 use hyper::body::Incoming;
 use hyper::client::conn;
 use smol::net::TcpStream;
@@ -42,9 +43,12 @@
     /// The connection failed after it had been established.
     #[error("the HTTP exchange failed: {0}")]
     Http(#[from] hyper::Error),
-    /// The body of the response was truncated or too long.
-    #[error("the response body is truncated or too long: {0}")]
+    /// The body of the response was truncated.
+    #[error("the response body is truncated: {0}")]
     Body(body::BoxError),
+    /// The body of the response was longer than this number of bytes.
+    #[error("the response body is longer than {0} bytes; ask for less at once")]
+    TooLong(usize),
     /// The peer sent more interim responses than [`INTERIM_MAX`].
     #[error("the peer sent over {INTERIM_MAX} interim responses; check the server")]
     Interim,
@@ -246,7 +250,10 @@
         let (parts, incoming) = response.into_parts();
         let bytes = body::collect(incoming, max_bytes)
             .await
-            .map_err(Error::Body)?;
+            .map_err(|error| match error.is::<LengthLimitError>() {
+                true => Error::TooLong(max_bytes),
+                false => Error::Body(error),
+            })?;
         Ok(Response::from_parts(parts, bytes))
     };
     crate::timeout(max_wait, exchange)
--- a/crates/node/src/registry.rs
+++ b/crates/node/src/registry.rs
@@ -252,6 +252,10 @@
         if reader.failures == 0 {
             log::warn!("registry: cannot read {}: {error}", reader.topic.name());
         }
+        if fails_again(error) {
+            // A list has the entries in pages, and only as they are now.
+            reader.revision = None;
+        }
         let now = self.clock.now().as_millis() as u64;
         self.registry_failed_ms.fetch_max(now, Ordering::Relaxed);
         if shows_outage(error) {
@@ -619,13 +623,19 @@
     }
 }
 
+/// Returns whether a watch that failed with `error` would fail in the same way from the same
+/// revision: because of what the changes hold, or of how many there are.
+fn fails_again(error: &plat::Error) -> bool {
+    matches!(error, plat::Error::Malformed(_) | plat::Error::TooLong(_))
+}
+
 /// Returns whether a read that failed with `error` may have met an outage, in which entries
 /// of servers lapse. A registry that cuts off a watch or limits the rate of reads works;
 /// after a watch that was cut off, the next read, which does not wait, tells.
 fn shows_outage(error: &plat::Error) -> bool {
     !matches!(
         error,
-        plat::Error::WatchCut(_) | plat::Error::RateLimited(_)
+        plat::Error::WatchCut(_) | plat::Error::RateLimited(_) | plat::Error::TooLong(_)
     )
 }
 
--- a/crates/plat/src/lib.rs
+++ b/crates/plat/src/lib.rs
@@ -71,6 +71,10 @@
     /// done.
     #[error("the platform no longer has the requested changes; read everything again")]
     Compacted,
+    /// The response is longer than this number of bytes, and was not read to its end. It
+    /// would be as long the next time.
+    #[error("the response of the platform is longer than {0} bytes; read everything in pages")]
+    TooLong(usize),
     /// The value is larger than [`VALUE_MAX_BYTES`]. Nothing was written.
     #[error("the value has {0} bytes, but the platform stores at most 1048576; split the service")]
     TooLarge(usize),
