--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -166,7 +166,9 @@
         Error::RateLimited(_) => StatusCode::TOO_MANY_REQUESTS,
         Error::TooLarge(_) => StatusCode::PAYLOAD_TOO_LARGE,
         Error::Unavailable(_) | Error::WatchCut(_) => StatusCode::SERVICE_UNAVAILABLE,
-        Error::OutcomeUnknown(_) | Error::Malformed(_) => StatusCode::INTERNAL_SERVER_ERROR,
+        Error::OutcomeUnknown(_) | Error::TooLong(_) | Error::Malformed(_) => {
+            StatusCode::INTERNAL_SERVER_ERROR
+        }
     };
     respond(status, error.to_string().into_bytes())
 }
