net: close an HTTP/2 connection whose peer does not read

What callers saw: nothing yet. A server that is called over HTTP/2, and that sends pings or settings without end and reads nothing, kept its connection open after the VM had given up: one socket and its task more with each such call, and one connection more at the server than its share.

Cause: hyper drives an HTTP/2 connection in a task of its own, which was detached. It ends when all it has written is sent. The peer does not read the responses to its pings, so nothing is sent, and while they wait nothing is read. Dropping the sender, which 'closes the connection at once' by its description, did not end that task.

Why this works: the tasks of the connection race with a channel that the sender holds. Its drop ends them, whatever they wait for, as it does on HTTP/1.1.

--- a/crates/net/src/client.rs
+++ b/crates/net/src/client.rs
@@ -1,9 +1,12 @@
 //! Single HTTP client connections. The `entry` crate pools them.
 
+use std::convert::Infallible;
+use std::future::Future;
 use std::net::SocketAddr;
 use std::ops::RangeInclusive;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
+use std::sync::Arc;
 use std::time::Duration;
 
 use async_channel::Receiver;
@@ -69,6 +72,36 @@
     requests: Requests,
     /// Drives the connection. Dropping the task cancels it.
     _driver: Task<()>,
+    /// Ends the other tasks of an HTTP/2 connection when it is dropped.
+    _close: async_channel::Sender<Infallible>,
+}
+
+/// Runs the tasks into which hyper divides an HTTP/2 connection.
+///
+/// They end with the [`Sender`] of the connection. By themselves they would wait until what
+/// they have written is sent, which a peer that does not read prevents.
+#[derive(Clone)]
+struct ConnTasks {
+    handle: Handle,
+    /// Shared, because hyper requires executors that are `Unpin`.
+    closed: Arc<Receiver<Infallible>>,
+}
+
+impl<F> hyper::rt::Executor<F> for ConnTasks
+where
+    F: Future + Send + 'static,
+{
+    fn execute(&self, future: F) {
+        let closed = self.closed.clone();
+        let task = async move {
+            future.await;
+        };
+        let cancelled = async move {
+            let _ = closed.recv().await;
+        };
+        self.handle
+            .spawn_detached(futures_lite::future::or(task, cancelled));
+    }
 }
 
 enum Requests {
@@ -207,8 +240,13 @@
         .map_err(|error| Error::Connect(address, error))?;
     let _ = stream.set_nodelay(true);
     let io = FuturesIo::new(Fair::new(stream));
+    let (close, closed) = async_channel::bounded(1);
     if http2 {
-        let (sender, driver) = conn::http2::Builder::new(handle.clone())
+        let tasks = ConnTasks {
+            handle: handle.clone(),
+            closed: Arc::new(closed),
+        };
+        let (sender, driver) = conn::http2::Builder::new(tasks)
             .timer(smol_hyper::rt::SmolTimer::new())
             .handshake(io)
             .await?;
@@ -218,6 +256,7 @@
                 let _ = driver.await;
                 on_close();
             }),
+            _close: close,
         });
     }
     let (sender, driver) = conn::http1::Builder::new()
@@ -230,6 +269,7 @@
             let _ = driver.await;
             on_close();
         }),
+        _close: close,
     })
 }
 
