net: keep the bytes of a collected body together

What callers saw: nothing yet. A store, a server that refuses calls or a peer that sends its body in chunks of a byte made the VM keep 32 bytes and more for each of them: a page of the store, which may have 8 MiB, would have taken more than the 260 MB of a VM.

Cause: body::collect counted the bytes of the frames and kept each frame as an object of its own. Bodies of requests and of responses that callers get are copied into one buffer and are not concerned.

Why this works: the frames are copied into one buffer, whose size the limit bounds.

--- a/crates/net/src/body.rs
+++ b/crates/net/src/body.rs
@@ -1,10 +1,12 @@
 //! Bodies of requests and responses.
 
+use std::pin::pin;
 use std::pin::Pin;
 use std::task::Context;
 use std::task::Poll;
 
 use bytes::Bytes;
+use bytes::BytesMut;
 use futures_lite::stream;
 use futures_lite::StreamExt;
 use http::HeaderMap;
@@ -92,11 +94,20 @@
 
 /// Reads `body` to its end. Fails if the body is truncated or longer than `limit`
 /// bytes.
+///
+/// The frames are copied, so that a peer that sends a byte at a time does not have each of
+/// them kept with its own allocation.
 pub async fn collect<B>(body: B, limit: usize) -> Result<Bytes, BoxError>
 where
     B: hyper::body::Body<Data = Bytes> + Send,
     B::Error: Into<BoxError>,
 {
-    let limited = Limited::new(body, limit);
-    Ok(Box::pin(limited).collect().await?.to_bytes())
+    let mut limited = pin!(Limited::new(body, limit));
+    let mut bytes = BytesMut::new();
+    while let Some(frame) = limited.frame().await {
+        if let Ok(data) = frame?.into_data() {
+            bytes.extend_from_slice(&data);
+        }
+    }
+    Ok(bytes.freeze())
 }
--- a/crates/net/tests/endless.rs
+++ b/crates/net/tests/endless.rs
@@ -1,5 +1,6 @@
-//! HTTP/2 peers that send without end: memory stays bounded, the thread goes on with other
-//! work, and the connection ends with the sender.
+//! Peers that send without end: memory stays bounded, the thread goes on with other work, and
+//! the connection ends with the sender. Most of them use HTTP/2; `crates/load/tests/endless.rs`
+//! has those that use HTTP/1.1.
 
 use std::io::Read;
 use std::io::Write;
@@ -23,6 +24,8 @@
 const WAIT: Duration = Duration::from_millis(700);
 /// The most memory that one exchange may take.
 const MEMORY_MAX_BYTES: usize = 32 << 20;
+/// The longest response that is fetched.
+const FETCH_MAX_BYTES: usize = 4 << 20;
 /// The longest time for which the only thread may do nothing else.
 const STALL_MAX: Duration = Duration::from_millis(500);
 const TIMEOUT: Duration = Duration::from_secs(10);
@@ -39,6 +42,7 @@
 const CONTINUATION: u8 = 9;
 const UNKNOWN: u8 = 0x42;
 const END_HEADERS: u8 = 4;
+const PADDED: u8 = 8;
 /// A literal field without indexing, whose name is entry 8 of the static table.
 const STATUS_200: &[u8] = b"\x08\x03200";
 const STATUS_103: &[u8] = b"\x08\x03103";
@@ -149,6 +153,20 @@
     check(head(), frame(DATA, 0, 1, &[b'x'; 16 << 10]));
 }
 
+// Guards against a buffer that is limited by the bytes of the frames alone.
+#[test]
+fn http2_small_data_without_end_is_bounded() {
+    check(head(), frame(DATA, 0, 1, b"x"));
+}
+
+#[test]
+fn http2_padding_without_end_is_bounded() {
+    check(
+        head(),
+        frame(DATA, PADDED, 1, &[[254].as_slice(), &[0; 255]].concat()),
+    );
+}
+
 #[test]
 fn http2_empty_data_without_end_is_bounded() {
     check(head(), frame(DATA, 0, 1, &[]));
@@ -206,3 +224,35 @@
 fn http2_bytes_that_are_no_frames_are_bounded() {
     check(Vec::new(), b"x".to_vec());
 }
+
+// Guards against a buffer that keeps each chunk apart: the object of a chunk is larger than
+// most of these.
+#[test]
+fn fetch_small_chunks_without_end_is_bounded() {
+    let _measured = MEASURED.lock().unwrap_or_else(PoisonError::into_inner);
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).unwrap();
+    let address = listener.local_addr().unwrap();
+    std::thread::spawn(move || {
+        let (mut stream, _) = listener.accept().unwrap();
+        let _ = stream.read(&mut [0; 1 << 10]);
+        let _ = stream.write_all(b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n");
+        let block = b"1\r\nx\r\n".repeat(2000);
+        while stream.write_all(&block).is_ok() {}
+    });
+    let pool = ThreadPool::new("client", 1);
+    let handle = pool.handle();
+    let before = resident_bytes();
+    let fetch = pool.handle().spawn(async move {
+        let request = Request::get(format!("http://{address}/"))
+            .body(net::body::empty())
+            .unwrap();
+        client::fetch(&handle, address, request, TIMEOUT, FETCH_MAX_BYTES).await
+    });
+    while !fetch.is_finished() {
+        let added = resident_bytes().saturating_sub(before);
+        assert!(added < MEMORY_MAX_BYTES, "{added} bytes more");
+        std::thread::sleep(Duration::from_millis(5));
+    }
+    let failed = smol::block_on(fetch).expect_err("the response ended");
+    assert!(matches!(failed, client::Error::TooLong(_)), "{failed}");
+}
