--- a/crates/load/tests/endless.rs
+++ b/crates/load/tests/endless.rs
@@ -8,13 +8,18 @@
 use std::net::TcpStream;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
+use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::PoisonError;
 use std::time::Duration;
 use std::time::Instant;
 
 use harness::respond_whole;
 use harness::Harness;
 use harness::Scripted;
+use net::cut::Cut;
+use net::cut::CutConnector;
+use node::Options;
 
 /// The time limit of the route `/slow`, which the calls here use, and what may be added
 /// on a busy machine.
@@ -23,6 +28,13 @@
 /// caller and the server, which all belong to this process.
 const MEMORY_MAX_BYTES: usize = 32 << 20;
 
+/// The time between calls of which one is to be relayed.
+const CALL_PAUSE: Duration = Duration::from_millis(50);
+/// How long a caller reads a relayed response.
+const RELAY_TIME: Duration = Duration::from_secs(1);
+/// The time until calls are relayed, and until they are again after a server has failed.
+const SETTLE_TIME_MAX: Duration = Duration::from_secs(10);
+
 /// The number of connections on which a server is still sending.
 static SENDING: AtomicUsize = AtomicUsize::new(0);
 /// Held by one test at a time, since the memory of the whole process is measured.
@@ -68,7 +80,7 @@
 /// Calls `path` three times with a caller that reads only after the deadline, checks time
 /// and memory meanwhile, and returns the responses.
 fn call_endless(path: &str) -> Vec<String> {
-    let _measured = MEASURED.lock().unwrap();
+    let _measured = MEASURED.lock().unwrap_or_else(PoisonError::into_inner);
     let server = Scripted::new(respond);
     let harness = Harness::new(&[server.address]);
     let whole = harness.call("GET", "/slow/whole", "", "");
@@ -113,6 +125,66 @@
     }
 }
 
+/// Starts a second VM without a path to the servers, whose calls the first one relays, and
+/// calls `path` there with a caller that reads for [`RELAY_TIME`]. Checks the memory
+/// meanwhile, and that the connection to the server is closed after the caller has left.
+/// Returns the response as far as it came.
+fn relay_endless(path: &str) -> String {
+    let _measured = MEASURED.lock().unwrap_or_else(PoisonError::into_inner);
+    let servers = [Scripted::new(respond), Scripted::new(respond)];
+    let connector = Arc::new(CutConnector::new());
+    let mut harness = Harness::new(&servers.each_ref().map(|server| server.address));
+    let options = Options {
+        connector: Some(connector.clone()),
+        ..Options::default()
+    };
+    harness.add_vm_with("vm-2", options);
+    connector.set(Cut::Refused);
+    let relaying = harness.all_callers()[1];
+    let relayed = || {
+        let whole = harness.call_at(relaying, "GET", "/slow/whole", "", "");
+        whole.starts_with("HTTP/1.1 200")
+    };
+    let deadline = Instant::now() + SETTLE_TIME_MAX;
+    while !relayed() {
+        assert!(Instant::now() < deadline, "no call is relayed");
+        std::thread::sleep(CALL_PAUSE);
+    }
+    let calls = || servers.iter().map(Scripted::count).sum::<usize>();
+    let called = calls();
+    let before = resident_bytes();
+    let mut stream = TcpStream::connect(relaying).unwrap();
+    stream
+        .set_read_timeout(Some(Duration::from_millis(10)))
+        .unwrap();
+    let request = format!("POST {path} HTTP/1.1\r\nhost: s\r\ncontent-length: 0\r\n\r\n");
+    stream.write_all(request.as_bytes()).unwrap();
+    let end = Instant::now() + RELAY_TIME;
+    let mut response = Vec::new();
+    let mut buffer = vec![0; 16 << 10];
+    while Instant::now() < end {
+        let read = stream.read(&mut buffer).unwrap_or(0);
+        if response.len() < buffer.len() {
+            response.extend_from_slice(&buffer[..read]);
+        }
+        let added = resident_bytes().saturating_sub(before);
+        assert!(added < MEMORY_MAX_BYTES, "{path}: {added} bytes more");
+    }
+    assert!(calls() > called, "{path}: the call was not relayed");
+    drop(stream);
+    let deadline = Instant::now() + Duration::from_secs(5);
+    while SENDING.load(Ordering::SeqCst) > 0 {
+        assert!(Instant::now() < deadline, "{path}: a connection stays open");
+        std::thread::sleep(Duration::from_millis(5));
+    }
+    let deadline = Instant::now() + SETTLE_TIME_MAX;
+    while !relayed() {
+        assert!(Instant::now() < deadline, "{path}: no calls any more");
+        std::thread::sleep(CALL_PAUSE);
+    }
+    String::from_utf8_lossy(&response).into_owned()
+}
+
 /// Checks that the first call failed and may have run, and that no later one is reported
 /// as served.
 fn check_unknown(responses: &[String]) {
@@ -169,3 +241,26 @@
         assert!(whole || response.starts_with("HTTP/1.1 50"), "{response}");
     }
 }
+
+#[test]
+fn relayed_head_without_end_is_bounded() {
+    for path in ["/slow/head", "/slow/field", "/slow/interim"] {
+        let response = relay_endless(path);
+        assert!(response.starts_with("HTTP/1.1 50"), "{path}: {response}");
+    }
+}
+
+#[test]
+fn relayed_body_without_end_is_bounded() {
+    for path in ["/slow/chunks", "/slow/chunk", "/slow/to-the-end"] {
+        let response = relay_endless(path);
+        assert!(!response.ends_with("0\r\n\r\n"), "{path}: looks complete");
+    }
+}
+
+#[test]
+fn relayed_bytes_after_a_whole_response_belong_to_no_call() {
+    let response = relay_endless("/slow/after");
+    let whole = response.starts_with("HTTP/1.1 200") && response.ends_with("\r\n\r\nwhole");
+    assert!(whole || response.starts_with("HTTP/1.1 50"), "{response}");
+}
