--- a/crates/daemon/tests/harness/mod.rs
+++ b/crates/daemon/tests/harness/mod.rs
@@ -7,6 +7,7 @@
 use std::io::Read;
 use std::io::Write;
 use std::net::Ipv4Addr;
+use std::net::SocketAddr;
 use std::net::TcpListener;
 use std::net::TcpStream;
 use std::path::PathBuf;
@@ -170,19 +171,7 @@
         body_bytes: usize,
     ) -> Server {
         let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).unwrap();
-        let entry = ServerEntry {
-            address: listener.local_addr().unwrap(),
-            service: service.into(),
-            domain: "north".into(),
-            slots,
-            draining: false,
-            cold_left: Duration::ZERO,
-            started_ms: unix_time().as_millis() as u64,
-            announced: 1,
-        };
-        self.store.put(stand::SERVERS_KIND, name, entry.to_json());
-        let known = (name.to_owned(), entry);
-        self.entries.lock().unwrap().push(known);
+        self.write_entry(service, name, listener.local_addr().unwrap(), slots);
         let requests = Arc::new(AtomicUsize::new(0));
         let counter = requests.clone();
         let names = (service.to_owned(), name.to_owned());
@@ -195,6 +184,23 @@
         Server { requests }
     }
 
+    /// Writes the entry of a server of `service` at `address`, which takes `slots` calls at
+    /// once.
+    pub(crate) fn write_entry(&self, service: &str, name: &str, address: SocketAddr, slots: u32) {
+        let entry = ServerEntry {
+            address,
+            service: service.into(),
+            domain: "north".into(),
+            slots,
+            draining: false,
+            cold_left: Duration::ZERO,
+            started_ms: unix_time().as_millis() as u64,
+            announced: 1,
+        };
+        self.store.put(stand::SERVERS_KIND, name, entry.to_json());
+        self.entries.lock().unwrap().push((name.to_owned(), entry));
+    }
+
     /// Returns the address of VM `index`, of which there may be 250.
     pub(crate) fn ip(&self, index: u8) -> Ipv4Addr {
         let (a, b, c) = self.network;
