soak: leave odd entries in the store and restart all VMs

The entries stay, so they excuse nothing. The draws have a seed of their own, so the other events of a seed stay the same.

--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -136,6 +136,22 @@
 /// How much longer than it was ordered to last the operator waits for the end of a roll-out:
 /// the store may be away, which the end is written to.
 const ROLL_OUT_EXTRA: Duration = Duration::from_secs(12);
+/// The names of entries that another writer leaves. In the order of names some are before and
+/// some behind those of the other objects, and they take more than a page.
+const ODD_NAMES: [&str; 9] = [
+    " ",
+    "#1",
+    "%41",
+    "%zz",
+    "&after=~",
+    "+",
+    "a b?c/d",
+    "~&limit=0",
+    "~é%",
+];
+/// The size of the value of a large one. The nine of a kind are longer than the longest
+/// response that VMs read.
+const LARGE_VALUE_BYTES: usize = 1_000_000;
 /// The delay of responses by a slow store.
 const STORE_DELAY: Duration = Duration::from_millis(700);
 /// The time between tickets that are written in quick succession.
@@ -650,6 +666,7 @@
                 Timer::after(duration).await;
                 self.locations[index].set_rate_limit(None);
             }
+            Action::WriteOddEntries(large) => self.write_odd_entries(large).await,
             Action::RollOutBad => self.roll_out(true, duration).await,
             Action::DomainOut(index) => {
                 self.take_domain_out(DOMAINS[index], duration + DOMAIN_OUT_EXTRA)
@@ -789,6 +806,19 @@
         });
     }
 
+    /// Writes entries that another writer leaves for good: their names end up in the targets of
+    /// requests for pages, and their values say nothing.
+    async fn write_odd_entries(&self, large: bool) {
+        self.wait_store().await;
+        let length = if large { LARGE_VALUE_BYTES } else { 0 };
+        for kind in WRITTEN_AGAIN {
+            for name in ODD_NAMES {
+                let spec = json!({ "written by": "another", "value": "x".repeat(length) });
+                self.store.put(kind, name, spec);
+            }
+        }
+    }
+
     /// Takes a failure domain out of service for `duration`.
     async fn take_domain_out(&self, domain: &'static str, duration: Duration) {
         // Operators take a domain back in before they take one out again.
--- a/crates/soak/src/schedule.rs
+++ b/crates/soak/src/schedule.rs
@@ -70,6 +70,12 @@
 /// one of a good version after them.
 const BAD_ROLL_OUT_SHARE: f64 = 0.5;
 const GOOD_ROLL_OUT_SHARE: f64 = 0.25;
+/// Keeps the draws of odd entries apart from those of the other events.
+const ODD_ENTRY_SEED: u64 = 0x6f64_6464;
+/// The share of runs in which another writer leaves odd entries.
+const ODD_ENTRY_SHARE: f64 = 0.5;
+/// The time from these entries until all VMs are killed, so that new ones read them.
+const ODD_ENTRY_LEAD: Duration = Duration::from_millis(700);
 /// The longest rest that a server asks for, in seconds.
 const REST_MAX_SECS: u64 = 3;
 /// The time between the starts of two events of a series.
@@ -176,6 +182,9 @@
     RepeatPoison(usize),
     /// Rolls a bad version out within the duration of the event.
     RollOutBad,
+    /// Another writer leaves entries with odd names among all kinds of objects. They stay. The
+    /// flag says whether the entries are large, too large together for one response.
+    WriteOddEntries(bool),
     /// Cuts the connections to all servers of this many VMs, from the given one on.
     CutPaths(VmIndex, usize, Cut),
 }
@@ -215,6 +224,7 @@
     events.extend(generate_poison(seed, size));
     events.extend(generate_partition(seed, size));
     events.extend(generate_bad_roll_out(seed, size));
+    events.extend(generate_odd_entries(seed, size));
     events.sort_by_key(|event| event.at);
     events
 }
@@ -320,6 +330,24 @@
     has_roll_out.then_some(event)
 }
 
+/// Generates the odd entries of a run, if it has them, and a restart of all VMs after them.
+fn generate_odd_entries(seed: u64, size: &Size) -> Vec<Event> {
+    let mut rng = fastrand::Rng::with_seed(seed ^ ODD_ENTRY_SEED);
+    let has_entries = rng.f64() < ODD_ENTRY_SHARE;
+    let at = WARM_UP_TIME + size.time.mul_f64(rng.f64());
+    let event = |at, action| Event {
+        at,
+        duration: FAULT_MIN,
+        action,
+    };
+    let written = event(at, Action::WriteOddEntries(rng.bool()));
+    let killed = event(at + ODD_ENTRY_LEAD, Action::KillAll);
+    match has_entries {
+        true => vec![written, killed],
+        false => Vec::new(),
+    }
+}
+
 /// Returns whether a good version is rolled out after the faults of the run.
 pub fn has_good_roll_out(seed: u64) -> bool {
     let mut rng = fastrand::Rng::with_seed(!seed ^ ROLL_OUT_SEED);
