--- a/crates/load/src/main.rs
+++ b/crates/load/src/main.rs
@@ -37,6 +37,7 @@
   soak                     runs real processes under faults drawn from a seed
       --seeds FROM..TO     the seeds to run; one random seed if absent
       --regress            runs the seeds of soak/seeds.json
+      --except NUMBER      leaves a seed out; may be repeated
       --size NUMBER        the number of entry VMs
       --time SPAN          the time during which faults begin
       --jobs NUMBER        the number of concurrent runs
--- a/crates/load/src/soak.rs
+++ b/crates/load/src/soak.rs
@@ -75,6 +75,7 @@
 /// Runs the soak test as `args` say. Returns whether all runs met all guarantees.
 pub fn command(mut args: Arguments) -> anyhow::Result<bool> {
     let regress = args.contains("--regress");
+    let except: Vec<u64> = args.values_from_str("--except")?;
     let range = args.opt_value_from_fn("--seeds", parse_seeds)?;
     let vms = args.opt_value_from_str("--size")?;
     let time = args.opt_value_from_fn("--time", humantime::parse_duration)?;
@@ -114,6 +115,7 @@
     };
     let size = size(vms.unwrap_or(Size::default().vms), time);
     list.extend(range.map(|seed| Job { seed, size }));
+    list.retain(|job| !except.contains(&job.seed));
     let directory =
         keep.unwrap_or_else(|| std::env::temp_dir().join(format!("soak-{}", std::process::id())));
     if let (Some(net), [job]) = (net, list.as_slice()) {
