platform: list past entries whose quotes or brackets do not match

Callers saw: after a restart of all VMs every request got 503, until somebody removed the entry. One entry of another writer was enough, whose value is {"address":"127" or "x\ for example.

Cause: a page of a list is split at its quotes and brackets. If those of one entry do not match, the page cannot be split, and a list is used only as a whole. Two such entries that match together even made the page look sound: what stood between them was taken for text of the first one, and so for gone.

Why this works: at the beginning of a page it is certain what is text of an entry and what is not, and each entry that ends where the next one begins keeps it so. The first one that does not ends the page, and the list continues right behind its name, with a page that begins anew.

Costs one read for each such entry, 10 ms apart; registry_cut_pages counts them.

--- a/crates/node/src/gauges.rs
+++ b/crates/node/src/gauges.rs
@@ -1,5 +1,6 @@
 //! Gauges that read their values from the VM's state whenever metrics are collected.
 
+use std::sync::atomic::Ordering;
 use std::sync::Arc;
 use std::sync::Weak;
 
@@ -48,6 +49,13 @@
         "Restores of the registry from a copy that were noticed",
         |s| s.restores.count(),
     );
+    gauge(
+        &meter,
+        &weak,
+        "registry_cut_pages",
+        "Pages of lists that ended early, at entries whose bytes do not balance",
+        |s| s.cut_pages.load(Ordering::Relaxed),
+    );
     gauge(
         &meter,
         &weak,
--- a/crates/node/src/registry.rs
+++ b/crates/node/src/registry.rs
@@ -60,6 +60,9 @@
 /// The most entries in one response for which each change is logged at level info.
 /// For more entries, such as a whole list, their number is enough.
 const LOGGED_ENTRIES_MAX: usize = 40;
+/// The delay before the rest of a page that ended early is read. It leaves most of the
+/// platform's rate of reads to others, however many such entries there are.
+const CUT_PAGE_DELAY: Duration = Duration::from_millis(10);
 /// The interval at which the first reader looks in the registry for entry VMs that no
 /// peer has reported.
 const VM_LIST_INTERVAL: Duration = Duration::from_secs(20);
@@ -277,7 +280,7 @@
     async fn read(&self, registry: &dyn Registry, reader: &mut TopicReader) -> plat::Result<bool> {
         let has_changes = match reader.revision {
             None => {
-                let (items, revision) = list(registry, reader.topic).await?;
+                let (items, revision) = self.list(registry, reader.topic).await?;
                 self.note_outage_end(reader);
                 self.apply_list(reader, items, revision);
                 true
@@ -607,10 +610,53 @@
         }
     }
 
+    /// Reads all pages of a list. Returns the revision of the first page, since entries
+    /// that were deleted after it may still be in the list.
+    ///
+    /// Fails if a page ends where an earlier one did: the registry does not continue the list,
+    /// and would send the same entries without end.
+    async fn list(
+        &self,
+        registry: &dyn Registry,
+        topic: Topic,
+    ) -> plat::Result<(Vec<RegistryEntry>, Revision)> {
+        let mut page = registry.list(topic, None, RESPONSE_TIMEOUT).await?;
+        let revision = page.revision;
+        let mut items = std::mem::take(&mut page.items);
+        let mut ends: Vec<String> = Vec::new();
+        let mut cuts = 0;
+        while let Some(after) = page.next.take() {
+            let Err(index) = ends.binary_search(&after) else {
+                let reason = format!("the list of {} repeats after {after:?}", topic.name());
+                return Err(plat::Error::Malformed(reason));
+            };
+            if page.is_cut {
+                cuts += 1;
+                self.cut_pages.fetch_add(1, Ordering::Relaxed);
+                smol::Timer::after(CUT_PAGE_DELAY).await;
+            }
+            page = registry.list(topic, Some(&after), RESPONSE_TIMEOUT).await?;
+            ends.insert(index, after);
+            if revisions::era(page.revision) != revisions::era(revision) {
+                // The registry was restored between two pages, which do not fit together.
+                return Err(plat::Error::Compacted);
+            }
+            items.append(&mut page.items);
+        }
+        if cuts > 0 {
+            log::warn!(
+                cuts;
+                "registry: pages of {} end early, at entries whose bytes do not balance",
+                topic.name()
+            );
+        }
+        Ok((items, revision))
+    }
+
     /// Has the membership contact those VMs listed in the registry that it does not
     /// know.
     async fn discover_listed(&self, registry: &dyn Registry) {
-        match list(registry, Topic::Vms).await {
+        match self.list(registry, Topic::Vms).await {
             Ok((items, _)) => self.with_members(|members| {
                 for item in items {
                     if let Some(EntryValue::Vm(address)) = item.value {
@@ -649,32 +695,3 @@
         Topic::Layout | Topic::Vms => None,
     }
 }
-
-/// Reads all pages of a list. Returns the revision of the first page, since entries
-/// that were deleted after it may still be in the list.
-///
-/// Fails if a page ends where an earlier one did: the registry does not continue the list,
-/// and would send the same entries without end.
-async fn list(
-    registry: &dyn Registry,
-    topic: Topic,
-) -> plat::Result<(Vec<RegistryEntry>, Revision)> {
-    let mut page = registry.list(topic, None, RESPONSE_TIMEOUT).await?;
-    let revision = page.revision;
-    let mut items = std::mem::take(&mut page.items);
-    let mut ends: Vec<String> = Vec::new();
-    while let Some(after) = page.next.take() {
-        let Err(index) = ends.binary_search(&after) else {
-            let reason = format!("the list of {} repeats after {after:?}", topic.name());
-            return Err(plat::Error::Malformed(reason));
-        };
-        page = registry.list(topic, Some(&after), RESPONSE_TIMEOUT).await?;
-        ends.insert(index, after);
-        if revisions::era(page.revision) != revisions::era(revision) {
-            // The registry was restored between two pages, which do not fit together.
-            return Err(plat::Error::Compacted);
-        }
-        items.append(&mut page.items);
-    }
-    Ok((items, revision))
-}
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -133,6 +133,8 @@
     pub(crate) confirmed_ms: AtomicU64,
     /// When the last failed read of the registry ended; 0 if none has failed.
     pub(crate) registry_failed_ms: AtomicU64,
+    /// The pages of lists that ended early, at an entry whose end cannot be told.
+    pub(crate) cut_pages: AtomicU64,
     /// When a failed read last showed that the registry was away, the registry was first
     /// read again after an outage for all VMs, or a restore was noticed; 0 if none of this
     /// has happened.
@@ -258,6 +260,7 @@
             applied_changes: AtomicU64::new(0),
             confirmed_ms: AtomicU64::new(0),
             registry_failed_ms: AtomicU64::new(0),
+            cut_pages: AtomicU64::new(0),
             outage_ms: AtomicU64::new(0),
             restores: Restores::default(),
             topic_reads: TopicReads::default(),
--- a/crates/node/tests/quotas.rs
+++ b/crates/node/tests/quotas.rs
@@ -62,6 +62,7 @@
         let page = Page {
             items: items.into_iter().collect(),
             next: None,
+            is_cut: false,
             revision: base::revisions::in_era(1, 1),
         };
         Box::pin(async { Ok(page) })
