node: list a topic whose changes cannot be told apart, as no outage

Callers saw: while another writer wrote an entry whose quotes or brackets do not match, a server that had left kept getting calls for over two seconds. Two such entries in one response of a watch could hide changes between them for good.

Cause: such a watch failed as an invalid response, which counts as an outage of the registry, in which entries of servers lapse; removals are then held back for 2.2 s. A change that contains others, as brackets match only together, was taken for one.

If there is doubt, the topic is listed, which reads past such entries, and the failure says nothing of an outage.

--- a/crates/conf/src/registry.rs
+++ b/crates/conf/src/registry.rs
@@ -108,7 +108,8 @@
     ///
     /// The request fails if there is no response within `wait` plus `limit`. Returns
     /// [`plat::Error::Compacted`] if the registry no longer has the changes after
-    /// `revision`, or is in another era.
+    /// `revision`, or is in another era, and [`plat::Error::Indistinct`] if they cannot be
+    /// told apart.
     fn watch(
         &self,
         topic: Topic,
--- a/crates/node/src/registry.rs
+++ b/crates/node/src/registry.rs
@@ -243,9 +243,9 @@
 
     /// Records a failed read; returns the delay until the next one.
     fn note_failure(&self, reader: &mut TopicReader, error: &plat::Error) -> Duration {
-        if let plat::Error::Compacted = error {
+        if matches!(error, plat::Error::Compacted | plat::Error::Indistinct) {
             log::info!(
-                "registry: changes of {} after revision {} are compacted; listing",
+                "registry: cannot read the changes of {} after revision {}; listing: {error}",
                 reader.topic.name(),
                 reader.revision.unwrap_or(0)
             );
--- a/crates/plat/src/lib.rs
+++ b/crates/plat/src/lib.rs
@@ -71,6 +71,10 @@
     /// done.
     #[error("the platform no longer has the requested changes; read everything again")]
     Compacted,
+    /// The changes cannot be told apart, because of what one of them holds. The entries as
+    /// they are now may be readable.
+    #[error("the changes cannot be told apart; read everything again")]
+    Indistinct,
     /// The response is longer than this number of bytes, and was not read to its end. It
     /// would be as long the next time.
     #[error("the response of the platform is longer than {0} bytes; read everything in pages")]
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -161,7 +161,7 @@
 
 fn error_response(error: &Error) -> Response<Body> {
     let status = match error {
-        plat::Error::Compacted => StatusCode::GONE,
+        Error::Compacted | Error::Indistinct => StatusCode::GONE,
         Error::Conflict => StatusCode::PRECONDITION_FAILED,
         Error::RateLimited(_) => StatusCode::TOO_MANY_REQUESTS,
         Error::TooLarge(_) => StatusCode::PAYLOAD_TOO_LARGE,
