soak: play entries that do not balance, and first bytes sent one by one

In half of the runs with odd entries, others follow whose quotes or brackets do not match, among all kinds, before all VMs are killed. One request in five is sent with up to eight bytes one by one. Bytes that are no response are told from a closed connection, and break the rule `whole answer` (verify_bytes_that_are_no_response).

--- a/crates/soak/src/caller.rs
+++ b/crates/soak/src/caller.rs
@@ -2,6 +2,7 @@
 //! connection for the next one, pipelines several requests, or abandons the request
 //! before the response.
 
+use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -33,6 +34,11 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 /// The number of requests that a caller pipelines.
 const PIPELINE_DEPTH: usize = 3;
+/// One request in so many is sent with its first bytes one by one, at most so many of them.
+const PIECES_PERIOD: CallId = 5;
+const PIECES_MAX: usize = 8;
+/// The time between such bytes.
+const PIECE_PAUSE: Duration = Duration::from_millis(4);
 /// The share of requests that callers abandon before the response.
 const ABANDON_SHARE: f64 = 0.05;
 /// How long a caller waits before it abandons a request.
@@ -163,6 +169,22 @@
     reader: MessageReader,
 }
 
+impl Connection {
+    /// Sends the text of the request `id`, and in some cases its first bytes one by one.
+    async fn send(&mut self, text: &str, id: CallId) -> io::Result<()> {
+        let alone = match id % PIECES_PERIOD {
+            0 => 1 + (id / PIECES_PERIOD) as usize % PIECES_MAX,
+            _ => 0,
+        };
+        let (first, rest) = text.as_bytes().split_at(alone.min(text.len()));
+        for byte in first.chunks(1) {
+            self.stream.write_all(byte).await?;
+            Timer::after(PIECE_PAUSE).await;
+        }
+        self.stream.write_all(rest).await
+    }
+}
+
 /// A caller, which sends one request after another.
 pub struct Caller {
     recorder: Recorder,
@@ -208,7 +230,7 @@
             let id = self.begin_request(connection.vm, route, Key::Lasting, None);
             let end = if keep { "keep-alive" } else { "close" };
             let text = request_text(id, route, Key::Lasting, &id.to_string(), end);
-            if connection.stream.write_all(text.as_bytes()).await.is_err() {
+            if connection.send(&text, id).await.is_err() {
                 self.recorder.end_request(id, RequestEnd::ConnectionClosed);
                 continue;
             }
@@ -243,7 +265,7 @@
             .iter()
             .map(|id| request_text(*id, route, Key::Lasting, &id.to_string(), "keep-alive"))
             .collect();
-        let wrote = connection.stream.write_all(all.as_bytes()).await.is_ok();
+        let wrote = connection.send(&all, ids[0]).await.is_ok();
         let mut open = wrote;
         for id in ids {
             if !open {
@@ -271,7 +293,7 @@
             let id = self.begin_request(connection.vm, route, Key::Lasting, Some(index));
             let name = format!("{POISON_MARK}-{index}");
             let text = request_text(id, route, Key::Lasting, &name, "close");
-            if connection.stream.write_all(text.as_bytes()).await.is_ok() {
+            if connection.send(&text, id).await.is_ok() {
                 self.recorder.mark_sent(id);
                 let (end, _) = read_response(&mut connection.reader).await;
                 self.recorder.end_request(id, end);
@@ -309,7 +331,7 @@
         };
         let id = self.begin_request(connection.vm, route, key, None);
         let text = request_text(id, route, key, &id.to_string(), "keep-alive");
-        if connection.stream.write_all(text.as_bytes()).await.is_err() {
+        if connection.send(&text, id).await.is_err() {
             self.recorder.end_request(id, RequestEnd::ConnectionClosed);
             return;
         }
@@ -343,6 +365,7 @@
         let (vm, address) = self.rotation.pick(&mut self.rng)?;
         let opened = async { TcpStream::connect(address).await.ok() };
         let stream = net::timeout(CONNECT_TIMEOUT, opened).await.flatten()?;
+        let _ = stream.set_nodelay(true);
         let reader = MessageReader::new(stream.clone());
         Some(Connection { vm, stream, reader })
     }
@@ -377,6 +400,9 @@
     match net::timeout(REQUEST_TIMEOUT + RESPONSE_GRACE, reader.read_response()).await {
         None => (RequestEnd::Timeout, None),
         Some(Ok(Some(response))) => (check_response(&response), Some(response)),
+        Some(Err(error)) if error.kind() == io::ErrorKind::InvalidData => {
+            (RequestEnd::Malformed, None)
+        }
         Some(Ok(None) | Err(_)) => (RequestEnd::ConnectionClosed, None),
     }
 }
@@ -413,7 +439,9 @@
             408 | 421 | 429 | 503 => true,
             _ => route.idempotent,
         },
-        RequestEnd::ConnectionClosed | RequestEnd::Timeout => route.idempotent,
+        RequestEnd::ConnectionClosed | RequestEnd::Malformed | RequestEnd::Timeout => {
+            route.idempotent
+        }
         RequestEnd::Abandoned => false,
     }
 }
--- a/crates/soak/src/record.rs
+++ b/crates/soak/src/record.rs
@@ -35,8 +35,10 @@
         /// Whether the request was refused for the quota of its team.
         over_quota: bool,
     },
-    /// The connection closed, or sent invalid bytes, before a complete response.
+    /// The connection closed before a complete response.
     ConnectionClosed,
+    /// The caller got bytes that are no response.
+    Malformed,
     /// The caller gave up before the response, or an earlier response on the same
     /// connection closed the connection.
     Abandoned,
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -149,6 +149,14 @@
     "~&limit=0",
     "~é%",
 ];
+/// The names and values of entries whose quotes or brackets do not match.
+const UNBALANCED_ENTRIES: [(&str, &str); 5] = [
+    ("!a", r#"{"address":"127"#),
+    ("!b", "[1,{\"a\":2]"),
+    ("!c", r#"{"address":7}}"#),
+    ("~a", r#""x\"#),
+    ("~b", r#"{"version":1"#),
+];
 /// The size of the value of a large one. The nine of a kind are longer than the longest
 /// response that VMs read.
 const LARGE_VALUE_BYTES: usize = 1_000_000;
@@ -667,6 +675,7 @@
                 self.locations[index].set_rate_limit(None);
             }
             Action::WriteOddEntries(large) => self.write_odd_entries(large).await,
+            Action::WriteUnbalancedEntries => self.write_unbalanced_entries().await,
             Action::RollOutBad => self.roll_out(true, duration).await,
             Action::DomainOut(index) => {
                 self.take_domain_out(DOMAINS[index], duration + DOMAIN_OUT_EXTRA)
@@ -819,6 +828,18 @@
         }
     }
 
+    /// Writes entries that another writer leaves for good, and that cannot be told from what
+    /// follows them.
+    async fn write_unbalanced_entries(&self) {
+        self.wait_store().await;
+        for (name, value) in UNBALANCED_ENTRIES {
+            self.store.set_raw(name, value.as_bytes());
+            for kind in WRITTEN_AGAIN {
+                self.store.put(kind, &format!("{name}-raw"), json!(name));
+            }
+        }
+    }
+
     /// Takes a failure domain out of service for `duration`.
     async fn take_domain_out(&self, domain: &'static str, duration: Duration) {
         // Operators take a domain back in before they take one out again.
--- a/crates/soak/src/schedule.rs
+++ b/crates/soak/src/schedule.rs
@@ -185,6 +185,9 @@
     /// Another writer leaves entries with odd names among all kinds of objects. They stay. The
     /// flag says whether the entries are large, too large together for one response.
     WriteOddEntries(bool),
+    /// Another writer leaves entries whose quotes or brackets do not match among all kinds of
+    /// objects. They stay.
+    WriteUnbalancedEntries,
     /// Cuts the connections to all servers of this many VMs, from the given one on.
     CutPaths(VmIndex, usize, Cut),
 }
@@ -341,10 +344,12 @@
         action,
     };
     let written = event(at, Action::WriteOddEntries(rng.bool()));
+    let unbalanced = event(at, Action::WriteUnbalancedEntries);
     let killed = event(at + ODD_ENTRY_LEAD, Action::KillAll);
-    match has_entries {
-        true => vec![written, killed],
-        false => Vec::new(),
+    match (has_entries, rng.bool()) {
+        (true, true) => vec![written, unbalanced, killed],
+        (true, false) => vec![written, killed],
+        (false, _) => Vec::new(),
     }
 }
 
--- a/crates/soak/src/verify.rs
+++ b/crates/soak/src/verify.rs
@@ -289,6 +289,10 @@
     fn check_responses(&mut self) {
         let requests = &self.record.requests;
         for request in requests {
+            if let Some((at, RequestEnd::Malformed)) = &request.end {
+                let text = format!("request {} got bytes that are no response", request.id);
+                self.report("whole answer", *at, Some(request.id), text);
+            }
             let Some((
                 at,
                 RequestEnd::Response {
--- a/crates/soak/tests/verify.rs
+++ b/crates/soak/tests/verify.rs
@@ -222,6 +222,13 @@
     }
 }
 
+#[test]
+fn verify_bytes_that_are_no_response() {
+    let mut record = record();
+    add_request(&mut record, 10_000, "read", RequestEnd::Malformed);
+    assert_finds(&record, "whole answer");
+}
+
 #[test]
 fn verify_status_mismatch() {
     let mut record = record();
