--- a/crates/load/tests/calls.rs
+++ b/crates/load/tests/calls.rs
@@ -628,6 +628,46 @@
     assert_eq!(backend.record().begun, 3);
 }
 
+/// Sends so many bytes at a time.
+struct SplitStream(TcpStream, usize);
+
+impl Read for SplitStream {
+    fn read(&mut self, out: &mut [u8]) -> std::io::Result<usize> {
+        self.0.read(out)
+    }
+}
+
+impl Write for SplitStream {
+    fn write(&mut self, bytes: &[u8]) -> std::io::Result<usize> {
+        std::thread::sleep(Duration::from_millis(1));
+        self.0.write(&bytes[..bytes.len().min(self.1)])
+    }
+
+    fn flush(&mut self) -> std::io::Result<()> {
+        self.0.flush()
+    }
+}
+
+/// Sends a response one byte at a time.
+fn respond_in_pieces(stream: &mut TcpStream, _head: &str) {
+    let _ = stream.set_nodelay(true);
+    for byte in b"HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nwhole" {
+        let _ = stream.write_all(&[*byte]);
+        std::thread::sleep(Duration::from_millis(1));
+    }
+}
+
+#[test]
+fn call_response_in_pieces_reaches_the_caller() {
+    let server = Scripted::new(respond_in_pieces);
+    let harness = Harness::new(&[server.address]);
+    for method in ["GET", "POST"] {
+        let answer = harness.call(method, "/", "x-call-id: 5\r\n", "");
+        assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+        assert!(answer.ends_with("whole"), "{answer}");
+    }
+}
+
 #[test]
 fn call_tls_caller_negotiates_its_http_version() {
     let certified = rcgen::generate_simple_self_signed(vec!["entry".into()]).unwrap();
@@ -650,17 +690,22 @@
         .with_root_certificates(roots)
         .with_no_client_auth();
     config.alpn_protocols = vec![b"http/1.1".to_vec()];
-    let name = rustls::pki_types::ServerName::try_from("entry").unwrap();
-    let mut client = rustls::ClientConnection::new(std::sync::Arc::new(config), name).unwrap();
-    let mut stream = harness.open();
-    let mut tls = rustls::Stream::new(&mut client, &mut stream);
-    tls.write_all(b"GET / HTTP/1.1\r\nhost: s\r\nconnection: close\r\n\r\n")
-        .unwrap();
-    let mut answer = Vec::new();
-    let _ = tls.read_to_end(&mut answer);
-    let answer = String::from_utf8_lossy(&answer);
-    assert!(answer.ends_with("whole"), "{answer}");
-    assert_eq!(client.alpn_protocol(), Some(b"http/1.1".as_slice()));
+    let config = std::sync::Arc::new(config);
+    for length in [usize::MAX, 1] {
+        let name = rustls::pki_types::ServerName::try_from("entry").unwrap();
+        let mut client = rustls::ClientConnection::new(config.clone(), name).unwrap();
+        let stream = harness.open();
+        stream.set_nodelay(true).unwrap();
+        let mut stream = SplitStream(stream, length);
+        let mut tls = rustls::Stream::new(&mut client, &mut stream);
+        tls.write_all(b"GET / HTTP/1.1\r\nhost: s\r\nconnection: close\r\n\r\n")
+            .unwrap();
+        let mut answer = Vec::new();
+        let _ = tls.read_to_end(&mut answer);
+        let answer = String::from_utf8_lossy(&answer);
+        assert!(answer.ends_with("whole"), "{answer}");
+        assert_eq!(client.alpn_protocol(), Some(b"http/1.1".as_slice()));
+    }
 }
 
 /// Responds at once, except to the paths `/stall` (500 ms) and `/warm` (2 ms).
--- a/crates/net/tests/opening.rs
+++ b/crates/net/tests/opening.rs
@@ -1,5 +1,5 @@
-//! Callers whose first bytes arrive in pieces: they get the protocol that they speak, within
-//! the same limits as others.
+//! Peers whose bytes arrive in pieces. Callers get the protocol that they speak, within the
+//! same limits as others.
 
 use std::io::Read;
 use std::io::Write;
@@ -166,20 +166,25 @@
     assert!(read_response(&mut stream).ends_with("POST body;"));
 }
 
-/// Passes the bytes of one connection on to `target`, those of the caller one by one.
+/// Passes on what arrives one byte at a time.
+fn split(mut from: TcpStream, mut to: TcpStream) {
+    let mut byte = [0];
+    to.set_nodelay(true).unwrap();
+    while matches!(from.read(&mut byte), Ok(1)) && to.write_all(&byte).is_ok() {
+        std::thread::sleep(Duration::from_millis(1));
+    }
+}
+
+/// Starts a proxy of `target` for one connection, which splits the bytes of both sides.
 fn start_splitter(target: SocketAddr) -> SocketAddr {
     let listener = std::net::TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).unwrap();
     let address = listener.local_addr().unwrap();
     std::thread::spawn(move || {
-        let (mut caller, _) = listener.accept().unwrap();
-        let mut server = TcpStream::connect(target).unwrap();
-        server.set_nodelay(true).unwrap();
-        let (mut from, mut to) = (server.try_clone().unwrap(), caller.try_clone().unwrap());
-        std::thread::spawn(move || std::io::copy(&mut from, &mut to));
-        let mut byte = [0];
-        while matches!(caller.read(&mut byte), Ok(1)) && server.write_all(&byte).is_ok() {
-            std::thread::sleep(Duration::from_millis(1));
-        }
+        let (caller, _) = listener.accept().unwrap();
+        let server = TcpStream::connect(target).unwrap();
+        let (from, to) = (server.try_clone().unwrap(), caller.try_clone().unwrap());
+        std::thread::spawn(move || split(from, to));
+        split(caller, server);
     });
     address
 }
@@ -201,6 +206,19 @@
     assert_eq!(&bytes.unwrap()[..], b"POST body;");
 }
 
+// The same towards servers and the store.
+#[test]
+fn fetch_response_in_pieces_is_whole() {
+    let server = EchoServer::new("fetch");
+    let splitter = start_splitter(server.address);
+    let request = Request::post("/x").header("host", "s");
+    let request = request.body(body::full("body")).unwrap();
+    let handle = server.pool.handle();
+    let fetch = client::fetch(&handle, splitter, request, READ_TIMEOUT, 100);
+    let response = smol::block_on(fetch).unwrap();
+    assert_eq!(&response.body()[..], b"POST body;");
+}
+
 // The limits on a head hold before its protocol is known, in sum with what follows.
 #[test]
 fn run_head_in_pieces_has_the_time_of_one_head() {
