--- a/crates/conf/src/registry.rs
+++ b/crates/conf/src/registry.rs
@@ -82,8 +82,8 @@
     /// The name after which the list continues, which need not be that of an entry; `None`
     /// if this is the last page.
     pub next: Option<String>,
-    /// Whether the page ends early, at an entry whose end cannot be told, so that the list
-    /// continues right behind that entry.
+    /// Whether the page ends early, as what follows its last entry cannot be told from that
+    /// entry. The list continues right behind it.
     pub is_cut: bool,
     /// The registry revision up to which the page is complete, from which the next
     /// watch continues.
--- a/crates/net/src/opening.rs
+++ b/crates/net/src/opening.rs
@@ -51,12 +51,6 @@
 }
 
 impl<S: AsyncRead + Unpin> Opening<S> {
-    /// Waits for the first bytes. Returns false if the peer closes or resets the connection
-    /// instead.
-    pub(crate) async fn receive_first(&mut self) -> bool {
-        self.received > 0 || self.receive().await
-    }
-
     /// Returns whether the stream begins with the preface of HTTP/2, as soon as its bytes show
     /// that. Returns false if the peer closes its sending side before.
     ///
@@ -70,8 +64,9 @@
         self.is_preface()
     }
 
-    /// Receives further bytes. Returns false if there are none left.
-    async fn receive(&mut self) -> bool {
+    /// Waits for further of the first bytes. Returns false if the peer closes its sending side
+    /// or resets the connection instead.
+    pub(crate) async fn receive(&mut self) -> bool {
         let result = self.stream.read(&mut self.bytes[self.received..]).await;
         // A reader of the stream meets the error again, or the end of the stream.
         let length = result.unwrap_or(0);
--- a/crates/net/src/server.rs
+++ b/crates/net/src/server.rs
@@ -5,6 +5,7 @@
 //! shutdown the listener and the idle connections close, and the other connections
 //! close once their requests in progress have ended.
 
+use std::future::pending;
 use std::future::poll_fn;
 use std::future::Future;
 use std::io;
@@ -54,6 +55,7 @@
 /// The most connections that are accepted after the shutdown signal, which is the usual
 /// limit of the queue of a listener.
 const QUEUED_MAX: usize = 4096;
+
 /// How much of the bodies of an HTTP/2 connection is received before it is read.
 const HTTP2_WINDOW_BYTES: u32 = 64 << 10;
 /// How much of a response is buffered for each stream of an HTTP/2 connection.
@@ -314,15 +316,15 @@
         S: AsyncRead + Unpin,
     {
         let limit = self.limits.head_timeout;
-        let stopped = async {
-            self.stop.wait().await;
-            false
-        };
         let is_http2 = async {
-            timeout(limit, opening.receive_first()).await?;
+            timeout(limit, opening.receive()).await?;
             timeout(limit, opening.is_http2()).await
         };
-        futures_lite::future::or(is_http2, async { Some(stopped.await) }).await
+        let stopped = async {
+            self.stop.wait().await;
+            Some(false)
+        };
+        futures_lite::future::or(is_http2, stopped).await
     }
 
     /// Returns the response to a request over HTTP/1.1: the one that was started early, if
@@ -380,11 +382,12 @@
         };
         let served = run_connection(&self.stop, connection, shut_down);
         let overdue = async {
-            if let Some(began) = began {
-                smol::Timer::at(began + self.limits.head_timeout).await;
-            }
-            if began.is_none() || turns.has_begun() {
-                std::future::pending::<()>().await;
+            match began {
+                Some(began) => smol::Timer::at(began + self.limits.head_timeout).await,
+                None => pending().await,
+            };
+            if turns.has_begun() {
+                pending::<()>().await;
             }
         };
         futures_lite::future::or(served, overdue).await;
